--- /dev/null
+++ b/aldermux.go
@@ -0,0 +1,882 @@
+package aldermux
+
+// This is the decision module: every choice a balancer makes is in this file.
+// Its interface (settings, events, actions) is in api.go. Reading order:
+// constants, state, event dispatch (Step), picking, retry and the repeat rule,
+// load reports, health, cold start, list following, and last send and finish, which alone
+// start attempts and end requests, and check the four rules.
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Constants are dimensionless; every scale comes from the settings or from what
+// is observed.
+const (
+	bucketCap     = 100.0 // retry tokens at the most: a quiet balancer funds 20 retries at once, not 100
+	retryCost     = 5.0   // tokens for a retry ...
+	timeoutCost   = 10.0  // ... and for one after a time-out, which may mean a deeper trouble
+	successRefill = 1.0   // tokens that a served attempt brings back
+
+	backoffUnit    = 1.0 / 32 // of the class's aim: a one-second unit would outlast most aims
+	backoffCeiling = 8.0      // the longest backoff, in units
+
+	smooth       = 0.1   // weight of a new sample in a running mean, about the last 20 samples
+	priorSamples = 2.0   // answers that the mean of all counts for in a backend's slowness at the start
+	overdue      = 3.0   // mean latencies after which an answer may as well be lost
+	slowBound    = 8.0   // one sample says at most that a backend is so many times slower than the mean
+	strikeHeal   = 0.25  // strikes that a served attempt takes back: one error in five keeps them growing
+	strikeCap    = 5.0   // longest ejection is 2^(cap-1) times the first
+	coldTrickle  = 0.25  // of a core's work all agents send a cold backend where none is warm
+	heavy        = 2.0   // a cold backend gets no request of more than so many times the mean work
+	reportSpan   = 10.0  // mean latencies over which a report on a backend fades to the mean of all
+	staleMost    = 0.1   // share of reports older than what they came with, above which none steers
+	crowdLeast   = 0.1   // least crowd that a backend's chance counts with, in attempts
+	newConnBias  = 0.005 // chance of an idle backend without an open connection: as of one six times slower
+	crossWeight  = 150.0 // a backend in another zone counts as 1 over 1 + so many times the price of crossing
+
+	aimedDelay   = 0.55 // mean latency over aim to keep to: less refuses uneven work, more crowds servers
+	aimedBlind   = 0.35 // the same without fresh reports, for an agent that is not quiet
+	aimedRise    = 2.0  // and above so many times its low: servers may slow down when crowded
+	limitCut     = 0.9  // one cut of the in-flight limit
+	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
+	startPerBack = 6.0  // in-flight limit at the start, for all agents together per backend
+	floorPerBack = 4.0  // and the least it falls to: less would leave cores idle
+	floorPerWide = 1.5  // or so many times what a backend works on at once, where reports tell
+	backCap      = 3.0  // no backend holds more than so many mean shares of the limit
+	holdMargin   = 2.0  // a held request leaves when fewer than so many mean latencies remain to its aim
+	holdAtMost   = 0.75 // of the aim; a request may always be held for the rest of it
+	saveAtMost   = 4.0  // a quiet agent saves up so many mean latencies of its part
+	quietRatio   = 2.0  // agents per backend above which an agent is quiet
+	quietFloor   = 2.0  // and its floor, lower since no rounding up leaves it more than its part
+	paceSpan     = 10.0 // mean latencies that the mean delay spans
+	repeatValue  = 0.1  // value of a client's repeat against a first try: most of its aim has passed
+)
+
+// Balancer decides for one agent. See the package comment for its use.
+type Balancer struct {
+	s       Settings
+	rng     *rand.Rand
+	now     time.Duration
+	actions []Action
+
+	backends []*backend // in the order in which they were first listed, gone ones left out
+	byID     map[string]*backend
+	kinds    map[int]*speed
+	requests map[string]*request
+	held     []*request // waiting for room, oldest first
+	timers   map[int64]*request
+	token    int64 // last timer token given out
+
+	tokens    float64 // the retry bucket
+	classes   []classState
+	inFlight  int
+	stuck     int     // of these, on backends that are not counted in capacity
+	perBack   float64 // attempts that all agents may have in flight together, per backend that is up
+	up, warm  int     // backends that the list says are up; of these, those past their cold start
+	capacity  float64 // their number, each counted by its warmth
+	rated     float64 // mean weight that the list gives those that are up
+	delay     float64 // running mean of latency over aim
+	base      float64 // its low: what it is without queues
+	cutAt     time.Duration
+	spare     float64 // attempt time saved up below the limit, ns
+	savedAt   time.Duration
+	roomToken int64
+	pacedAt   time.Duration // when the mean delay last took a sample
+
+	crowd    float64 // running mean of the attempts that other agents had at a backend, by its reports
+	stale    float64 // running share of reports that are older than the attempt they came with
+	width    float64 // the most attempts that a backend said to work on at once; 0: not told
+	doneWork float64 // decayed work that warm backends served
+	doneAt   time.Duration
+	askFails int
+	askToken int64
+}
+
+type classState struct {
+	Class
+	latency  float64       // running mean of served latency, ns
+	patience time.Duration // the usual patience of a client's try
+	work     float64       // running mean of the expected work told with requests, ns
+}
+
+type backend struct {
+	Backend
+	out  []*attempt // oldest first
+	seen bool       // has answered this balancer since it started
+	speed
+	crowd    float64       // attempts of other agents there, by its last report
+	heard    time.Duration // when that came; 0: never
+	strikes  float64
+	ejected  time.Duration // no traffic before this time
+	struckAt time.Duration
+	fullTill time.Duration
+	lastOK   time.Duration
+	usedAt   time.Duration // when an attempt last left a connection behind
+	down     bool          // connections failed or broke since the last answer
+	warmFrom time.Duration // when its latest start became known or seen
+	cold     bool
+	budget   float64 // work that may be sent while it is cold
+	budgetAt time.Duration
+}
+
+// speed is a running mean of latency over the mean of all, and the answers that it rests on.
+type speed struct{ slow, samples float64 }
+
+type attempt struct {
+	b    *backend
+	sent time.Duration
+	cost float64
+	open bool
+}
+
+type request struct {
+	id       string
+	class    int
+	aim      time.Duration // answers after this time earn less
+	deadline time.Duration
+	work     float64 // expected work as told, ns; 0: unknown
+	attempts []*attempt
+	open     int      // attempts out
+	risky    int      // attempts that may have run, those out included
+	anchor   *attempt // the first of these: sets the group and the window
+	retries  int
+	failed   *backend // the backend that failed it last
+	timer    int64    // the token of its latest timer; earlier ones are void
+	repeat   bool     // a later try of the client: part of its aim has passed
+	waiting  bool     // for its backoff
+	passed   bool     // found no backend in this step
+	holding  bool
+	stream   bool
+	ended    bool
+}
+
+// New returns a balancer with no state. All its random choices come from seed.
+func New(s Settings, seed uint64) (*Balancer, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
+		base: aimedDelay / aimedRise, perBack: startPerBack, stale: 1,
+		byID: map[string]*backend{}, kinds: map[int]*speed{}, requests: map[string]*request{},
+		timers: map[int64]*request{}}
+	b.s.MaxAttempts = max(1, s.MaxAttempts)
+	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
+	for _, c := range s.Classes {
+		b.classes = append(b.classes, classState{Class: c, latency: float64(c.Aim) / 4})
+	}
+	return b, nil
+}
+
+// Step takes what has happened by now, in order, and returns what to do.
+func (b *Balancer) Step(now time.Duration, events []Event) []Action {
+	b.now, b.actions = max(now, b.now), nil
+	b.save()
+	b.measure()
+	for _, e := range events {
+		switch e := e.(type) {
+		case Request:
+			b.onRequest(e)
+		case Outcome:
+			b.onOutcome(e)
+		case TimerFired:
+			b.onTimer(e.Token)
+		case List:
+			b.onList(e)
+			b.measure()
+		case StreamStarted:
+			if r := b.requests[e.Request]; r != nil {
+				r.stream = true
+			}
+		case Abandoned:
+			if r := b.requests[e.Request]; r != nil {
+				b.close(r)
+			}
+		}
+	}
+	b.releaseHeld()
+	return b.actions
+}
+
+func (b *Balancer) onRequest(e Request) {
+	if e.Class < 0 || e.Class >= len(b.classes) || b.requests[e.ID] != nil {
+		return
+	}
+	c := &b.classes[e.Class]
+	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left),
+		deadline: b.now + e.Left, repeat: e.Repeat}
+	// A client gives its tries a usual patience, its last one all that is left of its deadline.
+	// A try with any other patience therefore tells how long ago the client began.
+	c.patience = cmp.Or(c.patience, e.Left)
+	off := e.Left - c.patience
+	if off > 2*b.s.Tick || off < -2*b.s.Tick {
+		r.repeat = true
+		r.aim -= max(0, c.Deadline-e.Left)
+	}
+	if !e.Repeat {
+		c.patience += min(max(off, -b.s.Tick/4), b.s.Tick/4) // towards the median
+	}
+	if r.work = float64(e.Work); r.work > 0 {
+		c.work = blend(c.work, r.work)
+	}
+	b.requests[e.ID] = r
+	b.hold(r)
+}
+
+func (b *Balancer) onOutcome(e Outcome) {
+	r := b.requests[e.Request]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].open {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	a.open = false
+	r.open--
+	b.inFlight--
+	a.b.out = without(a.b.out, a)
+	if e.Result.NeverRan() {
+		if r.risky--; r.risky == 0 {
+			r.anchor = nil
+		}
+	}
+	if e.Result == OK || e.Result == Errored || e.Result == Full {
+		a.b.usedAt = b.now
+	}
+	b.hear(a.b, e.Load)
+	b.observe(r, a, e)
+	if e.Result == OK && !r.ended {
+		b.tokens = min(bucketCap, b.tokens+successRefill)
+	}
+	if e.Done || e.Result == OK || r.ended {
+		b.close(r)
+		return
+	}
+	r.failed = a.b
+	if r.open == 0 && !r.waiting && !r.holding {
+		b.retry(r, e.Result)
+	}
+}
+
+func (b *Balancer) onTimer(token int64) {
+	switch token {
+	case 0: // never given out
+	case b.askToken:
+		b.askToken = 0
+		b.actions = append(b.actions, Subscribe{})
+		return
+	case b.roomToken:
+		b.roomToken = 0
+		return
+	}
+	r := b.timers[token]
+	delete(b.timers, token)
+	if r == nil || r.ended || token != r.timer {
+		return
+	}
+	r.timer = 0 // one that is held and not yet given up gets another
+	if r.waiting {
+		r.waiting = false
+		b.hold(r)
+	}
+}
+
+func (b *Balancer) timer(r *request, at time.Duration) {
+	r.timer = b.alarm(at - b.now)
+	b.timers[r.timer] = r
+}
+
+func (b *Balancer) alarm(wait time.Duration) int64 {
+	b.token++
+	b.actions = append(b.actions, SetTimer{After: wait, Token: b.token})
+	return b.token
+}
+
+// ---- Picking ----
+
+// hold lets a request wait for room; one that finds some leaves in the same step.
+func (b *Balancer) hold(r *request) {
+	r.holding = true
+	b.held = append(b.held, r)
+}
+
+func (b *Balancer) unhold(r *request) {
+	r.holding = false
+	b.held = without(b.held, r)
+}
+
+// releaseHeld sends what is held while there is room: first tries before clients'
+// repeats, the most valuable class first, within it the newest, which has the most
+// time left. Waiting here costs the backends nothing; it ends when an answer within
+// the aim is out of reach.
+func (b *Balancer) releaseHeld() {
+	if len(b.held) == 0 {
+		return
+	}
+	for b.room() {
+		best, value := -1, 0.0
+		for i, r := range b.held {
+			if r.passed {
+				continue
+			}
+			v := b.value(&b.classes[r.class])
+			if r.repeat {
+				v *= repeatValue
+			}
+			if r.aim-b.now < time.Duration(b.expected(r)/2) {
+				v *= b.classes[r.class].LateWorth
+			}
+			if best < 0 || v >= value {
+				best, value = i, v
+			}
+		}
+		if best < 0 {
+			break
+		}
+		r := b.held[best]
+		if t := b.pick(r); t != nil {
+			b.unhold(r)
+			b.send(r, t)
+		} else {
+			r.passed = true
+		}
+	}
+	for i := len(b.held) - 1; i >= 0; i-- {
+		r := b.held[i]
+		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
+		give := min(r.aim, r.deadline) - time.Duration(need)
+		r.passed = false
+		if r.repeat || give <= b.now {
+			b.unhold(r)
+			b.finish(r)
+		} else if r.timer == 0 {
+			b.timer(r, give)
+		}
+	}
+	if wait := b.spare / -b.part(); len(b.held) > 0 && b.inFlight == b.stuck && wait > 0 && b.roomToken == 0 {
+		b.roomToken = b.alarm(time.Duration(wait) + 1)
+	}
+}
+
+// room reports whether one more attempt is within the limit. A quiet agent's part of a large
+// fleet's limit is small and no whole number: it keeps it as a mean over time, and may save up.
+func (b *Balancer) room() bool {
+	out, part := float64(b.inFlight-b.stuck), b.part()
+	if !b.quiet() {
+		return out < part
+	}
+	return b.spare > max(0, out-part)*b.usual()
+}
+
+// save adds to the attempt time that is spare what the limit allowed since, less what was used.
+func (b *Balancer) save() {
+	most := saveAtMost * b.usual()
+	gain := (b.part() - float64(b.inFlight-b.stuck)) * float64(b.now-b.savedAt)
+	b.spare = max(-most, min(most, b.spare+gain))
+	b.savedAt = b.now
+}
+
+// usual is the mean latency over the classes.
+func (b *Balancer) usual() (mean float64) {
+	for i := range b.classes {
+		mean += b.classes[i].latency / float64(len(b.classes))
+	}
+	return mean
+}
+
+// value is what a unit of backend time spent on a class adds to the operator's goal.
+func (b *Balancer) value(c *classState) float64 {
+	if b.s.ByWork {
+		return c.Worth
+	}
+	return c.Worth / c.latency
+}
+
+// pick chooses a backend: one where this balancer has nothing in flight, at
+// random; else the one with the fewest in flight; never the one that just failed
+// unless it is the only one. nil means that none may be used now.
+func (b *Balancer) pick(r *request) *backend {
+	mean, seen := 0.0, 0
+	for _, t := range b.backends {
+		if t.State == Up && t.seen {
+			mean += float64(len(t.out))
+			seen++
+		}
+	}
+	mean /= float64(max(seen, 1))
+	var idle, few, last *backend
+	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
+	for _, t := range b.backends {
+		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
+			float64(len(t.out)) >= max(1, backCap*b.perBack/float64(b.s.Balancers)) || !b.coldRoom(t, r) {
+			continue
+		}
+		if !b.healthy(t, r) {
+			if m := t.strikes + b.rng.Float64() + float64(len(t.out)); m < mild {
+				last, mild = t, m
+			}
+			continue
+		}
+		load := float64(len(t.out))
+		if !t.seen {
+			load = mean // a new one gets no rush
+		}
+		slow := b.slowness(t)
+		if load < 1 {
+			// Departure: an even choice among idle backends would load slow ones as much as fast
+			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
+			w := b.warmth(t) / (slow * slow * slow)
+			if b.stale < staleMost {
+				crowd := (b.crowdAt(t) + crowdLeast) / (b.crowd + crowdLeast)
+				w /= crowd * crowd * crowd
+			}
+			// Departure: crossing zones is a last resort as far as it has a price. A crowd at home shows
+			// as slowness here and then outweighs it. May harm where homes are far from even.
+			if t.Zone != b.s.Zone {
+				w /= 1 + crossWeight*b.s.Prices.CrossZone
+			}
+			// Departure: a quiet agent that picks evenly opens a connection for most requests and
+			// meets no backend twice.
+			if b.quiet() && (t.usedAt == 0 || b.now-t.usedAt >= b.s.IdleClose) {
+				w *= newConnBias
+			}
+			if total += w; b.rng.Float64()*total < w {
+				idle = t
+			}
+			continue
+		}
+		// Departure: in-flight counts are weighed by slowness for the same reason.
+		if score := (load + 1) * slow / b.warmth(t) * (1 + 0.01*b.rng.Float64()); score < least {
+			few, least = t, score
+		}
+	}
+	if idle != nil {
+		return idle
+	}
+	if few != nil {
+		return few
+	}
+	return last // all are ejected: a first attempt still goes out
+}
+
+// slowness is how much longer this backend takes than the mean, by its answers or its kind's.
+func (b *Balancer) slowness(t *backend) float64 { return cmp.Or(t.slow, b.kind(t).slow) }
+
+// expected is the mean latency for a request of this class and told work.
+func (b *Balancer) expected(r *request) float64 {
+	c := &b.classes[r.class]
+	if r.work > 0 && c.work > 0 {
+		return c.latency * r.work / c.work
+	}
+	return c.latency
+}
+
+// ---- Retry ----
+
+// retry ends a failed attempt's request or schedules the next attempt.
+func (b *Balancer) retry(r *request, res Result) {
+	cost := retryCost
+	if res == TimedOut {
+		cost = timeoutCost
+	}
+	c := &b.classes[r.class]
+	wait := time.Duration(b.rng.Float64() * min(math.Exp2(float64(r.retries)), backoffCeiling) *
+		backoffUnit * float64(c.Aim))
+	at := b.now + wait
+	possible := slices.ContainsFunc(b.backends, func(t *backend) bool {
+		return t.State == Up && b.mayRepeat(r, t)
+	})
+	if !possible || b.tokens < cost || at >= r.deadline || res == NotSent {
+		b.finish(r)
+		return
+	}
+	b.tokens -= cost
+	r.retries++
+	r.waiting = true
+	b.timer(r, at)
+}
+
+// mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
+func (b *Balancer) mayRepeat(r *request, t *backend) bool {
+	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
+		return false
+	}
+	c := &b.classes[r.class]
+	if c.Effect == Safe || r.risky == 0 {
+		return true
+	}
+	if c.Effect == Unsafe || b.now-r.anchor.sent >= c.Window {
+		return false
+	}
+	return c.Group == GroupAll || c.Group == GroupZone && t.Zone == r.anchor.b.Zone ||
+		c.Group == GroupCell && t.Cell == r.anchor.b.Cell
+}
+
+// ---- Load reports ----
+
+// hear takes the report that came with an answer: what the backend holds besides this agent's
+// own attempts, the one just answered included.
+func (b *Balancer) hear(t *backend, l Load) {
+	if l.Outstanding < 0 || !l.Valid {
+		return
+	}
+	t.crowd, t.heard = max(0, l.Outstanding-float64(len(t.out)+1)), b.now
+	b.crowd = blend(b.crowd, t.crowd)
+	old := 0.0
+	if l.Outstanding < 0.5 { // it held at least the attempt that has just been answered
+		old = 1
+	}
+	b.stale += smooth * (old - b.stale)
+	if l.Queue >= 0 {
+		b.width = max(b.width*(1-smooth/100), math.Round(l.Outstanding-l.Queue))
+	}
+}
+
+// crowdAt is the guess at what other agents have at t now. A report fades to the mean of all.
+// Departure: of the backends that are idle as far as this agent's own attempts tell, those where
+// others have little count for more, by the inverse cube. Guards against crowds that no agent's
+// own count shows, whatever gathers them; acts while the reports that answers bring are fresh.
+// A report without the attempt it came with is older: agents that all heed such ones herd (i4a227c).
+// May harm where reports are older than they seem.
+func (b *Balancer) crowdAt(t *backend) float64 {
+	if t.heard == 0 {
+		return b.crowd
+	}
+	return b.crowd + (t.crowd-b.crowd)*math.Exp(-float64(b.now-t.heard)/(reportSpan*b.usual()))
+}
+
+// ---- Health ----
+
+// observe learns from the outcome of an attempt.
+func (b *Balancer) observe(r *request, a *attempt, e Outcome) {
+	t, c, lat := a.b, &b.classes[r.class], float64(e.Latency)
+	switch e.Result {
+	case OK:
+		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
+			t.start(b.now, b.now)
+		}
+		t.down = false
+		if !t.cold {
+			b.doneWork = b.decayed() + a.cost
+		}
+		t.strikes = max(0, t.strikes-strikeHeal)
+		t.lastOK = b.now
+		t.seen = true
+		b.learnSpeed(t, lat/a.cost)
+		if r.work > 0 && c.work > 0 {
+			lat *= c.work / r.work
+		}
+		c.latency = blend(c.latency, max(lat, 1))
+		b.pace(float64(e.Latency) / float64(c.Aim))
+	case Full:
+		t.fullTill = b.now + time.Duration(b.rng.Float64()*c.latency)
+		b.pace(1)
+	case TimedOut:
+		if t.lastOK < a.sent { // nothing came back since: more than a slow request, and no queue
+			b.strike(t, a, c)
+		}
+		// A quiet agent's time-outs are nearly all silent. Where answers bring reports, and are late
+		// when crowds are, time-outs may as well be lost answers: they cut no limit.
+		if (t.lastOK >= a.sent || b.quiet()) && b.s.Reports != ReportsInline {
+			b.pace(max(1, lat/float64(c.Aim)))
+			// Departure: its work is still at the backend, and uses a quiet agent's room for longer.
+			// Holds against any crowd that shows in time-outs first. May harm where these are lost answers.
+			b.spare -= saveAtMost * b.usual()
+			b.learnSpeed(t, lat/a.cost) // at least so slow
+		}
+	case Errored, ConnectFailed, Reset:
+		t.down = t.down || e.Result != Errored
+		b.strike(t, a, c)
+	}
+}
+
+// kind is what a quiet agent knows of a backend's kind, since it meets few twice: an unknown
+// one counts at its mean. A busy agent soon knows each; a dead zone would teach it about the rest.
+func (b *Balancer) kind(t *backend) *speed {
+	if b.kinds[t.Kind] == nil {
+		b.kinds[t.Kind] = &speed{slow: 1}
+		if t.Weight > 0 && b.rated > 0 { // as slow as gives it its share by weight
+			b.kinds[t.Kind].slow = math.Cbrt(b.rated / t.Weight)
+		}
+	}
+	if !b.quiet() {
+		b.kinds[t.Kind].slow = 1
+	}
+	return b.kinds[t.Kind]
+}
+
+// learnSpeed takes one latency, as a multiple of the expected, into a backend's slowness.
+// The first few weigh more, since a quiet agent sees an answer of each only now and then.
+func (b *Balancer) learnSpeed(t *backend, sample float64) {
+	t.slow = cmp.Or(t.slow, b.kind(t).slow)
+	for _, s := range []*speed{&t.speed, b.kind(t)} {
+		s.samples++
+		s.slow += max(smooth, 1/(s.samples+priorSamples)) * (min(sample, slowBound) - s.slow)
+	}
+}
+
+// strike ejects a backend for a while that doubles with each further strike.
+// Departure: a backend that fails fast is always idle and would draw all traffic.
+// It acts on the first error, since errors are rare where nothing is wrong; what
+// was sent before the last strike adds nothing.
+func (b *Balancer) strike(t *backend, a *attempt, c *classState) {
+	if a.sent < t.struckAt {
+		return
+	}
+	t.strikes = min(t.strikes+1, strikeCap)
+	t.struckAt = b.now
+	// Departure: many agents that each try an ejected backend soon keep it busy for ever, and one that
+	// has turned slow must rest: each waits longer the more agents there are for a backend. May harm
+	// where a backend is well again and no restart tells.
+	span := max(1, float64(b.s.Balancers)/(quietRatio*float64(max(b.up, 1)))) * float64(c.Aim)
+	t.ejected = b.now + time.Duration(math.Exp2(t.strikes-1)*(0.75+0.5*b.rng.Float64())*span)
+}
+
+// healthy reports whether t may get r as ordinary traffic. After an ejection it
+// gets one attempt at a time until it has healed: of requests that may be repeated,
+// and of others only where none of these came for as long again.
+func (b *Balancer) healthy(t *backend, r *request) bool {
+	if b.now < t.ejected {
+		return false
+	}
+	if t.strikes == 0 {
+		return true
+	}
+	safe := b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt
+	return safe && len(t.out) == 0
+}
+
+// pace moves the limit on attempts in flight by the latency seen, as a share of
+// the aim: down when the running mean passes the aimed share, up while it binds.
+// Departure: beyond it requests are held, then refused, since a queue that
+// outlasts the aims serves nobody. The floor is this agent's share of a few
+// attempts per backend, so that a fleet that is slow without a queue stays in use.
+func (b *Balancer) pace(share float64) {
+	// The mean is over time: over the last few answers alone, chance would cut a busy agent's limit.
+	weight := 1 - math.Exp(-float64(b.now-b.pacedAt)/(paceSpan*b.usual()))
+	b.pacedAt = b.now
+	b.delay += weight * (min(share, 2) - b.delay)
+	b.base += weight * smooth * min(b.delay-b.base, (b.delay-b.base)/100) // it rises far slower
+	aimed, floor := min(aimedDelay, aimedRise*b.base), floorPerBack
+	if b.stale >= staleMost { // nothing keeps crowds apart but the limit
+		aimed = min(aimed, aimedBlind)
+	}
+	if b.width > 0 {
+		floor = min(floor, floorPerWide*b.width)
+	}
+	binds := float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9
+	if b.quiet() {
+		aimed, floor, binds = aimedDelay, quietFloor, b.spare < b.usual()
+	}
+	switch {
+	case b.delay > aimed && b.now-b.cutAt > time.Duration(b.classes[0].latency):
+		b.perBack = max(floor, b.perBack*limitCut)
+		b.cutAt = b.now
+	case b.delay < aimed && binds:
+		b.perBack += limitGrow / b.limit()
+	}
+}
+
+// limit is what may be in flight now; it follows the list as the fleet grows and shrinks,
+// and a cold backend counts by its warmth.
+func (b *Balancer) limit() float64 { return max(1, b.part()) }
+
+func (b *Balancer) part() float64 { return max(b.perBack*b.capacity/float64(b.s.Balancers), 1e-6) }
+
+// quiet reports whether agents far outnumber backends, so that each has too little traffic to
+// learn from, and a part of the limit that rounding up to whole attempts would overrun.
+func (b *Balancer) quiet() bool { return float64(b.s.Balancers) > quietRatio*float64(b.up) }
+
+// ---- Cold start ----
+
+// start notes that a backend's process started at a time learned now.
+func (t *backend) start(at, now time.Duration) {
+	t.warmFrom, t.cold, t.seen, t.slow, t.samples = at, true, false, 0, 0
+	t.budget, t.budgetAt = 0, now
+}
+
+// warmth is the share of its full capacity that a backend surely has by now.
+func (b *Balancer) warmth(t *backend) float64 {
+	if !t.cold {
+		return 1
+	}
+	age := b.now - t.warmFrom
+	if age >= b.s.RampTime {
+		t.cold = false
+		return 1
+	}
+	return b.s.ColdShare + (1-b.s.ColdShare)*max(0, float64(age)/float64(b.s.RampTime))
+}
+
+// measure sums up what the backends that are up, and not ejected or down, can do.
+func (b *Balancer) measure() {
+	b.up, b.warm, b.capacity, b.stuck, b.rated = 0, 0, 0, 0, 0
+	for _, t := range b.backends {
+		if t.State == Up {
+			b.up++
+			b.rated += (t.Weight - b.rated) / float64(b.up)
+			if !t.cold {
+				b.warm++
+			}
+		}
+		if t.State == Up && !t.down && b.now >= t.ejected {
+			b.capacity += b.warmth(t)
+		} else {
+			b.stuck += len(t.out)
+			continue
+		}
+		// Departure: an overdue attempt uses no room. One lost answer would hold a quiet agent with
+		// room for one until its client leaves, some would halve a busy one's limit. Acts where
+		// answers bring reports, which come late and cut the limit when crowds are the cause. May
+		// harm where reports lie low.
+		if b.s.Reports == ReportsInline {
+			for _, a := range t.out {
+				if float64(b.now-a.sent) > overdue*a.cost {
+					b.stuck++
+				}
+			}
+		}
+	}
+}
+
+// coldRoom reports whether a cold backend may get this request: each agent sends it
+// no more work than what a warm one serves for it, times warmth, times the root of the
+// stated multiple. All together then stay as far below the multiple as they may be above
+// the sure capacity: most backends have more than that, and under overload it is needed.
+func (b *Balancer) coldRoom(t *backend, r *request) bool {
+	w := b.warmth(t)
+	if !t.cold {
+		return true
+	}
+	cost := b.expected(r)
+	mean := b.classes[r.class].latency
+	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
+	if b.warm == 0 { // nothing to measure by: a whole fleet that starts must not wait to be warm
+		rate = max(rate, coldTrickle/float64(b.s.Balancers))
+	}
+	share := w * math.Sqrt(max(1, b.s.FallMultiple))
+	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
+	t.budgetAt = b.now
+	return t.budget > 0 && cost <= heavy*mean
+}
+
+// decayed is the work lately served by warm backends, over about one fall window.
+func (b *Balancer) decayed() float64 {
+	b.doneWork *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.FallWindow+1))
+	b.doneAt = b.now
+	return b.doneWork
+}
+
+// ---- List following ----
+
+func (b *Balancer) onList(e List) {
+	if e.Kind == ListFailed {
+		if !b.s.Subscribe {
+			return
+		}
+		// Asked again after an exponential, fully jittered wait.
+		b.askFails++
+		unit := float64(b.s.AskWithin) / 64
+		b.askToken = b.alarm(time.Duration(b.rng.Float64() * unit * math.Exp2(float64(min(b.askFails, 4)))))
+		return
+	}
+	if e.Kind == ListCached && b.s.Subscribe {
+		// Spread in time, since all agents may start at once.
+		b.askToken = b.alarm(time.Duration(b.rng.Float64() * float64(b.s.AskWithin) / 64))
+	} else {
+		b.askFails = 0
+	}
+	full := e.Kind != ListDelta
+	listed := map[string]bool{}
+	for _, n := range e.Backends {
+		listed[n.ID] = true
+		t := b.byID[n.ID]
+		if t == nil {
+			t = &backend{Backend: n}
+			b.byID[n.ID] = t
+			b.backends = append(b.backends, t)
+			if n.Started > 0 {
+				t.start(n.Started, b.now)
+			}
+			continue
+		}
+		if n.Started > t.Started {
+			t.start(max(n.Started, t.warmFrom), b.now)
+			t.strikes, t.ejected, t.down = 0, 0, false
+		}
+		t.Backend = n
+	}
+	b.backends = slices.DeleteFunc(b.backends, func(t *backend) bool {
+		if full && !listed[t.ID] {
+			t.State = Gone
+		}
+		forget := t.State == Gone && len(t.out) == 0 // state stays bounded by what is listed or out
+		if forget {
+			delete(b.byID, t.ID)
+		}
+		return forget
+	})
+}
+
+// ---- Attempts and final answers ----
+
+// send starts an attempt. Nothing else does; the rules are checked here last.
+func (b *Balancer) send(r *request, t *backend) {
+	if t.State != Up || !b.mayRepeat(r, t) || b.now >= r.deadline {
+		b.finish(r)
+		return
+	}
+	a := &attempt{b: t, sent: b.now, cost: max(b.expected(r), 1), open: true}
+	r.attempts = append(r.attempts, a)
+	r.open++
+	if r.risky++; r.anchor == nil {
+		r.anchor = a
+	}
+	t.out = append(t.out, a)
+	b.inFlight++
+	if t.cold {
+		t.budget -= a.cost
+	}
+	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
+}
+
+// finish gives a request its final answer. Nothing else does. It is a refusal
+// where no attempt may have run, which lets any client try again; else a failure.
+func (b *Balancer) finish(r *request) {
+	if r.ended {
+		return
+	}
+	if r.risky == 0 {
+		b.actions = append(b.actions, Refuse{Request: r.id})
+	} else {
+		b.actions = append(b.actions, Fail{Request: r.id})
+	}
+	b.close(r)
+}
+
+// close forgets a request once it has ended and its attempts are in.
+func (b *Balancer) close(r *request) {
+	r.ended = true
+	if r.holding {
+		b.unhold(r)
+	}
+	if r.open == 0 {
+		delete(b.requests, r.id)
+	}
+}
+
+func without[T comparable](list []T, x T) []T {
+	if i := slices.Index(list, x); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+func blend(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + smooth*(sample-mean)
+}
--- /dev/null
+++ b/aldermux_test.go
@@ -0,0 +1,1668 @@
+package aldermux_test
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"aldermux"
+)
+
+const ms = time.Millisecond
+
+// Classes of the test settings, by position.
+const (
+	safe = iota
+	unsafe
+	keyedAll
+	keyedZone
+	keyedCell
+)
+
+func settings() aldermux.Settings {
+	class := func(e aldermux.Effect, g aldermux.Group) aldermux.Class {
+		return aldermux.Class{Aim: 400 * ms, Deadline: 2000 * ms, Worth: 1, Effect: e, Group: g, Window: 300 * ms}
+	}
+	return aldermux.Settings{
+		Balancers: 1, MaxAttempts: 4, Tick: 5 * ms,
+		Classes: []aldermux.Class{
+			class(aldermux.Safe, 0), class(aldermux.Unsafe, 0), class(aldermux.Keyed, aldermux.GroupAll),
+			class(aldermux.Keyed, aldermux.GroupZone), class(aldermux.Keyed, aldermux.GroupCell),
+		},
+		DrainGrace: 500 * ms, AnswerGrace: 20 * ms, ColdShare: 0.2, RampTime: 10 * time.Second,
+		FallMultiple: 2.5, FallWindow: time.Second, AskWithin: 10 * time.Second,
+		GoalWhole: 0.6, GoalWindow: 0.2, GoalClass: 0.2,
+	}
+}
+
+// backends makes n backends named a, b, c ...; two per zone and cell.
+func backends(n int) []aldermux.Backend {
+	var list []aldermux.Backend
+	for i := range n {
+		list = append(list, aldermux.Backend{ID: string(rune('a' + i)), Zone: i / 2, Cell: i / 2})
+	}
+	return list
+}
+
+// rig drives one balancer and keeps what it does.
+type rig struct {
+	t       *testing.T
+	b       *aldermux.Balancer
+	now     time.Duration
+	sent    map[string][]string // backends of each request's attempts
+	timers  []aldermux.TimerFired
+	due     []time.Duration
+	actions []aldermux.Action // of the last step
+}
+
+func newRig(t *testing.T, s aldermux.Settings, seed uint64, list []aldermux.Backend) *rig {
+	t.Helper()
+	b, err := aldermux.New(s, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, b: b, now: time.Hour, sent: map[string][]string{}}
+	r.step(aldermux.List{Kind: aldermux.ListCached, Backends: list})
+	return r
+}
+
+func (r *rig) step(events ...aldermux.Event) []aldermux.Action {
+	r.actions = r.b.Step(r.now, events)
+	for _, a := range r.actions {
+		switch a := a.(type) {
+		case aldermux.Send:
+			r.sent[a.Request] = append(r.sent[a.Request], a.Backend)
+		case aldermux.SetTimer:
+			r.timers = append(r.timers, aldermux.TimerFired{Token: a.Token})
+			r.due = append(r.due, r.now+a.After)
+		}
+	}
+	return r.actions
+}
+
+// advance moves the clock and fires the timers on the way; it returns all actions.
+func (r *rig) advance(d time.Duration) []aldermux.Action {
+	var all []aldermux.Action
+	end := r.now + d
+	for {
+		next := -1
+		for i, at := range r.due {
+			if at <= end && (next < 0 || at < r.due[next]) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		token := r.timers[next]
+		r.now = max(r.now, r.due[next])
+		r.timers = append(r.timers[:next], r.timers[next+1:]...)
+		r.due = append(r.due[:next], r.due[next+1:]...)
+		all = append(all, r.step(token)...)
+	}
+	r.now = end
+	return all
+}
+
+func (r *rig) request(id string, class int) []aldermux.Action {
+	return r.step(aldermux.Request{ID: id, Class: class, Left: 2000 * ms})
+}
+
+// outcome ends the latest attempt of a request.
+func (r *rig) outcome(id string, res aldermux.Result, latency time.Duration) []aldermux.Action {
+	r.t.Helper()
+	n := len(r.sent[id]) - 1
+	if n < 0 {
+		r.t.Fatalf("%s: nothing was sent", id)
+	}
+	return r.step(aldermux.Outcome{Request: id, Attempt: n, Backend: r.sent[id][n], Result: res,
+		Latency: latency, Done: res == aldermux.OK})
+}
+
+// serve sends n requests one after the other and answers each at once.
+func (r *rig) serve(n int, class int, latency time.Duration) map[string]int {
+	r.t.Helper()
+	counts := map[string]int{}
+	for range n {
+		id := fmt.Sprintf("serve-%d", len(r.sent))
+		r.request(id, class)
+		r.now += latency
+		r.outcome(id, aldermux.OK, latency)
+		counts[r.sent[id][0]]++
+	}
+	return counts
+}
+
+// final names the final answer for a request among the actions, or "".
+func final(id string, actions []aldermux.Action) string {
+	found := ""
+	for _, a := range actions {
+		switch a := a.(type) {
+		case aldermux.Refuse:
+			if a.Request == id {
+				found += "refuse"
+			}
+		case aldermux.Fail:
+			if a.Request == id {
+				found += "fail"
+			}
+		}
+	}
+	return found
+}
+
+func TestNewRejectsSettings(t *testing.T) {
+	tests := []struct {
+		name string
+		edit func(*aldermux.Settings)
+		want string
+	}{
+		{"no classes", func(s *aldermux.Settings) { s.Classes = nil }, "Classes: none"},
+		{"no balancers", func(s *aldermux.Settings) { s.Balancers = 0 }, "Balancers: 0"},
+		{"own number outside the count", func(s *aldermux.Settings) { s.Self = 1 }, "Self: 1"},
+		{"negative number", func(s *aldermux.Settings) { s.Self = -1 }, "Self: -1"},
+		{"attempt limit below zero", func(s *aldermux.Settings) { s.MaxAttempts = -2 }, "MaxAttempts: -2"},
+		{"drain grace below zero", func(s *aldermux.Settings) { s.DrainGrace = -ms }, "DrainGrace: -0.001"},
+		{"cold share above one", func(s *aldermux.Settings) { s.ColdShare = 1.5 }, "ColdShare: 1.5"},
+		{"unknown effect", func(s *aldermux.Settings) { s.Classes[2].Effect = 9 }, "Classes[2].Effect: 9"},
+		{"unknown group", func(s *aldermux.Settings) { s.Classes[1].Group = 7 }, "Classes[1].Group: 7"},
+		{"no aim", func(s *aldermux.Settings) { s.Classes[0].Aim = 0 }, "Classes[0].Aim: 0s"},
+		{"tenant below zero", func(s *aldermux.Settings) { s.Tenants = []aldermux.Tenant{{PerSecond: -1}} }, "Tenants[0].PerSecond: -1"},
+		{"worth that is no number", func(s *aldermux.Settings) { s.Classes[1].Worth = math.NaN() }, "Classes[1].Worth: NaN"},
+		{"endless goal", func(s *aldermux.Settings) { s.GoalTenant = math.Inf(1) }, "GoalTenant: +Inf"},
+		{"price below zero", func(s *aldermux.Settings) { s.Prices.Waste = -1 }, "Prices.Waste: -1"},
+		{"unknown report source", func(s *aldermux.Settings) { s.Reports = 9 }, "Reports: 9"},
+		{"unknown weights", func(s *aldermux.Settings) { s.Weights = 9 }, "Weights: 9"},
+		{"no deadline", func(s *aldermux.Settings) { s.Classes[0].Deadline = 0 }, "Classes[0].Deadline: 0s"},
+		{"window below zero", func(s *aldermux.Settings) { s.Classes[3].Window = -ms }, "Classes[3].Window: -0.001"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := settings()
+			tt.edit(&s)
+			if _, err := aldermux.New(s, 1); err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("error %v, want one with %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// The module is read and signed within an hour: it may not outgrow that.
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("aldermux.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			lines++
+		}
+		if n := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    ")); n > 110 {
+			t.Errorf("line %d has %d columns", i+1, n)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d non-blank lines, want 850 at most", lines)
+	}
+}
+
+// What an outcome lets each kind of class do: retry on another backend, or end.
+func TestOutcomes(t *testing.T) {
+	const retry = "retry"
+	tests := []struct {
+		class  int
+		result aldermux.Result
+		want   string
+	}{
+		{safe, aldermux.Errored, retry},
+		{safe, aldermux.TimedOut, retry},
+		{safe, aldermux.Reset, retry},
+		{safe, aldermux.Full, retry},
+		{safe, aldermux.ConnectFailed, retry},
+		{safe, aldermux.NotSent, "refuse"},
+		{unsafe, aldermux.Errored, "fail"},
+		{unsafe, aldermux.TimedOut, "fail"},
+		{unsafe, aldermux.Reset, "fail"},
+		{unsafe, aldermux.Cancelled, "fail"},
+		{unsafe, aldermux.Full, retry},
+		{unsafe, aldermux.ConnectFailed, retry},
+		{unsafe, aldermux.NotSent, "refuse"},
+		{keyedAll, aldermux.Errored, retry},
+		{keyedAll, aldermux.Full, retry},
+		{keyedZone, aldermux.Errored, retry},
+		{keyedZone, aldermux.ConnectFailed, retry},
+		{keyedCell, aldermux.TimedOut, retry},
+		{keyedCell, aldermux.Reset, retry},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("class %d result %d", tt.class, tt.result), func(t *testing.T) {
+			r := newRig(t, settings(), 7, backends(6))
+			r.request("q", tt.class)
+			r.now += 10 * ms
+			acts := r.outcome("q", tt.result, 10*ms)
+			acts = append(acts, r.advance(200*ms)...)
+			got := final("q", acts)
+			if len(r.sent["q"]) == 2 {
+				got += retry
+				if r.sent["q"][0] == r.sent["q"][1] {
+					t.Errorf("both attempts went to %s, which had just failed", r.sent["q"][0])
+				}
+			}
+			if got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// A keyed request that may have run goes only to its group and within its window.
+func TestKeyedGroup(t *testing.T) {
+	zone := map[string]int{"a": 0, "b": 0, "c": 1, "d": 1, "e": 2, "f": 2}
+	for seed := uint64(0); seed < 40; seed++ {
+		for _, class := range []int{keyedZone, keyedCell} {
+			r := newRig(t, settings(), seed, backends(6))
+			r.request("q", class)
+			r.now += 5 * ms
+			r.outcome("q", aldermux.Errored, 5*ms)
+			r.advance(200 * ms)
+			if s := r.sent["q"]; len(s) != 2 || zone[s[0]] != zone[s[1]] {
+				t.Errorf("seed %d class %d: attempts %v leave the group", seed, class, s)
+			}
+		}
+	}
+	t.Run("window", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(6))
+		r.request("q", keyedAll)
+		r.now += 300 * ms
+		acts := r.outcome("q", aldermux.Errored, 300*ms)
+		if final("q", acts) != "fail" {
+			t.Errorf("after the window: %v, want a failure", acts)
+		}
+	})
+	t.Run("never ran", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(6))
+		r.request("q", keyedZone)
+		r.now += 400 * ms
+		r.outcome("q", aldermux.ConnectFailed, 400*ms)
+		r.advance(200 * ms)
+		if len(r.sent["q"]) != 2 {
+			t.Errorf("attempts %v: one that never ran should not bind the request", r.sent["q"])
+		}
+	})
+}
+
+func TestAttemptLimit(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 3
+	r := newRig(t, s, 3, backends(6))
+	r.request("q", safe)
+	var all []aldermux.Action
+	for range 6 {
+		if final("q", all) != "" {
+			break
+		}
+		r.now += ms
+		all = append(all, r.outcome("q", aldermux.Errored, ms)...)
+		all = append(all, r.advance(150*ms)...)
+	}
+	if len(r.sent["q"]) != 3 || final("q", all) != "fail" {
+		t.Errorf("attempts %v and answer %q, want 3 and one failure", r.sent["q"], final("q", all))
+	}
+}
+
+// The bucket holds 100: 20 retries at 5, or 10 after time-outs. First attempts
+// go out when it is empty; served requests bring one token each, up to the cap.
+func TestRetryBucket(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 2
+	// spend fails n requests and returns how many were retried. The retry is
+	// served, unless it must not refill the bucket.
+	spend := func(r *rig, n int, res aldermux.Result) (retried int) {
+		for range n {
+			id := fmt.Sprintf("spend-%d", len(r.sent))
+			r.request(id, safe)
+			if len(r.sent[id]) != 1 {
+				t.Fatalf("first attempt of %s did not go out", id)
+			}
+			r.now += ms
+			r.outcome(id, res, ms)
+			r.advance(100 * ms)
+			if len(r.sent[id]) == 2 {
+				retried++
+				r.now += ms
+				r.outcome(id, aldermux.Errored, ms)
+			}
+			r.advance(30 * time.Second) // lets ejections pass
+		}
+		return retried
+	}
+	tests := []struct {
+		name  string
+		res   aldermux.Result
+		serve int // between emptying and trying again
+		first int
+		then  int
+	}{
+		{"errors cost 5", aldermux.Errored, 4, 20, 0},
+		{"five served bring one back", aldermux.Errored, 5, 20, 1},
+		{"time-outs cost 10", aldermux.TimedOut, 9, 10, 0},
+		{"ten served bring one back after a time-out", aldermux.TimedOut, 10, 10, 1},
+		{"the cap holds", aldermux.Errored, 500, 20, 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, s, 5, backends(6))
+			if got := spend(r, 30, tt.res); got != tt.first {
+				t.Errorf("a full bucket funded %d retries, want %d", got, tt.first)
+			}
+			r.serve(tt.serve, safe, 20*ms)
+			r.advance(30 * time.Second)
+			if got := spend(r, 30, tt.res); got != tt.then {
+				t.Errorf("then funded %d retries, want %d", got, tt.then)
+			}
+		})
+	}
+}
+
+// Waits are full jitter: between 0 and a unit (a share of the aim) that doubles
+// with each retry up to a ceiling.
+func TestBackoff(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 7
+	unit := s.Classes[safe].Aim / 32
+	longest := make([]time.Duration, 6)
+	shortest := []time.Duration{time.Hour, time.Hour, time.Hour, time.Hour, time.Hour, time.Hour}
+	for seed := uint64(0); seed < 300; seed++ {
+		r := newRig(t, s, seed, backends(8))
+		r.request("q", safe)
+		for n := range 6 {
+			r.outcome("q", aldermux.Full, 0)
+			failed := r.now
+			for len(r.sent["q"]) == n+1 && len(r.due) > 0 {
+				r.advance(ms / 4)
+			}
+			if len(r.sent["q"]) != n+2 {
+				t.Fatalf("seed %d: retry %d was not made", seed, n)
+			}
+			longest[n] = max(longest[n], r.now-failed)
+			shortest[n] = min(shortest[n], r.now-failed)
+		}
+	}
+	for n, got := range longest {
+		bound := unit << min(n, 3)
+		if got > bound+ms || got < bound*8/10 {
+			t.Errorf("retry %d waited up to %v, want close to %v and no more", n, got, bound)
+		}
+		if shortest[n] > bound/10 {
+			t.Errorf("retry %d waited at least %v, want full jitter from 0", n, shortest[n])
+		}
+	}
+}
+
+// A retry whose wait would outlast the time left is not made.
+func TestBackoffWithinTimeLeft(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(4))
+	r.request("q", safe)
+	r.now += 2000 * ms
+	if acts := r.outcome("q", aldermux.TimedOut, 2000*ms); final("q", acts) != "fail" {
+		t.Errorf("at the deadline: %v, want the final answer at once", acts)
+	}
+}
+
+func TestPicking(t *testing.T) {
+	t.Run("idle ones at random", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		counts := r.serve(400, safe, 50*ms)
+		for _, id := range []string{"a", "b", "c", "d"} {
+			if counts[id] < 60 || counts[id] > 140 {
+				t.Errorf("%s got %d of 400, want about 100", id, counts[id])
+			}
+		}
+	})
+	t.Run("idle before busy", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		r.serve(80, safe, 50*ms)
+		used := map[string]bool{}
+		for i := range 4 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			used[r.sent[id][0]] = true
+		}
+		if len(used) != 4 {
+			t.Errorf("four requests went to %d backends, want 4", len(used))
+		}
+	})
+	t.Run("fewest in flight", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		r.serve(80, safe, 50*ms)
+		counts := map[string]int{}
+		for i := range 12 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			counts[r.sent[id][0]]++
+		}
+		for id, n := range counts {
+			if n < 2 || n > 4 {
+				t.Errorf("%s has %d in flight of 12 over 4", id, n)
+			}
+		}
+	})
+	t.Run("a new one counts at the mean", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		r.serve(80, safe, 50*ms)
+		for i := range 8 {
+			r.request(fmt.Sprint("q", i), safe)
+		}
+		r.step(aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{{ID: "new"}}})
+		rush := 0
+		for i := range 4 {
+			id := fmt.Sprint("n", i)
+			r.request(id, safe)
+			if r.sent[id][0] == "new" {
+				rush++
+			}
+		}
+		if rush > 2 {
+			t.Errorf("the new backend got %d of 4, want no rush", rush)
+		}
+	})
+	t.Run("own zone where crossing is priced", func(t *testing.T) {
+		s := settings()
+		s.Prices.CrossZone = 0.02
+		r := newRig(t, s, 2, backends(4))
+		counts := r.serve(400, safe, 50*ms)
+		if own := counts["a"] + counts["b"]; own < 260 || own == 400 {
+			t.Errorf("own zone got %d of 400, want most but not all", own)
+		}
+	})
+	t.Run("slow ones less", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		late := 0
+		for i := range 600 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			lat := 40 * ms
+			if r.sent[id][0] == "a" {
+				lat = 160 * ms
+				if i >= 300 {
+					late++
+				}
+			}
+			r.now += lat
+			r.outcome(id, aldermux.OK, lat)
+		}
+		if late > 40 {
+			t.Errorf("a backend four times slower still got %d of 300", late)
+		}
+	})
+}
+
+// A backend that fails fast is always idle; it must not draw the traffic.
+func TestFastFailureIsEjected(t *testing.T) {
+	r := newRig(t, settings(), 4, backends(6))
+	bad := 0
+	for i := range 300 {
+		id := fmt.Sprint("q", i)
+		r.request(id, unsafe)
+		res, lat := aldermux.OK, 30*ms
+		if r.sent[id][0] == "a" {
+			res, lat = aldermux.Errored, ms
+			bad++
+		}
+		r.now += lat
+		r.outcome(id, res, lat)
+	}
+	if bad > 6 {
+		t.Errorf("the failing backend got %d of 300", bad)
+	}
+	// Once it works again it comes back, first with requests that may be repeated.
+	r.advance(20 * time.Second)
+	if counts := r.serve(400, safe, 30*ms); counts["a"] < 20 {
+		t.Errorf("after healing it got %d of 400", counts["a"])
+	}
+}
+
+// With no repeatable class at all an ejected backend must still come back.
+func TestEjectionEndsWithoutRepeatableClass(t *testing.T) {
+	s := settings()
+	s.Classes = s.Classes[unsafe : unsafe+1]
+	r := newRig(t, s, 4, backends(3))
+	for i := 0; ; i++ {
+		id := fmt.Sprint("q", i)
+		r.request(id, 0)
+		r.now += 20 * ms
+		if r.sent[id][0] == "a" {
+			r.outcome(id, aldermux.Errored, 20*ms)
+			break
+		}
+		r.outcome(id, aldermux.OK, 20*ms)
+	}
+	r.advance(5 * time.Second)
+	if counts := r.serve(200, 0, 30*ms); counts["a"] == 0 {
+		t.Error("an ejected backend never got traffic again")
+	}
+}
+
+// When every backend is ejected, first attempts go out all the same.
+func TestAllEjected(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 1
+	r := newRig(t, s, 4, backends(2))
+	for i := range 10 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		if len(r.sent[id]) != 1 {
+			t.Fatalf("request %d was not sent", i)
+		}
+		r.now += ms
+		r.outcome(id, aldermux.Errored, ms)
+	}
+}
+
+func TestDrainAndGone(t *testing.T) {
+	for _, state := range []aldermux.BackendState{aldermux.Draining, aldermux.Gone} {
+		r := newRig(t, settings(), 1, backends(3))
+		r.step(aldermux.List{Kind: aldermux.ListDelta,
+			Backends: []aldermux.Backend{{ID: "a", State: state}}})
+		if n := r.serve(100, safe, 20*ms)["a"]; n > 0 {
+			t.Errorf("state %d: %d requests went there", state, n)
+		}
+	}
+	t.Run("missing from a full list", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(3))
+		r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(3)[1:]})
+		if n := r.serve(100, safe, 20*ms)["a"]; n > 0 {
+			t.Errorf("%d requests went there", n)
+		}
+	})
+	t.Run("while waiting out a backoff", func(t *testing.T) {
+		for seed := uint64(0); seed < 20; seed++ {
+			r := newRig(t, settings(), seed, backends(2))
+			r.request("q", safe)
+			other := map[string]string{"a": "b", "b": "a"}[r.sent["q"][0]]
+			r.now += ms
+			r.outcome("q", aldermux.Errored, ms)
+			r.step(aldermux.List{Kind: aldermux.ListDelta,
+				Backends: []aldermux.Backend{{ID: other, State: aldermux.Draining}}})
+			r.advance(time.Second)
+			for _, b := range r.sent["q"][1:] {
+				if b == other {
+					t.Fatalf("seed %d: a retry went to the draining backend", seed)
+				}
+			}
+		}
+	})
+	t.Run("back with the same id", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(2))
+		r.serve(50, safe, 20*ms)
+		r.step(aldermux.List{Kind: aldermux.ListDelta,
+			Backends: []aldermux.Backend{{ID: "a", State: aldermux.Gone}}})
+		r.step(aldermux.List{Kind: aldermux.ListDelta,
+			Backends: []aldermux.Backend{{ID: "a", Started: r.now}}})
+		r.serve(400, safe, 20*ms)
+		r.advance(10 * time.Second)
+		if n := r.serve(200, safe, 20*ms)["a"]; n < 50 {
+			t.Errorf("warm again it got %d of 200", n)
+		}
+	})
+}
+
+// A cold backend gets no more than its warmth times what a warm one serves.
+func TestColdShare(t *testing.T) {
+	list := backends(5)
+	list[0].Started = time.Hour // the rig's clock starts here
+	r := newRig(t, settings(), 9, list)
+	counts := r.serve(200, safe, 20*ms) // the first 4 s of 10: warmth 0.2 to 0.52
+	if warm := (200 - counts["a"]) / 4; float64(counts["a"]) > 0.52*float64(warm)+2 {
+		t.Errorf("the cold backend got %d against %d for a warm one", counts["a"], warm)
+	}
+	if counts["a"] == 0 {
+		t.Error("the cold backend got nothing")
+	}
+	r.advance(10 * time.Second)
+	if n := r.serve(200, safe, 20*ms)["a"]; n < 25 {
+		t.Errorf("once warm it got %d of 200", n)
+	}
+}
+
+// Incidents i37feae and i28e3f7: under overload a cold backend gets more than its sure share of
+// what a warm one serves, and stays well below the stated multiple of it.
+func TestColdShareUnderOverload(t *testing.T) {
+	list := backends(5)
+	r := newRig(t, settings(), 9, list)
+	var out []string
+	counts := map[string]float64{}
+	answer := func(id string, latency time.Duration) {
+		counts[r.sent[id][0]]++
+		for _, a := range r.outcome(id, aldermux.OK, latency) {
+			if a, ok := a.(aldermux.Send); ok {
+				out = append(out, a.Request)
+			}
+		}
+	}
+	drive := func(n int) { // each 5 ms: all answers of the cold one, one of the others, two requests
+		for range n {
+			r.advance(5 * ms)
+			was := out
+			out = nil
+			for i, id := range was {
+				if r.sent[id][0] == "a" && list[0].Started > 0 {
+					answer(id, 50*ms)
+				} else if i == 0 {
+					answer(id, 50*ms)
+				} else {
+					out = append(out, id)
+				}
+			}
+			for range 2 {
+				id := fmt.Sprint("q", len(r.sent), "-", r.now)
+				if r.request(id, safe); len(r.sent[id]) > 0 {
+					out = append(out, id)
+				}
+			}
+		}
+	}
+	for i := range 30 {
+		id := fmt.Sprint("first", i)
+		r.request(id, safe)
+		out = append(out, id)
+	}
+	drive(400)
+	list[0].Started = r.now
+	r.step(aldermux.List{Kind: aldermux.ListDelta, Backends: list[:1]})
+	clear(counts)
+	drive(400) // two seconds: warmth 0.2 to 0.36, 0.28 in the mean
+	warm := (counts["b"] + counts["c"] + counts["d"] + counts["e"]) / 4
+	share := counts["a"] / warm
+	if share < 0.5 || share > 0.28*2.5 {
+		t.Errorf("the cold backend served %.2f of a warm one's work", share)
+	}
+}
+
+// A heavy request alone could push a cold backend over.
+func TestColdGetsNoHeavyRequest(t *testing.T) {
+	list := backends(3)
+	r := newRig(t, settings(), 9, list)
+	send := func(id string, work time.Duration) {
+		r.step(aldermux.Request{ID: id, Class: safe, Left: 2000 * ms, Work: work})
+		r.now += 20 * ms
+		r.outcome(id, aldermux.OK, 20*ms)
+	}
+	for i := range 100 {
+		send(fmt.Sprint("w", i), 20*ms)
+	}
+	r.step(aldermux.List{Kind: aldermux.ListDelta,
+		Backends: []aldermux.Backend{{ID: "cold", Started: r.now}}})
+	got := 0
+	for i := range 100 {
+		send(fmt.Sprint("l", i), 20*ms)
+		if h := fmt.Sprint("h", i); i%10 == 0 {
+			if send(h, 300*ms); r.sent[h][0] == "cold" {
+				t.Fatalf("heavy request %d went to the cold backend", i)
+			}
+		}
+		if r.sent[fmt.Sprint("l", i)][0] == "cold" {
+			got++
+		}
+	}
+	if got == 0 {
+		t.Error("the cold backend got no light request either")
+	}
+}
+
+// A backend that comes back before the list tells counts as cold.
+func TestRevivalIsCold(t *testing.T) {
+	r := newRig(t, settings(), 3, backends(3))
+	r.serve(60, safe, 20*ms)
+	for i := 0; ; i++ {
+		id := fmt.Sprint("d", i)
+		r.request(id, safe)
+		r.now += 20 * ms
+		if r.sent[id][0] == "a" {
+			r.outcome(id, aldermux.ConnectFailed, 20*ms)
+			break
+		}
+		r.outcome(id, aldermux.OK, 20*ms)
+	}
+	r.advance(2 * time.Second)
+	seen := 0
+	for i := range 200 {
+		id := fmt.Sprint("r", i)
+		r.request(id, safe)
+		r.now += 20 * ms
+		r.outcome(id, aldermux.OK, 20*ms)
+		if r.sent[id][0] == "a" {
+			seen++
+		}
+	}
+	if seen == 0 || seen > 35 {
+		t.Errorf("after its return it got %d of 200, want a cold backend's share", seen)
+	}
+}
+
+// A list that is empty at the start: requests wait, and are refused in time.
+func TestNoBackend(t *testing.T) {
+	for _, class := range []int{safe, unsafe, keyedZone} {
+		r := newRig(t, settings(), 1, nil)
+		acts := r.request("q", class)
+		acts = append(acts, r.advance(399*ms)...)
+		if final("q", acts) != "refuse" {
+			t.Errorf("class %d: %q, want one refusal within the aim", class, final("q", acts))
+		}
+	}
+	t.Run("list comes in time", func(t *testing.T) {
+		r := newRig(t, settings(), 1, nil)
+		r.request("q", safe)
+		r.now += 50 * ms
+		r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(2)})
+		if len(r.sent["q"]) != 1 {
+			t.Error("the waiting request was not sent")
+		}
+	})
+}
+
+// Latency above the aimed delay cuts what is kept in flight; what does not fit
+// waits and is refused, and a client's repeat is refused first.
+func TestInFlightLimit(t *testing.T) {
+	s := settings()
+	s.Balancers = 2
+	r := newRig(t, s, 1, backends(2))
+	for i := range 200 { // slow answers
+		id := fmt.Sprint("s", i)
+		r.request(id, safe)
+		r.now += 350 * ms
+		r.outcome(id, aldermux.OK, 350*ms)
+	}
+	out := 0
+	var all []aldermux.Action
+	for i := range 20 {
+		id := fmt.Sprint("q", i)
+		all = append(all, r.request(id, safe)...)
+		out += len(r.sent[id])
+	}
+	if want := 4 * 2 / 2; out != want {
+		t.Errorf("%d in flight, want this agent's share of 4 per backend: %d", out, want)
+	}
+	repeat := r.step(aldermux.Request{ID: "again", Class: safe, Left: 2000 * ms, Repeat: true})
+	if final("again", repeat) != "refuse" {
+		t.Errorf("a client's repeat: %v, want a refusal at once", repeat)
+	}
+	all = append(all, r.advance(400*ms)...)
+	for i := range 20 {
+		id := fmt.Sprint("q", i)
+		if len(r.sent[id]) == 0 && final(id, all) != "refuse" {
+			t.Errorf("%s: %q, want one refusal", id, final(id, all))
+		}
+	}
+}
+
+// Incident i6c6372: with many agents each one's share must shrink, also on idle backends.
+func TestLimitIsSharedOut(t *testing.T) {
+	inFlight := func(balancers int) (n int) {
+		s := settings()
+		s.Balancers = balancers
+		r := newRig(t, s, 1, backends(10))
+		for i := range 100 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			n += len(r.sent[id])
+		}
+		return n
+	}
+	if one, many := inFlight(1), inFlight(20); many*10 > one {
+		t.Errorf("%d in flight among 20 agents against %d alone", many, one)
+	}
+}
+
+// Incident ia38185: the limit follows the list down.
+func TestLimitFollowsTheList(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(10))
+	r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(2)})
+	n := 0
+	for i := range 100 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		n += len(r.sent[id])
+	}
+	if n > 12 {
+		t.Errorf("%d in flight on two backends", n)
+	}
+}
+
+// Incidents idacc77 and i574e74: what dead backends carried must not land on the
+// living while the list still names the dead.
+func TestLimitLeavesOutTheDead(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(10))
+	r.serve(50, safe, 5*ms)
+	dead := map[string]bool{}
+	for i := 0; len(dead) < 6 && i < 500; i++ {
+		id := fmt.Sprint("d", i)
+		r.request(id, safe)
+		r.now += ms
+		if b := r.sent[id][0]; b < "g" { // a to f
+			dead[b] = true
+			r.outcome(id, aldermux.ConnectFailed, ms)
+		} else {
+			r.outcome(id, aldermux.OK, ms)
+		}
+	}
+	r.advance(50 * ms)
+	n := 0
+	for i := range 100 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		n += len(r.sent[id])
+	}
+	if n > 28 { // six for each of four, and a few for what the outcomes taught
+		t.Errorf("%d in flight on four living backends", n)
+	}
+}
+
+// Incident ieb2a7b: attempts that hang at a backend which answers nothing must not
+// use up the room of the others once it is ejected.
+func TestHangingAttemptsUseNoRoom(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 1
+	r := newRig(t, s, 1, backends(3))
+	r.serve(60, safe, 20*ms)
+	r.now += ms
+	var hung []string
+	for i := range 18 {
+		id := fmt.Sprint("h", i)
+		r.request(id, safe)
+		if len(r.sent[id]) == 1 && r.sent[id][0] == "a" {
+			hung = append(hung, id)
+		}
+	}
+	if len(hung) < 3 {
+		t.Fatalf("only %v hang", hung)
+	}
+	r.now += 20 * ms
+	for i := range 18 {
+		if id := fmt.Sprint("h", i); len(r.sent[id]) == 1 && r.sent[id][0] != "a" {
+			r.outcome(id, aldermux.OK, 20*ms)
+		}
+	}
+	r.now += 100 * ms
+	r.outcome(hung[0], aldermux.TimedOut, 120*ms)
+	n := 0
+	for i := range 40 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		for _, b := range r.sent[id] {
+			if n++; b == "a" {
+				t.Errorf("%s went to the backend that answers nothing", id)
+			}
+		}
+	}
+	if n < 12 {
+		t.Errorf("%d in flight on the two that answer, want all of their room of 12", n)
+	}
+}
+
+// A time-out says at least how slow a backend is: one that answers only its light
+// requests must not keep the good name that these give it.
+func TestTimeOutsTeachSlowness(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 1
+	r := newRig(t, s, 3, backends(3))
+	r.serve(60, safe, 20*ms)
+	got := 0
+	for round := range 60 {
+		var hang []string
+		answered := false
+		for i := range 6 {
+			r.request(fmt.Sprint("q", round, "-", i), safe)
+		}
+		r.now += 20 * ms
+		for i := range 6 {
+			id := fmt.Sprint("q", round, "-", i)
+			if r.sent[id][0] == "a" {
+				if got++; answered {
+					hang = append(hang, id)
+					continue
+				}
+				answered = true
+			}
+			r.outcome(id, aldermux.OK, 20*ms)
+		}
+		r.now += 60 * ms
+		for _, id := range hang {
+			r.outcome(id, aldermux.TimedOut, 80*ms)
+		}
+		r.now += 20 * ms
+	}
+	if got > 90 {
+		t.Errorf("a backend that times out half its requests got %d of 360", got)
+	}
+}
+
+// Incident i37feae: a fleet that grows fivefold is cold; what it cannot take yet must
+// not land on the warm ones, nor all on one.
+func TestGrowthDoesNotLoadWarmOnes(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(4))
+	r.serve(100, safe, 50*ms)
+	grown := backends(20)
+	for i := 4; i < 20; i++ {
+		grown[i].Started = r.now
+	}
+	r.step(aldermux.List{Kind: aldermux.ListFull, Backends: grown})
+	warm := map[string]int{}
+	for i := range 300 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		for _, b := range r.sent[id] {
+			if b < "e" {
+				warm[b]++
+			}
+		}
+	}
+	for id, n := range warm {
+		if n > 18 { // three mean shares of six
+			t.Errorf("%s holds %d in flight", id, n)
+		}
+	}
+	if sum := warm["a"] + warm["b"] + warm["c"] + warm["d"]; sum > 60 {
+		t.Errorf("the four warm backends hold %d in flight", sum)
+	}
+}
+
+// Incident ieeee80: chance must not cut the limit of a busy agent whose answers are
+// well within the aim in the mean but vary a lot.
+func TestBusyAgentIsNotCutByChance(t *testing.T) {
+	s := settings()
+	s.Balancers = 2
+	r := newRig(t, s, 1, backends(30))
+	seq := []time.Duration{30, 40, 300, 20, 60, 380, 50, 90, 30, 100} // ms; mean 110 of an aim of 400
+	refused, queue := 0, []string{}
+	for i := range 4000 {
+		id := fmt.Sprint("q", i)
+		if final(id, r.request(id, safe)) != "" {
+			refused++
+		}
+		queue = append(queue, id)
+		r.now += ms
+		if len(queue) > 75 {
+			if len(r.sent[queue[0]]) > 0 {
+				// answers in runs, so that twenty in a row can all be slow
+				r.outcome(queue[0], aldermux.OK, seq[(i/25)%10]*ms)
+			}
+			queue = queue[1:]
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 4000 refused", refused)
+	}
+}
+
+// Incident i3ae5f1: backends that slow down when crowded make three times the usual latency
+// long before it nears the aim; the limit must come down then, but not where it was always so.
+func TestLimitFallsWithRisingLatency(t *testing.T) {
+	inFlight := func(usual time.Duration) (n int) {
+		r := newRig(t, settings(), 1, backends(2))
+		r.serve(300, safe, usual)
+		r.serve(200, safe, 130*ms) // about a third of the aim
+		for i := range 40 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			n += len(r.sent[id])
+		}
+		return n
+	}
+	if crowded, slow := inFlight(40*ms), inFlight(130*ms); crowded != 4*2 || slow != 6*2 {
+		t.Errorf("%d in flight after a rise, want the floor of 8; %d where it was so from the start, want 12", crowded, slow)
+	}
+}
+
+// Incident ieb2a7b: many agents that grow their limits at once must not overshoot together.
+func TestLimitGrowsPerBackend(t *testing.T) {
+	total := func(balancers int) int {
+		s := settings()
+		s.Balancers = balancers
+		r := newRig(t, s, 1, backends(20))
+		var out []string // in flight, oldest first
+		sends := func(actions []aldermux.Action) {
+			for _, a := range actions {
+				if a, ok := a.(aldermux.Send); ok {
+					out = append(out, a.Request)
+				}
+			}
+		}
+		for i := range 200 { // what exceeds the limit is held
+			sends(r.request(fmt.Sprint("q", i), safe))
+		}
+		for i := range 4 * len(out) { // four rounds of fast answers
+			sends(r.outcome(out[0], aldermux.OK, 20*ms))
+			out = out[1:]
+			sends(r.request(fmt.Sprint("more", i), safe))
+		}
+		return len(out) * balancers
+	}
+	if one, many := total(1), total(20); one < 130 || many > one*3/2 {
+		t.Errorf("after four rounds one agent has %d in flight, want growth from 120; 20 agents %d", one, many)
+	}
+}
+
+// A try whose patience is cut short by the client's deadline is a late one: it
+// does not wait for room, where a first try does.
+func TestPatienceTellsLateTries(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(1))
+	submit := func(id string, left time.Duration) []aldermux.Action {
+		return r.step(aldermux.Request{ID: id, Class: safe, Left: left})
+	}
+	for i := range 20 { // the usual patience, give or take
+		submit(fmt.Sprint("f", i), 900*ms+time.Duration(i%3)*ms)
+	}
+	if got := final("first", submit("first", 899*ms)); got != "" {
+		t.Errorf("a first try without room got %q at once, want it to wait", got)
+	}
+	if got := final("late", submit("late", 700*ms)); got != "refuse" {
+		t.Errorf("a late try without room got %q, want a refusal at once", got)
+	}
+}
+
+func TestSubscribe(t *testing.T) {
+	s := settings()
+	s.Subscribe = true
+	asks := func(acts []aldermux.Action) (n int) {
+		for _, a := range acts {
+			if _, ok := a.(aldermux.Subscribe); ok {
+				n++
+			}
+		}
+		return n
+	}
+	delays := map[time.Duration]bool{}
+	for seed := uint64(0); seed < 10; seed++ {
+		r := newRig(t, s, seed, backends(2))
+		delays[r.due[0]-r.now] = true
+		if n := asks(r.advance(s.AskWithin / 10)); n != 1 {
+			t.Fatalf("asked %d times at the start, want once", n)
+		}
+		for range 8 { // every failure is followed by one more try, in time
+			r.step(aldermux.List{Kind: aldermux.ListFailed})
+			if n := asks(r.advance(s.AskWithin / 2)); n != 1 {
+				t.Fatalf("asked %d times after a failure, want once", n)
+			}
+		}
+		r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(2)})
+		if n := asks(r.advance(time.Minute)); n != 0 {
+			t.Errorf("asked %d times while subscribed", n)
+		}
+	}
+	if len(delays) < 9 {
+		t.Errorf("10 agents ask after only %d different waits", len(delays))
+	}
+	r := newRig(t, settings(), 1, backends(2))
+	if n := asks(append(r.step(aldermux.List{Kind: aldermux.ListFailed}), r.advance(time.Minute)...)); n != 0 {
+		t.Error("asked although the list comes unasked")
+	}
+}
+
+// Events about things unknown, late or repeated do nothing.
+func TestStrayEvents(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	r.request("done", safe)
+	r.now += 10 * ms
+	r.outcome("done", aldermux.OK, 10*ms)
+	r.request("open", unsafe)
+	stray := []aldermux.Event{
+		aldermux.Outcome{Request: "never", Result: aldermux.Errored},
+		aldermux.Outcome{Request: "done", Result: aldermux.Errored},
+		aldermux.Outcome{Request: "open", Attempt: 7, Result: aldermux.Errored},
+		aldermux.Outcome{Request: "open", Attempt: -1, Result: aldermux.Errored},
+		aldermux.TimerFired{Token: 99}, aldermux.TimerFired{Token: 0}, aldermux.TimerFired{Token: -5},
+		aldermux.Abandoned{Request: "never"}, aldermux.Abandoned{Request: "done"},
+		aldermux.StreamStarted{Request: "never"},
+		aldermux.ProbeResult{Backend: "zz"},
+		aldermux.PeerMessage{From: 44, Data: []byte{1}},
+		aldermux.Request{ID: "bad", Class: 17, Left: time.Second},
+		aldermux.Request{ID: "bad", Class: -1, Left: time.Second},
+		aldermux.Request{ID: "open", Class: safe, Left: time.Second},
+	}
+	for _, e := range stray {
+		if acts := r.step(e); len(acts) != 0 {
+			t.Errorf("%#v: %v, want no action", e, acts)
+		}
+	}
+	r.now += 10 * ms
+	if acts := r.outcome("open", aldermux.Errored, 10*ms); final("open", acts) != "fail" {
+		t.Errorf("the open request: %v, want its one failure", acts)
+	}
+	if acts := r.outcome("open", aldermux.Errored, 10*ms); len(acts) != 0 {
+		t.Errorf("a repeated outcome: %v, want no action", acts)
+	}
+}
+
+// An abandoned request gets nothing more, though its attempt is still counted.
+func TestAbandoned(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	r.request("q", safe)
+	r.step(aldermux.Abandoned{Request: "q"})
+	r.now += 10 * ms
+	acts := r.outcome("q", aldermux.Errored, 10*ms)
+	acts = append(acts, r.advance(3*time.Second)...)
+	if len(acts) != 0 {
+		t.Errorf("after the client left: %v", acts)
+	}
+}
+
+// Once an answer has begun to stream the request is the client's.
+func TestStream(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	r.request("q", safe)
+	r.step(aldermux.StreamStarted{Request: "q"})
+	r.now += 10 * ms
+	acts := r.step(aldermux.Outcome{Request: "q", Backend: r.sent["q"][0], Result: aldermux.Reset, Done: true})
+	acts = append(acts, r.advance(3*time.Second)...)
+	if len(acts) != 0 || len(r.sent["q"]) != 1 {
+		t.Errorf("after a broken stream: %v", acts)
+	}
+}
+
+// The same seed and events give the same actions.
+func TestDeterminism(t *testing.T) {
+	play := func(seed uint64) (log []string) {
+		r := newRig(t, settings(), seed, backends(6))
+		for i := range 400 {
+			id := fmt.Sprint("q", i)
+			log = append(log, fmt.Sprint(r.request(id, i%5)))
+			r.now += 3 * ms
+			if i%3 != 0 && len(r.sent[id]) > 0 {
+				log = append(log, fmt.Sprint(r.outcome(id, aldermux.Result(i%6), 3*ms)))
+			}
+			log = append(log, fmt.Sprint(r.advance(2*ms)))
+		}
+		return log
+	}
+	if !reflect.DeepEqual(play(11), play(11)) {
+		t.Error("two runs with one seed differ")
+	}
+	if reflect.DeepEqual(play(11), play(12)) {
+		t.Error("two seeds give the same run")
+	}
+}
+
+// The grown ktm-census: a quiet agent hears of nothing between a request's timers, and a mean
+// latency that falls meanwhile puts off the time at which it would give up. Rule 1.
+func TestHeldRequestGivesUpInTime(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(1))
+	for i := range 3 {
+		r.request(fmt.Sprint("q", i), unsafe)
+	}
+	r.step(aldermux.List{Backends: []aldermux.Backend{{ID: "a", State: aldermux.Draining}}})
+	r.request("held", unsafe)
+	for i := range 3 {
+		r.outcome(fmt.Sprint("q", i), aldermux.OK, ms) // the mean falls
+	}
+	if got := final("held", r.advance(2000*ms)); got != "refuse" {
+		t.Errorf("the held request ended %q within its deadline, want refuse", got)
+	}
+}
+
+// The grown deployments: a quiet agent in a large fleet meets most backends for the first time,
+// so what their kind has shown must count.
+func TestKindStandsInForUnknownBackend(t *testing.T) {
+	var list []aldermux.Backend
+	for i := range 200 {
+		list = append(list, aldermux.Backend{ID: fmt.Sprint("s", i), Kind: i % 2})
+	}
+	s := settings()
+	s.Balancers = 500
+	slow := 0
+	for seed := range uint64(20) {
+		r := newRig(t, s, seed, list)
+		for i := range 30 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			var n int
+			fmt.Sscanf(r.sent[id][0], "s%d", &n)
+			latency := 20 * ms
+			if n%2 == 1 {
+				latency = 80 * ms
+				if i >= 15 {
+					slow++
+				}
+			}
+			r.now += latency
+			r.outcome(id, aldermux.OK, latency)
+		}
+	}
+	if slow > 45 { // of 300
+		t.Errorf("the slow kind got %d of the last 300 requests", slow)
+	}
+}
+
+// The grown deployments: a quiet agent that picks evenly would open a connection for every other
+// request, which costs time, backend work and room in the backends' tables.
+func TestOpenConnectionsArePreferred(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		balancers int
+		idle      time.Duration
+		gap       time.Duration
+		want      func(backends int) bool
+	}{
+		{"within the idle time", 60, 10 * time.Second, 0, func(n int) bool { return n <= 4 }},
+		{"each closes before the next request", 60, ms, 10 * ms, func(n int) bool { return n > 15 }},
+		{"a busy agent", 2, 10 * time.Second, 0, func(n int) bool { return n > 10 }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := settings()
+			s.IdleClose, s.Balancers = tt.idle, tt.balancers
+			r := newRig(t, s, 1, backends(26))
+			met := map[string]bool{}
+			for range 40 {
+				for id := range r.serve(1, safe, 20*ms) {
+					met[id] = true
+				}
+				r.advance(tt.gap)
+			}
+			if !tt.want(len(met)) {
+				t.Errorf("%d backends met", len(met))
+			}
+		})
+	}
+}
+
+// The grown deployments: a thousand agents that each round their part of the limit up to one
+// attempt bury the backends.
+func TestQuietAgentKeepsItsPart(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		balancers int
+		latency   time.Duration
+		want      func(sent int) bool
+	}{
+		{"alone, slow", 1, 250 * ms, func(n int) bool { return n == 60 }},
+		{"many, slow", 1000, 250 * ms, func(n int) bool { return n > 3 && n < 25 }},
+		{"ic3355f, a part above one at the start, slow", 60, 250 * ms, func(n int) bool { return n > 20 && n < 55 }},
+		{"many, fast", 1000, 60 * ms, func(n int) bool { return n > 50 }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := settings()
+			s.Balancers = tt.balancers
+			r := newRig(t, s, 1, backends(20))
+			sent := 0
+			for i := range 60 {
+				id := fmt.Sprint("q", i)
+				if r.request(id, safe); len(r.sent[id]) == 0 {
+					r.step(aldermux.Abandoned{Request: id})
+				}
+				r.advance(tt.latency)
+				if len(r.sent[id]) > 0 {
+					sent++
+					r.outcome(id, aldermux.OK, tt.latency)
+				}
+				r.advance(250*ms - tt.latency)
+			}
+			if !tt.want(sent) {
+				t.Errorf("%d of 60 sent", sent)
+			}
+		})
+	}
+}
+
+// Incidents i5108da, if78252: nothing comes back between a quiet agent's attempts, so that each of
+// its time-outs looks like that of a dead backend; they must lower its limit all the same.
+func TestQuietAgentHeedsTimeOuts(t *testing.T) {
+	sent := map[aldermux.Result]int{}
+	for _, res := range []aldermux.Result{aldermux.OK, aldermux.TimedOut} {
+		s := settings()
+		s.Balancers = 60
+		r := newRig(t, s, 1, backends(20))
+		for i := range 80 {
+			id := fmt.Sprint("q", i)
+			if r.request(id, unsafe); len(r.sent[id]) > 0 {
+				sent[res]++
+			} else {
+				r.step(aldermux.Abandoned{Request: id})
+			}
+			r.advance(400 * ms)
+			if len(r.sent[id]) > 0 {
+				r.outcome(id, res, 400*ms)
+			}
+		}
+	}
+	if ok, out := sent[aldermux.OK], sent[aldermux.TimedOut]; out > ok*5/4 {
+		t.Errorf("%d of 80 sent with late answers, %d with time-outs", ok, out)
+	}
+}
+
+// Incident ie3262b: agents that see only their own few attempts crowd some backends while others
+// idle. A report of what others hold there steers the pick, and fades; where none comes nothing does.
+func TestReportsSteerThePick(t *testing.T) {
+	report := func(held float64) aldermux.Load {
+		return aldermux.Load{Valid: held >= 0, Outstanding: held, Queue: -1, Utilization: -1, Service: -1,
+			Throughput: -1, ErrorsPerSec: -1}
+	}
+	for _, tt := range []struct {
+		name  string
+		held  func(backend string) float64
+		later time.Duration
+		want  func(a int) bool // of 400 attempts over four backends, those at a
+	}{
+		{"one crowded", func(id string) float64 { return map[string]float64{"a": 7}[id] + 1 }, 0, func(a int) bool { return a < 10 }},
+		{"one empty", func(id string) float64 { return map[string]float64{"a": -3}[id] + 4 }, 0, func(a int) bool { return a > 380 }},
+		{"one crowded long ago", func(id string) float64 { return map[string]float64{"a": 7}[id] + 1 }, time.Minute, func(a int) bool { return a > 60 && a < 140 }},
+		{"no reports", func(string) float64 { return -1 }, 0, func(a int) bool { return a > 60 && a < 140 }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, settings(), 2, backends(4))
+			serve := func(n int, load func(string) aldermux.Load) (at int) {
+				for range n {
+					id := fmt.Sprint("q", len(r.sent))
+					r.request(id, safe)
+					if r.sent[id][0] == "a" {
+						at++
+					}
+					r.now += 20 * ms
+					r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: 20 * ms, Done: true, Load: load(r.sent[id][0])})
+				}
+				return at
+			}
+			serve(80, func(id string) aldermux.Load { return report(tt.held(id)) })
+			r.now += tt.later
+			fresh := func(id string) aldermux.Load { return report(tt.held(id)) }
+			if tt.later > 0 {
+				fresh = func(string) aldermux.Load { return report(-1) }
+			}
+			if a := serve(400, fresh); !tt.want(a) {
+				t.Errorf("%d of 400 attempts went to a", a)
+			}
+		})
+	}
+}
+
+// The limit's floor follows how much a backend works on at once: four attempts on each of many
+// backends with one core are a queue that outlasts the aim and chokes them (almaty-harvest big-1).
+func TestFloorFollowsWidth(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		held, waiting float64
+		want          int
+	}{
+		{"one at a time", 5, 4, 15},
+		{"many at a time", 9, 1, 40},
+		{"not told", -1, -1, 40},
+	} {
+		r := newRig(t, settings(), 1, backends(10))
+		for i := range 200 {
+			id := fmt.Sprint("s", i)
+			r.request(id, safe)
+			r.now += 350 * ms
+			r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: 350 * ms, Done: true,
+				Load: aldermux.Load{Valid: true, Outstanding: tt.held, Queue: tt.waiting}})
+		}
+		out := 0
+		for i := range 80 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			out += len(r.sent[id])
+		}
+		if out != tt.want {
+			t.Errorf("%s: %d in flight, want %d", tt.name, out, tt.want)
+		}
+	}
+}
+
+// Lost answers (brno-forecast big-2): where answers bring reports, a time-out of a quiet agent says
+// nothing of crowds and must not cut its limit; without reports it must (see the test above).
+func TestLostAnswersAreNoCrowd(t *testing.T) {
+	sent := map[aldermux.ReportSource]int{}
+	for _, reports := range []aldermux.ReportSource{aldermux.ReportsOff, aldermux.ReportsInline} {
+		s := settings()
+		s.Balancers, s.Reports = 200, reports
+		r := newRig(t, s, 1, backends(20))
+		for i := range 200 {
+			id := fmt.Sprint("q", i)
+			if r.request(id, unsafe); len(r.sent[id]) > 0 {
+				sent[reports]++
+			} else {
+				r.step(aldermux.Abandoned{Request: id})
+			}
+			r.advance(80 * ms)
+			if len(r.sent[id]) > 0 && i%2 == 0 {
+				r.advance(320 * ms)
+				r.outcome(id, aldermux.TimedOut, 400*ms)
+			} else if len(r.sent[id]) > 0 {
+				r.outcome(id, aldermux.OK, 80*ms)
+			}
+		}
+	}
+	if crowd, lost := sent[aldermux.ReportsOff], sent[aldermux.ReportsInline]; lost < crowd*5/4 {
+		t.Errorf("%d of 200 sent where reports come, %d where none do", lost, crowd)
+	}
+}
+
+// The dearer crossing zones is, the fewer attempts cross.
+func TestCrossingByPrice(t *testing.T) {
+	crossed := func(price float64) int {
+		s := settings()
+		s.Prices.CrossZone = price
+		r := newRig(t, s, 2, backends(4)) // two in this zone, two in another
+		r.serve(40, safe, 300*ms)         // cuts the limit, as chance does: no reason to cross for long
+		counts := r.serve(400, safe, 50*ms)
+		return counts["c"] + counts["d"]
+	}
+	if none, low, high := crossed(0), crossed(0.01), crossed(0.1); none < 160 || low > 180 || low < 60 || high > 50 {
+		t.Errorf("%d of 400 cross where it is free, %d at a price of 0.01, %d at 0.1", none, low, high)
+	}
+}
+
+// A backend never met counts by the weight that the list gives its kind (kohad-tallinn big-1: slow
+// machines got as much as fast ones and choked within two seconds of the start).
+func TestWeightStandsInForUnknownBackend(t *testing.T) {
+	list := backends(4)
+	for i := range list {
+		list[i].Kind, list[i].Weight, list[i].Zone = i%2, float64(1+7*(i%2)), 0
+	}
+	big := 0
+	for seed := uint64(0); seed < 400; seed++ {
+		s := settings()
+		s.Balancers = 100 // quiet: one answer teaches it little
+		r := newRig(t, s, seed, list)
+		r.request("q", safe)
+		if id := r.sent["q"][0]; id == "b" || id == "d" {
+			big++
+		}
+	}
+	if big < 320 {
+		t.Errorf("%d of 400 first attempts went to the heavy kind, want 8 in 9", big)
+	}
+}
+
+// Incident i42971b, brno-forecast big-2: the room of a quiet agent is not held by lost answers.
+func TestOverdueAttemptsUseNoRoom(t *testing.T) {
+	for _, tt := range []struct {
+		reports aldermux.ReportSource
+		want    func(sent int) bool
+	}{
+		{aldermux.ReportsInline, func(n int) bool { return n >= 9 }},
+		{aldermux.ReportsOff, func(n int) bool { return n < 6 }},
+	} {
+		s := settings()
+		s.Balancers, s.Reports = 200, tt.reports
+		r := newRig(t, s, 1, backends(20))
+		r.serve(1, safe, 20*ms)
+		for i := range 16 { // none is answered; each leaves time for far more than one
+			r.request(fmt.Sprint("q", i), safe)
+			r.advance(400 * ms)
+		}
+		if n := len(r.sent) - 1; !tt.want(n) {
+			t.Errorf("reports %d: %d of 16 sent", tt.reports, n)
+		}
+	}
+}
+
+// Where no backend is warm there is nothing to measure a cold one's budget by; an agent that
+// starts then must not send nothing until the whole warm-up has passed.
+func TestWholeFleetCold(t *testing.T) {
+	list := backends(4)
+	for i := range list {
+		list[i].Started = time.Hour
+	}
+	r := newRig(t, settings(), 1, list)
+	sent := 0
+	for i := range 100 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		r.advance(50 * ms)
+		if len(r.sent[id]) > 0 {
+			sent++
+			r.outcome(id, aldermux.OK, 50*ms)
+		}
+	}
+	if sent < 5 || sent > 40 {
+		t.Errorf("%d of 100 sent to a cold fleet within half its warm-up, want a trickle", sent)
+	}
+}
+
+// A report that does not even hold the attempt it came with is old, and must not steer.
+func TestOldReportsDoNotSteer(t *testing.T) {
+	r := newRig(t, settings(), 2, backends(4))
+	at := 0
+	for i := range 400 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		held := 6.0
+		if r.sent[id][0] == "a" {
+			held = 0 // as before the attempt came
+			at++
+		}
+		r.now += 20 * ms
+		r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: 20 * ms, Done: true,
+			Load: aldermux.Load{Valid: true, Outstanding: held, Queue: -1}})
+	}
+	if at > 180 {
+		t.Errorf("%d of 400 attempts went to the backend with old reports, want about a quarter", at)
+	}
+}
+
+// Incident ibd8710: what has timed out is still at work, so that a quiet agent's room stays used.
+func TestTimeOutsUseRoomForLonger(t *testing.T) {
+	next := map[aldermux.Result]int{}
+	for _, res := range []aldermux.Result{aldermux.OK, aldermux.TimedOut} {
+		s := settings()
+		s.Balancers = 60
+		r := newRig(t, s, 1, backends(20))
+		r.serve(20, unsafe, 100*ms)
+		r.request("q", unsafe)
+		r.advance(400 * ms)
+		r.outcome("q", res, 400*ms)
+		for i := 0; i < 400; i++ { // fill the room that is left, then see when there is some again
+			id := fmt.Sprint("fill", i)
+			if r.request(id, unsafe); len(r.sent[id]) == 0 {
+				break
+			}
+			next[res]++
+			r.outcome(id, aldermux.OK, 100*ms)
+		}
+	}
+	if next[aldermux.TimedOut] >= next[aldermux.OK] {
+		t.Errorf("%d attempts went out after a time-out, %d after an answer as late", next[aldermux.TimedOut], next[aldermux.OK])
+	}
+}
+
+// Incident ibd8710: the more agents there are for a backend, the longer each leaves an ejected one
+// alone, or their trials together never let it rest.
+func TestEjectionByAgents(t *testing.T) {
+	back := func(balancers int) time.Duration {
+		s := settings()
+		s.Balancers = balancers
+		r := newRig(t, s, 1, backends(2))
+		for i := 0; ; i++ {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			r.advance(10 * ms)
+			if len(r.sent[id]) == 0 {
+				continue
+			}
+			if r.sent[id][0] == "a" {
+				r.outcome(id, aldermux.Errored, 10*ms)
+				break
+			}
+			r.outcome(id, aldermux.OK, 10*ms)
+		}
+		from := r.now
+		for i := 0; i < 20000; i++ {
+			id := fmt.Sprint("after", i)
+			r.request(id, safe)
+			r.advance(10 * ms)
+			if len(r.sent[id]) > 0 && r.sent[id][0] == "a" {
+				return r.now - from
+			} else if len(r.sent[id]) > 0 {
+				r.outcome(id, aldermux.OK, 10*ms)
+			}
+		}
+		return time.Hour
+	}
+	if few, many := back(2), back(80); many < 5*few || many > time.Minute {
+		t.Errorf("tried again after %v by one of 2 agents, after %v by one of 80", few, many)
+	}
+}
+
+// The small twins of kohad-tallinn choked at a mean delay of 0.55 of the aim: only where fresh
+// reports keep crowds apart may the limit let latency rise that far.
+func TestAimedDelayNeedsFreshReports(t *testing.T) {
+	inFlight := func(load aldermux.Load) (n int) {
+		r := newRig(t, settings(), 1, backends(4))
+		for i := range 300 {
+			id := fmt.Sprint("s", i)
+			r.request(id, safe)
+			latency := 100 * ms // until reports have shown to be fresh
+			if i >= 60 {
+				latency = 180 * ms // 0.45 of the aim
+			}
+			r.now += latency
+			r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: latency, Done: true, Load: load})
+		}
+		for i := range 60 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			n += len(r.sent[id])
+		}
+		return n
+	}
+	fresh := inFlight(aldermux.Load{Valid: true, Outstanding: 5, Queue: -1})
+	none := inFlight(aldermux.Load{Outstanding: -1, Queue: -1})
+	if none != 4*4 || fresh < 6*4 {
+		t.Errorf("%d in flight without reports, want the floor of 16; %d with fresh ones, want 24 or more", none, fresh)
+	}
+}
+
+// brno-forecast's small twin of big-2: a busy agent that loses answers keeps its limit too.
+func TestBusyAgentKeepsItsLimitAmongLostAnswers(t *testing.T) {
+	inFlight := map[aldermux.ReportSource]int{}
+	for _, reports := range []aldermux.ReportSource{aldermux.ReportsOff, aldermux.ReportsInline} {
+		s := settings()
+		s.Reports = reports
+		r := newRig(t, s, 1, backends(4))
+		for i := range 200 {
+			lost, served := fmt.Sprint("lost", i), fmt.Sprint("served", i)
+			r.request(lost, unsafe)
+			r.request(served, unsafe)
+			r.now += 50 * ms
+			if len(r.sent[served]) > 0 {
+				r.outcome(served, aldermux.OK, 50*ms)
+			}
+			if i >= 8 && len(r.sent[fmt.Sprint("lost", i-8)]) > 0 {
+				r.outcome(fmt.Sprint("lost", i-8), aldermux.TimedOut, 400*ms)
+			}
+		}
+		for i := range 60 {
+			id := fmt.Sprint("q", i)
+			r.request(id, unsafe)
+			inFlight[reports] += len(r.sent[id])
+		}
+	}
+	if crowd, lost := inFlight[aldermux.ReportsOff], inFlight[aldermux.ReportsInline]; lost < crowd*3/2 {
+		t.Errorf("%d more in flight where reports come, %d where none do", lost, crowd)
+	}
+}
--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,116 @@
+package aldermux_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"aldermux"
+)
+
+// BenchmarkStep plays a request, its outcome and now and then an error and a
+// retry. State must not grow with the requests played: see the heap metric.
+func BenchmarkStep(b *testing.B) {
+	lb, err := aldermux.New(settings(), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Hour
+	lb.Step(now, []aldermux.Event{aldermux.List{Kind: aldermux.ListFull, Backends: backends(14)}})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		playOne(lb, &now, i)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)), "heap-growth-B")
+	runtime.KeepAlive(lb)
+}
+
+// playOne plays request i to its end.
+func playOne(lb *aldermux.Balancer, now *time.Duration, i int) {
+	id := fmt.Sprint("q", i)
+	events := []aldermux.Event{aldermux.Request{ID: id, Class: safe, Left: time.Second}}
+	for n := 0; len(events) > 0; {
+		acts := lb.Step(*now, events)
+		events = nil
+		for _, a := range acts {
+			switch a := a.(type) {
+			case aldermux.Send:
+				*now += 2 * ms
+				o := aldermux.Outcome{Request: id, Attempt: n, Backend: a.Backend, Latency: 2 * ms, Done: true}
+				if n == 0 && i%50 == 0 {
+					o.Result, o.Done = aldermux.Errored, false
+				}
+				n++
+				events = append(events, o)
+			case aldermux.SetTimer:
+				*now += a.After
+				events = append(events, aldermux.TimerFired{Token: a.Token})
+			}
+		}
+	}
+}
+
+// Memory and allocations per request stay bounded over a long run.
+func TestStateIsBounded(t *testing.T) {
+	lb, err := aldermux.New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	lb.Step(now, []aldermux.Event{aldermux.List{Kind: aldermux.ListFull, Backends: backends(14)}})
+	heap := func(from, to int) uint64 {
+		for i := from; i < to; i++ {
+			playOne(lb, &now, i)
+		}
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	early := heap(0, 5000)
+	late := heap(5000, 60000)
+	runtime.KeepAlive(lb)
+	if late > early+256<<10 {
+		t.Errorf("the heap grew from %d to %d bytes over 55,000 requests", early, late)
+	}
+	i := 100000
+	if n := testing.AllocsPerRun(2000, func() { playOne(lb, &now, i); i++ }); n > 25 {
+		t.Errorf("%.1f allocations a request", n)
+	}
+}
+
+// A fleet that is replaced whole, time and again, leaves nothing behind.
+func TestChurnIsBounded(t *testing.T) {
+	lb, err := aldermux.New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	heap := func(from, to int) uint64 {
+		for i := from; i < to; i++ {
+			var list []aldermux.Backend
+			for n := range 50 {
+				list = append(list, aldermux.Backend{ID: fmt.Sprint("b", i, "-", n), Zone: n % 3})
+			}
+			now += time.Second
+			lb.Step(now, []aldermux.Event{aldermux.List{Kind: aldermux.ListFull, Backends: list}})
+			playOne(lb, &now, i)
+		}
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	early := heap(0, 20)
+	late := heap(20, 1000)
+	runtime.KeepAlive(lb)
+	if late > early+256<<10 {
+		t.Errorf("the heap grew from %d to %d bytes over 980 fleets", early, late)
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,163 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"aldermux"
+)
+
+// facts mirrors the settings object of the wire, in the wire's own names.
+type facts struct {
+	Balancers int
+	Me        int
+	Zone      int
+	CountedBy string
+	Weights   string
+	Profiles  []struct {
+		Name       string
+		AimMs      float64
+		DeadlineMs float64
+		Worth      float64
+		LateValue  float64
+		Semantics  string
+		Group      string
+		WindowMs   float64
+		AimStretch float64
+		Stream     bool
+	}
+	Tenants        []struct{ QuotaPerS, Portion float64 }
+	OverShareWorth float64
+	Dcs, Kinds     []string
+	Clients        struct{ MarksRetry bool }
+	FamilyInfo     struct{ WarmKeys bool }
+	Report         struct {
+		Source string
+		Fields []string
+	}
+	MembershipMode string
+	TickMs         float64
+	PolicyLimits   struct {
+		TryLimit, MaxOpen, StreamsPerConn                 int
+		SecondCopies, MayProbe, Cancel, RetryAfter, Peers bool
+		MaxRetryAfterMs, ConnectTimeoutMs, IdleCloseMs    float64
+		CpuUsPerS, CpuUsPerRequest                        float64
+	}
+	Contract struct {
+		DrainGraceMs, GraceToAnswerMs, AskWithinMs float64
+		ColdFrom, RampTimeMs, FallMultiple, FallMs float64
+	}
+	Goal   struct{ Whole, WorstWindow, WorstClass, WorstTenant float64 }
+	Prices struct {
+		Connection, CrossZone, Fleet, Handshake, LateFail, MembershipMode float64
+		Moves, Origin, Peer, Probe, Waste                                 float64
+	}
+}
+
+// The wire's words; an absent one means the first.
+var (
+	effects = map[string]aldermux.Effect{
+		"repeatable": aldermux.Safe, "by_key": aldermux.Keyed, "once": aldermux.Unsafe}
+	groups = map[string]aldermux.Group{
+		"": aldermux.GroupAll, "all": aldermux.GroupAll,
+		"zone": aldermux.GroupZone, "cell": aldermux.GroupCell}
+	weights = map[string]aldermux.WeightMeaning{
+		"": aldermux.WeightsOff, "off": aldermux.WeightsOff, "nominal": aldermux.WeightsNominal,
+		"rough": aldermux.WeightsRough, "live": aldermux.WeightsLive}
+	sources = map[string]aldermux.ReportSource{
+		"": aldermux.ReportsOff, "off": aldermux.ReportsOff,
+		"inline": aldermux.ReportsInline, "on_probe": aldermux.ReportsOnProbe}
+)
+
+// parseSettings translates the settings object. Unknown keys are ignored.
+func parseSettings(raw []byte) (aldermux.Settings, error) {
+	var f facts
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return aldermux.Settings{}, fmt.Errorf("Facts: %w", err)
+	}
+	s := aldermux.Settings{
+		Balancers:      f.Balancers,
+		Self:           f.Me,
+		Zone:           f.Zone,
+		Zones:          len(f.Dcs),
+		Kinds:          len(f.Kinds),
+		ByWork:         f.CountedBy == "work",
+		Subscribe:      f.MembershipMode == "subscribe",
+		OverShare:      f.OverShareWorth,
+		Tick:           duration(f.TickMs),
+		Marked:         f.Clients.MarksRetry,
+		WarmKeys:       f.FamilyInfo.WarmKeys,
+		MaxAttempts:    f.PolicyLimits.TryLimit,
+		SecondCopies:   f.PolicyLimits.SecondCopies,
+		MayProbe:       f.PolicyLimits.MayProbe,
+		MayCancel:      f.PolicyLimits.Cancel,
+		RetryAfter:     f.PolicyLimits.RetryAfter,
+		Peers:          f.PolicyLimits.Peers,
+		MaxRetryAfter:  duration(f.PolicyLimits.MaxRetryAfterMs),
+		ConnectTimeout: duration(f.PolicyLimits.ConnectTimeoutMs),
+		IdleClose:      duration(f.PolicyLimits.IdleCloseMs),
+		StreamsPerConn: f.PolicyLimits.StreamsPerConn,
+		MaxOpen:        f.PolicyLimits.MaxOpen,
+		CPUPerSecond:   duration(f.PolicyLimits.CpuUsPerS / 1000),
+		CPUPerRequest:  duration(f.PolicyLimits.CpuUsPerRequest / 1000),
+		DrainGrace:     duration(f.Contract.DrainGraceMs),
+		AnswerGrace:    duration(f.Contract.GraceToAnswerMs),
+		AskWithin:      duration(f.Contract.AskWithinMs),
+		ColdShare:      f.Contract.ColdFrom,
+		RampTime:       duration(f.Contract.RampTimeMs),
+		FallMultiple:   f.Contract.FallMultiple,
+		FallWindow:     duration(f.Contract.FallMs),
+		GoalWhole:      f.Goal.Whole,
+		GoalWindow:     f.Goal.WorstWindow,
+		GoalClass:      f.Goal.WorstClass,
+		GoalTenant:     f.Goal.WorstTenant,
+		Prices: aldermux.Prices{
+			Connection: f.Prices.Connection, CrossZone: f.Prices.CrossZone, Fleet: f.Prices.Fleet,
+			Handshake: f.Prices.Handshake, LateFail: f.Prices.LateFail, List: f.Prices.MembershipMode,
+			Moves: f.Prices.Moves, Origin: f.Prices.Origin, Peer: f.Prices.Peer,
+			Probe: f.Prices.Probe, Waste: f.Prices.Waste},
+	}
+	var ok bool
+	if s.Weights, ok = weights[f.Weights]; !ok {
+		return s, fmt.Errorf("Weights: unknown meaning %q", f.Weights)
+	}
+	if s.Reports, ok = sources[f.Report.Source]; !ok {
+		return s, fmt.Errorf("Report.Source: unknown source %q", f.Report.Source)
+	}
+	for _, name := range f.Report.Fields { // others are skipped: new ones may come
+		switch name {
+		case "outstanding":
+			s.Fields.Outstanding = true
+		case "backlog":
+			s.Fields.Queue = true
+		case "utilization":
+			s.Fields.Utilization = true
+		case "recent_ms":
+			s.Fields.Service = true
+		case "throughput":
+			s.Fields.Throughput = true
+		case "errors_per_s":
+			s.Fields.ErrorsPerSec = true
+		}
+	}
+	for _, t := range f.Tenants {
+		s.Tenants = append(s.Tenants, aldermux.Tenant{PerSecond: t.QuotaPerS, Portion: t.Portion})
+	}
+	for i, p := range f.Profiles {
+		effect, ok := effects[p.Semantics]
+		if !ok {
+			return s, fmt.Errorf("Profiles[%d].Semantics: unknown kind %q", i, p.Semantics)
+		}
+		group, ok := groups[p.Group]
+		if !ok {
+			return s, fmt.Errorf("Profiles[%d].Group: unknown group %q", i, p.Group)
+		}
+		s.Classes = append(s.Classes, aldermux.Class{
+			Aim: duration(p.AimMs), Deadline: duration(p.DeadlineMs),
+			Worth: p.Worth, LateWorth: p.LateValue,
+			Effect: effect, Group: group, Window: duration(p.WindowMs),
+			Stretch: p.AimStretch, Stream: p.Stream,
+		})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,452 @@
+// Package wire translates between the bench's JSON lines and aldermux's
+// events and actions. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"aldermux"
+)
+
+// Open tells that an instance starts with no state.
+type Open struct {
+	Seed     uint64
+	Settings aldermux.Settings
+}
+
+// Event is one event of a batch, with the instance it belongs to. Exactly one
+// of Open, Retire and Event is set.
+type Event struct {
+	Line   int // line number in the stream, from 1
+	Agent  int
+	Open   *Open
+	Retire bool
+	Event  aldermux.Event
+}
+
+// Batch holds what happened at one instant.
+type Batch struct {
+	Now    time.Duration
+	Events []Event
+}
+
+// Reader reads batches.
+type Reader struct {
+	in    *bufio.Reader
+	line  int
+	lists map[int][]aldermux.Backend
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, 1<<16), lists: map[int][]aldermux.Backend{}}
+}
+
+type entry struct {
+	Backend      string
+	Availability string
+	Rating       float64
+	Block        int
+	LaunchedMs   float64
+	Sku          int
+	Dc           int
+}
+
+// message holds the fields of every message; pointers mark those that some
+// message must carry.
+type message struct {
+	Kind       string `json:"msg"`
+	ClockMs    *float64
+	Agent      *int
+	RandomSeed *uint64
+	Facts      json.RawMessage
+	Sheet      *int
+	Index      int64
+	Items      *[]entry
+	How        *string
+	Job        *string
+	TierClass  *int
+	Project    int
+	Item       string
+	GraceMs    *float64
+	WorkHintMs float64
+	StateBits  int
+	Outcome    *string
+	WaitTimeMs *float64
+	Backend    *string
+	SendNo     *int
+	Ended      bool
+	Usage      *usage
+	Cookie     *int64
+	From       *int
+	Text       *string `json:"Msg"`
+}
+
+// usage is a load report; values that it does not know are skipped.
+type usage struct {
+	Outstanding  *float64
+	Backlog      *float64
+	Utilization  *float64
+	RecentMs     *float64 `json:"recent_ms"`
+	Throughput   *float64
+	ErrorsPerSec *float64 `json:"errors_per_s"`
+}
+
+const (
+	bitHintValid = 1
+	bitRepeat    = 2
+	bitWrite     = 4
+)
+
+var results = map[string]aldermux.Result{
+	"pass": aldermux.OK, "fault": aldermux.Errored, "no_room": aldermux.Full,
+	"too_slow": aldermux.TimedOut, "no_route": aldermux.ConnectFailed, "cut": aldermux.Reset,
+	"undone": aldermux.Cancelled, "stale_send": aldermux.NotSent,
+}
+
+var listKinds = map[string]aldermux.ListKind{
+	"diff": aldermux.ListDelta, "snapshot": aldermux.ListFull,
+	"disk": aldermux.ListCached, "error": aldermux.ListFailed,
+}
+
+var states = map[string]aldermux.BackendState{
+	"on": aldermux.Up, "fading": aldermux.Draining, "off": aldermux.Gone,
+}
+
+// Next reads one batch. It returns io.EOF where the input ends between batches.
+func (r *Reader) Next() (*Batch, error) {
+	var b *Batch
+	for {
+		text, err := r.in.ReadBytes('\n')
+		if errors.Is(err, io.EOF) && len(text) == 0 {
+			if b != nil {
+				return nil, fmt.Errorf("line %d: the input ends within a batch", r.line)
+			}
+			return nil, io.EOF
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("line %d: %w", r.line+1, err)
+		}
+		r.line++
+		if blank(text) {
+			continue
+		}
+		var m message
+		if err := json.Unmarshal(text, &m); err != nil {
+			return nil, fmt.Errorf("line %d: %s: %w", r.line, cmp.Or(m.Kind, "no message"), err)
+		}
+		switch {
+		case m.Kind == "Frame" && b == nil && m.ClockMs != nil:
+			b = &Batch{Now: duration(*m.ClockMs)}
+		case m.Kind == "Frame" && b == nil:
+			return nil, fmt.Errorf("line %d: Frame: missing ClockMs", r.line)
+		case m.Kind == "Frame":
+			return nil, fmt.Errorf("line %d: Frame within a batch", r.line)
+		case b == nil:
+			return nil, fmt.Errorf("line %d: %q outside a batch", r.line, m.Kind)
+		case m.Kind == "End":
+			return b, nil
+		default:
+			if err := r.add(b, &m); err != nil {
+				return nil, fmt.Errorf("line %d: %s: %w", r.line, m.Kind, err)
+			}
+		}
+	}
+}
+
+func blank(text []byte) bool {
+	for _, c := range text {
+		if c != ' ' && c != '\t' && c != '\r' && c != '\n' {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Reader) add(b *Batch, m *message) error {
+	if m.Kind == "DefineList" {
+		return r.defineList(m)
+	}
+	e := Event{Line: r.line}
+	var err error
+	switch m.Kind {
+	case "OpenInstance":
+		if m.RandomSeed == nil || m.Facts == nil {
+			return errors.New("missing RandomSeed or Facts")
+		}
+		e.Open = &Open{Seed: *m.RandomSeed}
+		e.Open.Settings, err = parseSettings(m.Facts)
+	case "Retire":
+		e.Retire = true
+	case "View":
+		e.Event, err = r.view(m)
+	case "Submit":
+		if m.Job == nil || m.TierClass == nil || m.GraceMs == nil {
+			return errors.New("missing Job, TierClass or GraceMs")
+		}
+		q := aldermux.Request{ID: *m.Job, Class: *m.TierClass, Tenant: m.Project, Key: m.Item,
+			Left: duration(*m.GraceMs), Repeat: m.StateBits&bitRepeat != 0, Write: m.StateBits&bitWrite != 0}
+		if m.StateBits&bitHintValid != 0 {
+			q.Work = duration(m.WorkHintMs)
+		}
+		e.Event = q
+	case "Ended":
+		if m.Job == nil || m.Outcome == nil || m.SendNo == nil || m.Backend == nil || m.WaitTimeMs == nil {
+			return errors.New("missing Job, Outcome, SendNo, Backend or WaitTimeMs")
+		}
+		res, ok := results[*m.Outcome]
+		if !ok {
+			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
+		}
+		e.Event = aldermux.Outcome{Request: *m.Job, Attempt: *m.SendNo, Backend: *m.Backend, Result: res,
+			Latency: duration(*m.WaitTimeMs), Done: m.Ended, Load: load(m.Usage)}
+	case "ProbeDone":
+		if m.Backend == nil || m.Outcome == nil || m.WaitTimeMs == nil {
+			return errors.New("missing Backend, Outcome or WaitTimeMs")
+		}
+		res, ok := results[*m.Outcome]
+		if !ok {
+			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
+		}
+		e.Event = aldermux.ProbeResult{Backend: *m.Backend, Result: res,
+			Latency: duration(*m.WaitTimeMs), Load: load(m.Usage)}
+	case "Streaming":
+		if m.Job == nil || m.SendNo == nil {
+			return errors.New("missing Job or SendNo")
+		}
+		e.Event = aldermux.StreamStarted{Request: *m.Job, Attempt: *m.SendNo, Latency: duration(m.waited())}
+	case "Expired":
+		if m.Job == nil {
+			return errors.New("missing Job")
+		}
+		e.Event = aldermux.Abandoned{Request: *m.Job}
+	case "Reminder":
+		if m.Cookie == nil {
+			return errors.New("missing Cookie")
+		}
+		e.Event = aldermux.TimerFired{Token: *m.Cookie}
+	case "Peer":
+		if m.From == nil || m.Text == nil {
+			return errors.New("missing From or Msg")
+		}
+		data, err := hex.DecodeString(*m.Text)
+		if err != nil {
+			return fmt.Errorf("Msg: %w", err)
+		}
+		e.Event = aldermux.PeerMessage{From: *m.From, Data: data}
+	default:
+		return errors.New("unknown message")
+	}
+	if err != nil {
+		return err
+	}
+	if m.Agent == nil {
+		return errors.New("missing Agent")
+	}
+	e.Agent = *m.Agent
+	b.Events = append(b.Events, e)
+	return nil
+}
+
+func (r *Reader) defineList(m *message) error {
+	if m.Sheet == nil || m.Items == nil {
+		return errors.New("missing Sheet or Items")
+	}
+	list := make([]aldermux.Backend, 0, len(*m.Items))
+	for _, it := range *m.Items {
+		state, ok := states[it.Availability]
+		if !ok {
+			return fmt.Errorf("unknown Availability %q", it.Availability)
+		}
+		if it.Backend == "" {
+			return errors.New("missing Backend")
+		}
+		list = append(list, aldermux.Backend{ID: it.Backend, State: state, Zone: it.Dc, Cell: it.Block,
+			Kind: it.Sku, Weight: it.Rating, Started: duration(it.LaunchedMs)})
+	}
+	r.lists[*m.Sheet] = list
+	return nil
+}
+
+func (r *Reader) view(m *message) (aldermux.Event, error) {
+	if m.How == nil {
+		return nil, errors.New("missing How")
+	}
+	kind, ok := listKinds[*m.How]
+	if !ok {
+		return nil, fmt.Errorf("unknown How %q", *m.How)
+	}
+	if kind == aldermux.ListFailed {
+		return aldermux.List{Kind: kind, Version: m.Index}, nil
+	}
+	if m.Sheet == nil {
+		return nil, errors.New("missing Sheet")
+	}
+	list, ok := r.lists[*m.Sheet]
+	if !ok {
+		return nil, fmt.Errorf("Sheet %d was never defined", *m.Sheet)
+	}
+	return aldermux.List{Kind: kind, Version: m.Index, Backends: list}, nil
+}
+
+func load(u *usage) aldermux.Load {
+	l := aldermux.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
+	if u == nil {
+		return l
+	}
+	l.Valid = true
+	for _, f := range []struct {
+		from *float64
+		to   *float64
+	}{{u.Outstanding, &l.Outstanding}, {u.Backlog, &l.Queue}, {u.Utilization, &l.Utilization},
+		{u.Throughput, &l.Throughput}, {u.ErrorsPerSec, &l.ErrorsPerSec}} {
+		if f.from != nil {
+			*f.to = *f.from
+		}
+	}
+	if u.RecentMs != nil {
+		l.Service = duration(*u.RecentMs)
+	}
+	return l
+}
+
+// waited is the message's WaitTimeMs, 0 if it has none.
+func (m *message) waited() float64 {
+	if m.WaitTimeMs == nil {
+		return 0
+	}
+	return *m.WaitTimeMs
+}
+
+// duration keeps what lies beyond the longest span at that span.
+func duration(ms float64) time.Duration {
+	const most = 1 << 62
+	return time.Duration(math.Round(min(max(ms*1e6, -most), most)))
+}
+
+// Writer writes replies, each whole: what a reply holds before an error is not seen.
+type Writer struct {
+	out   io.Writer
+	reply []byte // the lines so far
+}
+
+// NewWriter returns a Writer on w.
+func NewWriter(w io.Writer) *Writer { return &Writer{out: w} }
+
+// Actions writes the actions of one instance.
+func (w *Writer) Actions(agent int, actions []aldermux.Action) error {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case aldermux.Send:
+			w.begin("Try", agent).str("Job", a.Request).str("Backend", a.Backend)
+			if a.Timeout > 0 {
+				w.ms("PatienceMs", a.Timeout)
+			}
+		case aldermux.Cancel:
+			w.begin("Cancel", agent).str("Job", a.Request).num("SendNo", int64(a.Attempt))
+		case aldermux.Refuse:
+			w.begin("SayNo", agent).str("Job", a.Request)
+			if a.RetryAfter > 0 {
+				w.ms("WaitMs", a.RetryAfter)
+			}
+		case aldermux.Fail:
+			w.begin("DropRequest", agent).str("Job", a.Request)
+		case aldermux.SetTimer:
+			w.begin("SetTimer", agent).ms("SpanMs", a.After).num("Cookie", a.Token)
+		case aldermux.Probe:
+			w.begin("Test", agent).str("Backend", a.Backend)
+		case aldermux.TellPeer:
+			w.begin("WritePeer", agent).peer("Whom", a.To).str("Msg", hex.EncodeToString(a.Data))
+		case aldermux.Subscribe:
+			w.begin("KeepInformed", agent).raw("Enable", "true")
+		case aldermux.Unsubscribe:
+			w.begin("KeepInformed", agent).raw("Enable", "false")
+		case aldermux.FetchList:
+			w.begin("ListAll", agent)
+		case aldermux.CloseIdle:
+			w.begin("CloseIdle", agent).str("Backend", a.Backend)
+		case aldermux.Trace:
+			w.begin("Trace", agent).str("Msg", a.Text)
+		default:
+			return fmt.Errorf("no wire form for action %T", a)
+		}
+		w.reply = append(w.reply, "}\n"...)
+	}
+	return nil
+}
+
+// Broken reports that the decision code of an instance has failed.
+func (w *Writer) Broken(agent int, text string) {
+	w.begin("Broken", agent).str("Msg", text)
+	w.reply = append(w.reply, "}\n"...)
+}
+
+// End closes a reply and writes it out.
+func (w *Writer) End() error {
+	w.reply = append(w.reply, "{\"msg\":\"Eor\"}\n"...)
+	_, err := w.out.Write(w.reply)
+	w.reply = w.reply[:0]
+	return err
+}
+
+func (w *Writer) begin(msg string, agent int) *Writer {
+	w.reply = append(w.reply, `{"msg":"`...)
+	w.reply = append(w.reply, msg...)
+	w.reply = append(w.reply, '"')
+	return w.num("Agent", int64(agent))
+}
+
+func (w *Writer) key(name string) {
+	w.reply = append(w.reply, `,"`...)
+	w.reply = append(w.reply, name...)
+	w.reply = append(w.reply, `":`...)
+}
+
+func (w *Writer) raw(name, v string) *Writer {
+	w.key(name)
+	w.reply = append(w.reply, v...)
+	return w
+}
+
+func (w *Writer) peer(name string, to int) *Writer {
+	if to == aldermux.EveryPeer {
+		return w.raw(name, "null")
+	}
+	return w.num(name, int64(to))
+}
+
+func (w *Writer) num(name string, v int64) *Writer {
+	w.key(name)
+	w.reply = strconv.AppendInt(w.reply, v, 10)
+	return w
+}
+
+func (w *Writer) ms(name string, d time.Duration) *Writer {
+	w.key(name)
+	w.reply = strconv.AppendFloat(w.reply, float64(d)/1e6, 'f', -1, 64)
+	return w
+}
+
+func (w *Writer) str(name, v string) *Writer {
+	w.key(name)
+	for i := range len(v) {
+		if c := v[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
+			quoted, _ := json.Marshal(v) // a string always marshals
+			w.reply = append(w.reply, quoted...)
+			return w
+		}
+	}
+	w.reply = append(w.reply, '"')
+	w.reply = append(w.reply, v...)
+	w.reply = append(w.reply, '"')
+	return w
+}
--- /dev/null
+++ b/order_test.go
@@ -0,0 +1,446 @@
+package aldermux_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"aldermux"
+)
+
+// auditor checks the four rules from events and actions alone. It models no
+// backend: it only remembers what the balancer was told and what it did.
+type auditor struct {
+	s        aldermux.Settings
+	now      time.Duration
+	requests map[string]*audited
+	backends map[string]*auditedBackend
+	faults   []string
+}
+
+type audited struct {
+	class    aldermux.Class
+	deadline time.Duration
+	sends    []auditedSend
+	ended    bool
+	left     time.Duration // when the client was told to have left; answers of that step do no harm
+	stream   bool
+}
+
+type auditedSend struct {
+	backend string
+	at      time.Duration
+	out     bool
+	risky   bool // may have run
+}
+
+type auditedBackend struct {
+	aldermux.Backend
+	offAt   time.Duration // when it was told to drain or to be gone
+	started time.Duration // when it was told to have started; 0: warm
+	sends   []time.Duration
+}
+
+func newAuditor(s aldermux.Settings) *auditor {
+	return &auditor{s: s, requests: map[string]*audited{}, backends: map[string]*auditedBackend{}}
+}
+
+func (a *auditor) fault(format string, args ...any) {
+	a.faults = append(a.faults, fmt.Sprintf("at %v: ", a.now)+fmt.Sprintf(format, args...))
+}
+
+func (a *auditor) event(e aldermux.Event) {
+	switch e := e.(type) {
+	case aldermux.Request:
+		if e.Class >= 0 && e.Class < len(a.s.Classes) && a.requests[e.ID] == nil {
+			a.requests[e.ID] = &audited{class: a.s.Classes[e.Class], deadline: a.now + e.Left}
+		}
+	case aldermux.Outcome:
+		r := a.requests[e.Request]
+		if r == nil || e.Attempt < 0 || e.Attempt >= len(r.sends) || !r.sends[e.Attempt].out {
+			return
+		}
+		r.sends[e.Attempt].out = false
+		r.sends[e.Attempt].risky = !e.Result.NeverRan()
+		r.ended = r.ended || e.Done
+	case aldermux.StreamStarted:
+		if r := a.requests[e.Request]; r != nil {
+			r.stream = true
+		}
+	case aldermux.Abandoned:
+		if r := a.requests[e.Request]; r != nil && !r.ended {
+			r.ended, r.left = true, a.now
+		}
+	case aldermux.List:
+		if e.Kind == aldermux.ListFailed {
+			return
+		}
+		listed := map[string]bool{}
+		for _, n := range e.Backends {
+			listed[n.ID] = true
+			b := a.backends[n.ID]
+			if b == nil {
+				b = &auditedBackend{}
+				a.backends[n.ID] = b
+			}
+			if n.Started > b.Started {
+				b.started, b.sends = n.Started, nil
+			}
+			if n.State == aldermux.Up {
+				b.offAt = 0
+			} else if b.Backend.State == aldermux.Up || b.offAt == 0 {
+				b.offAt = a.now
+			}
+			b.Backend = n
+		}
+		if e.Kind != aldermux.ListDelta {
+			for id, b := range a.backends {
+				if !listed[id] && b.offAt == 0 {
+					b.offAt = a.now
+					b.State = aldermux.Gone
+				}
+			}
+		}
+	}
+}
+
+func (a *auditor) action(act aldermux.Action) {
+	switch act := act.(type) {
+	case aldermux.Send:
+		a.send(act)
+	case aldermux.Refuse:
+		r := a.final(act.Request)
+		if r == nil {
+			return
+		}
+		for _, s := range r.sends {
+			free := r.class.Effect == aldermux.Safe ||
+				r.class.Effect == aldermux.Keyed && r.class.Group == aldermux.GroupAll
+			if (s.risky || s.out) && !free {
+				a.fault("%s refused though an attempt may have run", act.Request)
+			}
+		}
+	case aldermux.Fail:
+		a.final(act.Request)
+	case aldermux.SetTimer:
+		if act.After < 0 {
+			a.fault("a timer in the past: %v", act.After)
+		}
+	case aldermux.TellPeer:
+		if !a.s.Peers || len(act.Data) > 256 || act.To < 0 || act.To >= a.s.Balancers || act.To == a.s.Self {
+			a.fault("%d bytes to peer %d", len(act.Data), act.To)
+		}
+	}
+}
+
+func (a *auditor) final(id string) *audited {
+	r := a.requests[id]
+	switch {
+	case r == nil:
+		a.fault("answer for the unknown request %s", id)
+		return nil
+	case r.ended && r.left != a.now:
+		a.fault("%s answered twice", id)
+	case a.now > r.deadline+a.s.AnswerGrace && !r.stream:
+		a.fault("%s answered late", id)
+	}
+	r.ended, r.left = true, 0
+	return r
+}
+
+func (a *auditor) send(act aldermux.Send) {
+	r, b := a.requests[act.Request], a.backends[act.Backend]
+	if r == nil || b == nil {
+		a.fault("send of %q to %q, one of which was never told", act.Request, act.Backend)
+		return
+	}
+	if r.ended && r.left != a.now {
+		a.fault("%s sent after its end", act.Request)
+	}
+	if len(r.sends) >= max(1, a.s.MaxAttempts) {
+		a.fault("%s sent past the attempt limit", act.Request)
+	}
+	if b.offAt > 0 && a.now > b.offAt+a.s.DrainGrace {
+		a.fault("%s sent to %s, told %v ago to drain or be gone", act.Request, act.Backend, a.now-b.offAt)
+	}
+	var anchor *auditedSend
+	for i := range r.sends {
+		s := &r.sends[i]
+		if s.out && !a.s.SecondCopies {
+			a.fault("%s has two attempts out", act.Request)
+		}
+		if anchor == nil && (s.out || s.risky) {
+			anchor = s
+		}
+	}
+	if anchor != nil {
+		from := a.backends[anchor.backend]
+		switch {
+		case r.class.Effect == aldermux.Unsafe:
+			a.fault("%s is unsafe and may have run, sent again", act.Request)
+		case r.class.Effect == aldermux.Keyed && a.now-anchor.at > r.class.Window:
+			a.fault("%s sent again after its window", act.Request)
+		case r.class.Effect == aldermux.Keyed && r.class.Group == aldermux.GroupZone && from.Zone != b.Zone,
+			r.class.Effect == aldermux.Keyed && r.class.Group == aldermux.GroupCell && from.Cell != b.Cell:
+			a.fault("%s sent again outside its group", act.Request)
+		}
+	}
+	r.sends = append(r.sends, auditedSend{backend: act.Backend, at: a.now, out: true})
+	b.sends = append(b.sends, a.now)
+	a.cold(b)
+}
+
+// cold checks this agent's part of a cold backend's load. What a backend can do
+// is not told; what the busiest warm one was sent in the same span bounds what
+// a balancer may hold to be its own measure, and the stated multiple of the
+// cold share of that, with one request's slack, bounds the cold one.
+func (a *auditor) cold(b *auditedBackend) {
+	if b.started == 0 || a.now-b.started >= a.s.RampTime || a.s.RampTime == 0 {
+		return
+	}
+	span := max(a.s.FallWindow, 1)
+	count := func(b *auditedBackend, span time.Duration) (n int) {
+		for _, at := range b.sends {
+			if a.now-at < span {
+				n++
+			}
+		}
+		return n
+	}
+	most, warm := 0, false
+	for _, o := range a.backends {
+		if o != b && (o.started == 0 || a.now-o.started >= a.s.RampTime) {
+			most = max(most, count(o, 3*span))
+			warm = warm || o.State == aldermux.Up
+		}
+	}
+	if !warm { // nothing to measure by: one core that takes a quarter of the aim for a request
+		most = max(most, int(4*span/a.s.Classes[0].Aim))
+	}
+	warmth := a.s.ColdShare + (1-a.s.ColdShare)*max(0, float64(a.now-b.started)/float64(a.s.RampTime))
+	if got := count(b, span); float64(got) > a.s.FallMultiple*warmth*float64(most)+2 {
+		a.fault("%s is cold (%v) and got %d sends in %v, the busiest warm one %d in three times that",
+			b.ID, a.now-b.started, got, span, most)
+	}
+}
+
+// overdue checks that nothing accepted is without its answer past its time.
+func (a *auditor) overdue() {
+	for id, r := range a.requests {
+		if !r.ended && !r.stream && a.now > r.deadline+a.s.AnswerGrace {
+			a.fault("%s got no answer in time", id)
+			r.ended = true
+		}
+	}
+}
+
+// hostile feeds a balancer a legal but unkind order of events and audits it.
+func hostile(t *testing.T, seed uint64, steps int) *auditor {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := settings()
+	s.Balancers = 1 + rng.IntN(9)
+	s.Self = rng.IntN(s.Balancers)
+	s.Subscribe = rng.IntN(2) == 0
+	s.SecondCopies = rng.IntN(2) == 0
+	s.Peers = rng.IntN(2) == 0
+	s.MaxAttempts = rng.IntN(6)
+	s.Prices.CrossZone = float64(rng.IntN(2)) * 0.02
+	if rng.IntN(4) == 0 {
+		s.RampTime, s.FallWindow, s.AskWithin, s.Tick = 0, 0, 0, 0
+	}
+	s.Classes = s.Classes[:1+rng.IntN(len(s.Classes))]
+	for i := range s.Classes {
+		s.Classes[i].Window = time.Duration(rng.IntN(100)) * ms
+	}
+	b, err := aldermux.New(s, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAuditor(s)
+	a.now = time.Hour
+	type timer struct {
+		at    time.Duration
+		token int64
+	}
+	var timers []timer
+	var open []aldermux.Outcome // attempts that are out
+	due := map[string]time.Duration{}
+	pool := backends(8)
+	next := 0
+	for range steps {
+		a.now += time.Duration(rng.IntN(30)) * ms / 4
+		var events []aldermux.Event
+		keep := timers[:0]
+		for _, tm := range timers {
+			if tm.at <= a.now {
+				events = append(events, aldermux.TimerFired{Token: tm.token})
+			} else {
+				keep = append(keep, tm)
+			}
+		}
+		timers = keep
+		for range rng.IntN(3) {
+			next++
+			id := fmt.Sprint("q", next)
+			left := time.Duration(1+rng.IntN(1500)) * ms
+			due[id] = a.now + left
+			events = append(events, aldermux.Request{ID: id, Class: rng.IntN(len(s.Classes)), Left: left,
+				Work: time.Duration(rng.IntN(3)*rng.IntN(200)) * ms, Repeat: rng.IntN(5) == 0})
+		}
+		// Every attempt ends by its request's time; some early, with any result.
+		rest := open[:0]
+		for _, o := range open {
+			switch {
+			case due[o.Request] <= a.now:
+				o.Result = aldermux.TimedOut
+			case rng.IntN(8) == 0:
+				o.Result = aldermux.Result(rng.IntN(8))
+			default:
+				rest = append(rest, o)
+				continue
+			}
+			o.Latency = time.Duration(rng.IntN(900)) * ms
+			o.Done = o.Result == aldermux.OK || a.requests[o.Request].ended
+			events = append(events, o)
+			if rng.IntN(10) == 0 {
+				events = append(events, o) // told twice
+			}
+		}
+		open = rest
+		switch rng.IntN(25) {
+		case 0:
+			n := &pool[rng.IntN(len(pool))]
+			n.State = aldermux.BackendState(rng.IntN(3))
+			if rng.IntN(2) == 0 {
+				n.State, n.Started = aldermux.Up, a.now
+			}
+			events = append(events, aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{*n}})
+		case 1:
+			var full []aldermux.Backend // up to none at all
+			for _, n := range pool[:rng.IntN(len(pool)+1)] {
+				n.State = aldermux.Up
+				full = append(full, n)
+			}
+			events = append(events, aldermux.List{Kind: aldermux.ListKind(1 + rng.IntN(2)), Backends: full})
+		case 2:
+			events = append(events, aldermux.List{Kind: aldermux.ListFailed})
+		case 3:
+			if next > 0 {
+				events = append(events, aldermux.Abandoned{Request: fmt.Sprint("q", 1+rng.IntN(next))})
+			}
+		case 4:
+			events = append(events, aldermux.TimerFired{Token: rng.Int64N(1 << 20)},
+				aldermux.Outcome{Request: fmt.Sprint("q", rng.IntN(next+2)), Attempt: rng.IntN(2)*99 - 1},
+				aldermux.ProbeResult{Backend: "x"}, aldermux.PeerMessage{From: 70})
+		case 5:
+			events = append(events, aldermux.PeerMessage{From: rng.IntN(12) - 1,
+				Data: binary.BigEndian.AppendUint64(nil, rng.Uint64())[:rng.IntN(9)]})
+		}
+		rng.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
+		for _, e := range events {
+			a.event(e)
+		}
+		for _, act := range b.Step(a.now, events) {
+			a.action(act)
+			switch act := act.(type) {
+			case aldermux.SetTimer:
+				timers = append(timers, timer{a.now + act.After, act.Token})
+			case aldermux.Send:
+				open = append(open, aldermux.Outcome{Request: act.Request, Backend: act.Backend,
+					Attempt: len(a.requests[act.Request].sends) - 1})
+			}
+		}
+		a.overdue()
+	}
+	return a
+}
+
+func TestRulesUnderAnyOrder(t *testing.T) {
+	for seed := uint64(1); seed <= 150; seed++ {
+		a := hostile(t, seed, 600)
+		if len(a.faults) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(a.faults[:min(3, len(a.faults))], "\n"))
+		}
+	}
+}
+
+func FuzzRulesUnderAnyOrder(f *testing.F) {
+	f.Add(uint64(1))
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		if a := hostile(t, seed, 400); len(a.faults) > 0 {
+			t.Fatal(strings.Join(a.faults[:min(3, len(a.faults))], "\n"))
+		}
+	})
+}
+
+// Each check of the auditor must be able to fail: these recorded actions are bad.
+func TestAuditorRejects(t *testing.T) {
+	send := func(b string) aldermux.Action { return aldermux.Send{Request: "q", Backend: b} }
+	ended := func(n int, res aldermux.Result) aldermux.Event {
+		return aldermux.Outcome{Request: "q", Attempt: n, Result: res, Done: res == aldermux.OK}
+	}
+	refuse, fail := aldermux.Refuse{Request: "q"}, aldermux.Fail{Request: "q"}
+	off := aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{{ID: "a", State: aldermux.Draining}}}
+	empty := aldermux.List{Kind: aldermux.ListFull}
+	cold := aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{{ID: "a", Started: time.Hour}}}
+	sendAs := func(id, b string) aldermux.Action { return aldermux.Send{Request: id, Backend: b} }
+	another := aldermux.Event(aldermux.Request{ID: "p", Class: safe, Left: 2000 * ms})
+	allCold := aldermux.List{Kind: aldermux.ListFull, Backends: []aldermux.Backend{{ID: "a", Started: time.Hour}}}
+	tests := []struct {
+		name  string
+		class int
+		play  []any // events, actions, and durations that pass
+		want  string
+	}{
+		{"no answer", safe, []any{2021 * ms}, "got no answer in time"},
+		{"two answers", safe, []any{fail, fail}, "answered twice"},
+		{"answer after being served", safe, []any{send("a"), ended(0, aldermux.OK), refuse}, "answered twice"},
+		{"late answer", safe, []any{2020*ms + 1, fail}, "answered late"},
+		{"send after the answer", safe, []any{fail, send("a")}, "sent after its end"},
+		{"unknown backend", safe, []any{send("zz")}, "never told"},
+		{"past the limit", safe, []any{send("a"), ended(0, aldermux.Errored), send("b"), ended(1, aldermux.Errored),
+			send("a"), ended(2, aldermux.Errored), send("b"), ended(3, aldermux.Errored), send("a")}, "past the attempt limit"},
+		{"second copy", safe, []any{send("a"), send("b")}, "two attempts out"},
+		{"unsafe repeated", unsafe, []any{send("a"), ended(0, aldermux.TimedOut), send("b")}, "is unsafe"},
+		{"unsafe refused", unsafe, []any{send("a"), ended(0, aldermux.Reset), refuse}, "refused though"},
+		{"unsafe refused while out", unsafe, []any{send("a"), refuse}, "refused though"},
+		{"zone refused", keyedZone, []any{send("a"), ended(0, aldermux.Errored), refuse}, "refused though"},
+		{"outside the zone", keyedZone, []any{send("a"), ended(0, aldermux.Errored), send("c")}, "outside its group"},
+		{"outside the cell", keyedCell, []any{send("a"), ended(0, aldermux.Errored), send("d")}, "outside its group"},
+		{"after the window", keyedAll, []any{send("a"), 301 * ms, ended(0, aldermux.Errored), send("b")}, "after its window"},
+		{"drained", safe, []any{off, 501 * ms, send("a")}, "drain or be gone"},
+		{"gone from the list", safe, []any{empty, 501 * ms, send("b")}, "drain or be gone"},
+		{"all cold", safe, []any{allCold, send("a"), ended(0, aldermux.Full), send("a"), ended(1, aldermux.Full),
+			send("a"), ended(2, aldermux.Full), send("a"), another, sendAs("p", "a"), sendAs("p", "a"), sendAs("p", "a"), sendAs("p", "a")}, "is cold"},
+		{"cold", safe, []any{cold, send("a"), ended(0, aldermux.Full), send("a"), ended(1, aldermux.Full),
+			send("a")}, "is cold"},
+		{"message where none is allowed", safe, []any{aldermux.TellPeer{Data: []byte{1}}}, "bytes to peer"},
+		{"timer in the past", safe, []any{aldermux.SetTimer{After: -1}}, "timer in the past"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newAuditor(settings())
+			a.now = time.Hour
+			a.event(aldermux.List{Kind: aldermux.ListFull, Backends: backends(4)})
+			a.event(aldermux.Request{ID: "q", Class: tt.class, Left: 2000 * ms})
+			for _, p := range tt.play {
+				switch p := p.(type) {
+				case time.Duration:
+					a.now += p
+				case aldermux.Event:
+					a.event(p)
+				case aldermux.Action:
+					a.action(p)
+				}
+			}
+			a.overdue()
+			if got := strings.Join(a.faults, "; "); !strings.Contains(got, tt.want) {
+				t.Errorf("faults %q, want one with %q", got, tt.want)
+			}
+		})
+	}
+}
