Add the real agent: cmd/lemonrail and internal/agent

One goroutine owns the balancer; a server on net/http, a pool of backend connections on net.Conn, discovery's watch and the peers' datagrams send it events. The settings parser of internal/wire is exported and serves both programs.

--- /dev/null
+++ b/cmd/lemonrail/main.go
@@ -0,0 +1,40 @@
+// Command lemonrail balances and retries the requests of the application beside it. It is
+// configured by the JSON file that LB_CONFIG names.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"aldermux/internal/agent"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "lemonrail:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	path := os.Getenv("LB_CONFIG")
+	if path == "" {
+		return errors.New("LB_CONFIG is not set")
+	}
+	cfg, err := agent.ReadConfig(path)
+	if err != nil {
+		return err
+	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 3 / 4) // the rest is for what the collector does not count
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return agent.Run(ctx, cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,105 @@
+// Package agent runs one aldermux balancer on real sockets. It turns what happens on them into
+// the balancer's events and carries out the balancer's actions; it decides nothing itself.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"aldermux"
+)
+
+// lingering is how long after a stop the listener stays open: new connections keep coming for
+// up to 0.4 s, and a request that crosses the end of its idle connection needs another.
+const lingering = 600 * time.Millisecond
+
+// Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
+func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+	bal, err := aldermux.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return fmt.Errorf("clients: %w", err)
+	}
+	defer ln.Close()
+	peers, err := listenPeers(cfg, log)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, cfg, bal, ln, peers, log)
+}
+
+// serve runs the parts round a balancer until ctx ends or one of them fails.
+func serve(ctx context.Context, cfg *Config, bal decider, ln net.Listener, peers *peers, log *slog.Logger) error {
+	inner, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer stop()
+
+	socks := &sockets{limit: int64(max(0, cfg.Sockets-reservedSockets))}
+	l := newLoop(bal, &cfg.Settings, log)
+	l.peers = peers
+	l.up = newUpstream(&cfg.Settings, socks, log)
+	l.disc = newDiscovery(inner, cfg, func(list aldermux.List, addrs map[string]string) {
+		l.post(func() { l.listed(list, addrs) })
+	}, log)
+
+	s := &server{loop: l, cfg: cfg, sockets: socks}
+	srv := s.newHTTP(log)
+	failed := make(chan error, 2)
+	parts.Go(func() {
+		if err := l.run(inner); err != nil {
+			failed <- err
+		}
+	})
+	parts.Go(func() { l.up.run(inner) })
+	l.disc.tell(cfg.Known, aldermux.ListCached)
+	parts.Go(l.disc.run)
+	if peers != nil {
+		parts.Go(func() {
+			peers.run(inner, func(m aldermux.PeerMessage) { l.post(func() { l.event(m) }) })
+		})
+	}
+	parts.Go(func() {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("clients: %w", err)
+		}
+	})
+	l.post(func() { s.ready.Store(true) }) // behind the known list
+	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "backends", len(cfg.Known.Hosts))
+
+	var fault error
+	select {
+	case fault = <-failed:
+	case <-ctx.Done():
+		log.Info("stopping")
+		s.draining.Store(true)
+		srv.SetKeepAlivesEnabled(false) // ends idle connections, and others with their answer
+		select {
+		case <-time.After(lingering):
+		case fault = <-failed:
+		}
+	}
+	patience, cancel := context.WithTimeout(context.Background(), s.longest())
+	defer cancel()
+	if err := srv.Shutdown(patience); err != nil { // a connection on which no request came
+		srv.Close()
+	}
+	return fault
+}
+
+// longest is the time by which all that is in hand has been answered.
+func (s *server) longest() (most time.Duration) {
+	for _, c := range s.cfg.Settings.Classes {
+		most = max(most, c.Deadline)
+	}
+	return most + s.cfg.Settings.AnswerGrace
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"aldermux"
+	"aldermux/internal/wire"
+)
+
+// Config is what the platform tells an agent.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint64
+	MemoryMB  int64 // limit on memory; 0: none told
+	Sockets   int   // limit on file descriptors; 0: none told
+
+	PeerListen netip.AddrPort   // invalid where agents don't talk
+	Peers      []netip.AddrPort // by the agents' numbers
+	PeersAll   netip.AddrPort
+
+	Settings aldermux.Settings
+	Names    wire.Names
+	Known    hostList
+}
+
+// ReadConfig reads and checks the file at path.
+func ReadConfig(path string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	cfg, err := parseConfig(raw)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+func parseConfig(raw []byte) (*Config, error) {
+	var f struct {
+		Name      string         `json:"name"`
+		Listen    netip.AddrPort `json:"listen"`
+		Discovery netip.AddrPort `json:"discovery"`
+		Seed      string         `json:"seed"`
+		Limits    struct {
+			MemoryMB int64 `json:"memory_mb"`
+			Sockets  int   `json:"sockets"`
+		} `json:"limits"`
+		PeerListen netip.AddrPort   `json:"peer_listen"`
+		Peers      []netip.AddrPort `json:"peers"`
+		PeersAll   netip.AddrPort   `json:"peers_all"`
+		Known      hostList         `json:"known"`
+		Settings   json.RawMessage  `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, err
+	}
+	switch {
+	case !f.Listen.IsValid():
+		return nil, errors.New("listen: missing")
+	case !f.Discovery.IsValid():
+		return nil, errors.New("discovery: missing")
+	case f.Settings == nil:
+		return nil, errors.New("settings: missing")
+	case f.Limits.MemoryMB < 0 || f.Limits.Sockets < 0:
+		return nil, errors.New("limits: negative")
+	case f.Limits.Sockets > 0 && f.Limits.Sockets < 2*reservedSockets:
+		return nil, fmt.Errorf("limits: %d sockets are too few, %d needed", f.Limits.Sockets, 2*reservedSockets)
+	}
+	cfg := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		PeerListen: f.PeerListen, Peers: f.Peers, PeersAll: f.PeersAll, Known: f.Known}
+	var err error
+	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if cfg.Settings, cfg.Names, err = wire.ParseSettings(f.Settings); err != nil {
+		return nil, err
+	}
+	if _, err := aldermux.New(cfg.Settings, cfg.Seed); err != nil {
+		return nil, err
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/agent/discovery.go
@@ -0,0 +1,266 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"aldermux"
+	"aldermux/internal/wire"
+)
+
+const (
+	silence      = 5 * time.Second // a watch has a heartbeat every 2 s: it is dead after this long without a line
+	reopenFirst  = 100 * time.Millisecond
+	reopenMost   = 2 * time.Second
+	fetchLimit   = 5 * time.Second
+	maxListBytes = 8 << 20
+)
+
+// hostList is a list of backends in discovery's form.
+type hostList struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []host `json:"hosts"`
+}
+
+type host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+}
+
+// backend translates an entry by the settings' names.
+func (h host) backend(names wire.Names) (aldermux.Backend, error) {
+	b := aldermux.Backend{ID: h.Host, State: aldermux.Gone, Cell: h.Block, Weight: h.Share,
+		Zone: slices.Index(names.Zones, h.Site), Kind: slices.Index(names.Kinds, h.Class),
+		Started: wire.Duration(h.BornMs)}
+	switch {
+	case h.Host == "":
+		return b, errors.New("no host")
+	case h.Health == "gone":
+		return b, nil
+	case b.Zone < 0:
+		return b, fmt.Errorf("unknown site %q", h.Site)
+	case b.Kind < 0:
+		return b, fmt.Errorf("unknown class %q", h.Class)
+	}
+	if _, _, err := net.SplitHostPort(h.Dial); err != nil {
+		return b, fmt.Errorf("dial: %w", err)
+	}
+	switch h.Health {
+	case "ready":
+		b.State = aldermux.Up
+	case "draining":
+		b.State = aldermux.Draining
+	default:
+		return b, fmt.Errorf("unknown health %q", h.Health)
+	}
+	return b, nil
+}
+
+// discovery follows the list of backends and hands what it learns to told at once.
+type discovery struct {
+	base  string // URL of the list
+	ask   bool   // the module asks; else a watch stays open by itself
+	names wire.Names
+	told  func(list aldermux.List, addrs map[string]string)
+	log   *slog.Logger
+	http  *http.Client
+	ctx   context.Context // ends all calls
+
+	mu   sync.Mutex
+	seq  int64
+	stop context.CancelFunc // ends the watch that was asked for; nil: none
+}
+
+func newDiscovery(ctx context.Context, cfg *Config, told func(aldermux.List, map[string]string), log *slog.Logger) *discovery {
+	return &discovery{base: "http://" + cfg.Discovery.String() + "/discovery/hosts", ask: cfg.Settings.Subscribe,
+		names: cfg.Names, told: told, log: log, ctx: ctx, seq: cfg.Known.Seq,
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// tell passes on a list. Guards against an entry that makes no sense: it counts as gone, since
+// a backend that can't be understood can't be used, and must not live on as it was before.
+func (d *discovery) tell(l hostList, kind aldermux.ListKind) {
+	list := aldermux.List{Kind: kind, Version: l.Seq}
+	addrs := map[string]string{}
+	for _, h := range l.Hosts {
+		b, err := h.backend(d.names)
+		if err != nil {
+			d.log.Warn("entry of the list ignored", "host", h.Host, "err", err)
+		}
+		list.Backends = append(list.Backends, b)
+		addrs[h.Host] = h.Dial
+	}
+	d.told(list, addrs)
+}
+
+func (d *discovery) failed(err error) {
+	d.log.Warn("discovery", "err", err)
+	if d.ask && d.ctx.Err() == nil {
+		d.told(aldermux.List{Kind: aldermux.ListFailed}, nil)
+	}
+}
+
+// run keeps a watch open until the context ends, where lists come unasked.
+func (d *discovery) run() {
+	if d.ask {
+		return
+	}
+	wait := reopenFirst
+	for d.ctx.Err() == nil {
+		lines, err := d.watch(d.ctx)
+		if lines > 0 {
+			wait = reopenFirst
+		}
+		d.failed(err)
+		pause := time.NewTimer(time.Duration(rand.Float64() * float64(wait)))
+		select {
+		case <-pause.C:
+		case <-d.ctx.Done():
+			pause.Stop()
+		}
+		wait = min(2*wait, reopenMost)
+	}
+}
+
+// watch follows the list until its connection ends or falls silent. It returns the number of lines.
+func (d *discovery) watch(ctx context.Context) (lines int, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(silence, func() { cancel(errors.New("watch is silent")) })
+	defer watchdog.Stop()
+	defer func() {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+	}()
+	d.mu.Lock()
+	since := d.seq
+	d.mu.Unlock()
+	body, err := d.get(ctx, "?follow=1&since="+strconv.FormatInt(since, 10))
+	if err != nil {
+		return 0, err
+	}
+	defer body.Close()
+	scan := bufio.NewScanner(body)
+	scan.Buffer(nil, maxListBytes)
+	for scan.Scan() {
+		watchdog.Reset(silence)
+		lines++
+		line := bytes.TrimSpace(scan.Bytes())
+		if len(line) == 0 {
+			continue // a heartbeat
+		}
+		if err := d.take(line); err != nil {
+			return lines, err
+		}
+	}
+	if err := scan.Err(); err != nil {
+		return lines, fmt.Errorf("watch: %w", err)
+	}
+	return lines, errors.New("watch ended")
+}
+
+// take reads and passes on one list.
+func (d *discovery) take(raw []byte) error {
+	var l hostList
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock() // lists reach the module in the order of their versions
+	if l.Seq < d.seq && !l.Whole {
+		return nil // a fetch has told it already
+	}
+	d.seq = l.Seq
+	kind := aldermux.ListDelta
+	if l.Whole {
+		kind = aldermux.ListFull
+	}
+	d.tell(l, kind)
+	return nil
+}
+
+func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	return resp.Body, nil
+}
+
+// subscribe opens a watch, anew if there is one. Where lists come unasked one is always open.
+func (d *discovery) subscribe() {
+	if !d.ask {
+		return
+	}
+	d.unsubscribe()
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.mu.Lock()
+	d.stop = cancel
+	d.mu.Unlock()
+	go func() {
+		_, err := d.watch(ctx)
+		if ctx.Err() == nil { // not ended by unsubscribe
+			d.failed(err)
+		}
+		cancel()
+	}()
+}
+
+// unsubscribe ends the watch that was asked for.
+func (d *discovery) unsubscribe() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stop != nil {
+		d.stop()
+		d.stop = nil
+	}
+}
+
+// fetch gets the whole list once.
+func (d *discovery) fetch() {
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, fetchLimit)
+		defer cancel()
+		body, err := d.get(ctx, "")
+		if err == nil {
+			var raw []byte
+			raw, err = io.ReadAll(io.LimitReader(body, maxListBytes))
+			body.Close()
+			if err == nil {
+				err = d.take(raw)
+			}
+		}
+		if err != nil {
+			d.failed(err)
+		}
+	}()
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -146,7 +146,7 @@
 		}
 		switch {
 		case m.Kind == "Frame" && b == nil && m.ClockMs != nil:
-			b = &Batch{Now: duration(*m.ClockMs)}
+			b = &Batch{Now: Duration(*m.ClockMs)}
 		case m.Kind == "Frame" && b == nil:
 			return nil, fmt.Errorf("line %d: Frame: missing ClockMs", r.line)
 		case m.Kind == "Frame":
@@ -184,7 +184,7 @@
 			return errors.New("missing RandomSeed or Facts")
 		}
 		e.Open = &Open{Seed: *m.RandomSeed}
-		e.Open.Settings, err = parseSettings(m.Facts)
+		e.Open.Settings, _, err = ParseSettings(m.Facts)
 	case "Retire":
 		e.Retire = true
 	case "View":
@@ -194,9 +194,9 @@
 			return errors.New("missing Job, TierClass or GraceMs")
 		}
 		q := aldermux.Request{ID: *m.Job, Class: *m.TierClass, Tenant: m.Project, Key: m.Item,
-			Left: duration(*m.GraceMs), Repeat: m.StateBits&bitRepeat != 0, Write: m.StateBits&bitWrite != 0}
+			Left: Duration(*m.GraceMs), Repeat: m.StateBits&bitRepeat != 0, Write: m.StateBits&bitWrite != 0}
 		if m.StateBits&bitHintValid != 0 {
-			q.Work = duration(m.WorkHintMs)
+			q.Work = Duration(m.WorkHintMs)
 		}
 		e.Event = q
 	case "Ended":
@@ -208,7 +208,7 @@
 			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
 		}
 		e.Event = aldermux.Outcome{Request: *m.Job, Attempt: *m.SendNo, Backend: *m.Backend, Result: res,
-			Latency: duration(*m.WaitTimeMs), Done: m.Ended, Load: load(m.Usage)}
+			Latency: Duration(*m.WaitTimeMs), Done: m.Ended, Load: load(m.Usage)}
 	case "ProbeDone":
 		if m.Backend == nil || m.Outcome == nil || m.WaitTimeMs == nil {
 			return errors.New("missing Backend, Outcome or WaitTimeMs")
@@ -218,12 +218,12 @@
 			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
 		}
 		e.Event = aldermux.ProbeResult{Backend: *m.Backend, Result: res,
-			Latency: duration(*m.WaitTimeMs), Load: load(m.Usage)}
+			Latency: Duration(*m.WaitTimeMs), Load: load(m.Usage)}
 	case "Streaming":
 		if m.Job == nil || m.SendNo == nil {
 			return errors.New("missing Job or SendNo")
 		}
-		e.Event = aldermux.StreamStarted{Request: *m.Job, Attempt: *m.SendNo, Latency: duration(m.waited())}
+		e.Event = aldermux.StreamStarted{Request: *m.Job, Attempt: *m.SendNo, Latency: Duration(m.waited())}
 	case "Expired":
 		if m.Job == nil {
 			return errors.New("missing Job")
@@ -271,7 +271,7 @@
 			return errors.New("missing Backend")
 		}
 		list = append(list, aldermux.Backend{ID: it.Backend, State: state, Zone: it.Dc, Cell: it.Block,
-			Kind: it.Sku, Weight: it.Rating, Started: duration(it.LaunchedMs)})
+			Kind: it.Sku, Weight: it.Rating, Started: Duration(it.LaunchedMs)})
 	}
 	r.lists[*m.Sheet] = list
 	return nil
@@ -298,6 +298,15 @@
 	return aldermux.List{Kind: kind, Version: m.Index, Backends: list}, nil
 }
 
+// ParseLoad reads a load report; values that it lacks are negative.
+func ParseLoad(raw []byte) (aldermux.Load, error) {
+	var u usage
+	if err := json.Unmarshal(raw, &u); err != nil {
+		return load(nil), fmt.Errorf("load report: %w", err)
+	}
+	return load(&u), nil
+}
+
 func load(u *usage) aldermux.Load {
 	l := aldermux.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
 	if u == nil {
@@ -314,7 +323,7 @@
 		}
 	}
 	if u.RecentMs != nil {
-		l.Service = duration(*u.RecentMs)
+		l.Service = Duration(*u.RecentMs)
 	}
 	return l
 }
@@ -327,8 +336,8 @@
 	return *m.WaitTimeMs
 }
 
-// duration keeps what lies beyond the longest span at that span.
-func duration(ms float64) time.Duration {
+// Duration converts milliseconds; it keeps what lies beyond the longest span at that span.
+func Duration(ms float64) time.Duration {
 	const most = 1 << 62
 	return time.Duration(math.Round(min(max(ms*1e6, -most), most)))
 }
