Test the agent over loopback sockets; absent load figures are negative

The tests cover the table of outcomes, stale and idle connections, a silent machine, an answer together with the time-out, a client that leaves, a planned stop, a panic, discovery in both modes and the peers. They found one fault: an answer without a load report carried a report of zeros (not marked valid, so the module did not read it); exchange now says 'none' as the wire's reader does. A fetched list that a watch has overtaken no longer brings drained backends back.

The report's field names on the sockets were looked at: they are the settings' own.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,7 +84,7 @@
 		s.draining.Store(true)
 		srv.SetKeepAlivesEnabled(false) // ends idle connections, and others with their answer
 		select {
-		case <-time.After(lingering):
+		case <-time.After(cfg.linger):
 		case fault = <-failed:
 		}
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"aldermux"
 	"aldermux/internal/wire"
@@ -28,6 +29,8 @@
 	Settings aldermux.Settings
 	Names    wire.Names
 	Known    hostList
+
+	linger time.Duration // see lingering
 }
 
 // ReadConfig reads and checks the file at path.
@@ -76,7 +79,7 @@
 	}
 	cfg := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
-		PeerListen: f.PeerListen, Peers: f.Peers, PeersAll: f.PeersAll, Known: f.Known}
+		PeerListen: f.PeerListen, Peers: f.Peers, PeersAll: f.PeersAll, Known: f.Known, linger: lingering}
 	var err error
 	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -86,6 +86,8 @@
 	http  *http.Client
 	ctx   context.Context // ends all calls
 
+	silence time.Duration // a watch without a line for so long is dead
+
 	mu   sync.Mutex
 	seq  int64
 	stop context.CancelFunc // ends the watch that was asked for; nil: none
@@ -93,7 +95,7 @@
 
 func newDiscovery(ctx context.Context, cfg *Config, told func(aldermux.List, map[string]string), log *slog.Logger) *discovery {
 	return &discovery{base: "http://" + cfg.Discovery.String() + "/discovery/hosts", ask: cfg.Settings.Subscribe,
-		names: cfg.Names, told: told, log: log, ctx: ctx, seq: cfg.Known.Seq,
+		names: cfg.Names, told: told, log: log, ctx: ctx, seq: cfg.Known.Seq, silence: silence,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
@@ -146,7 +148,7 @@
 func (d *discovery) watch(ctx context.Context) (lines int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(silence, func() { cancel(errors.New("watch is silent")) })
+	watchdog := time.AfterFunc(d.silence, func() { cancel(errors.New("watch is silent")) })
 	defer watchdog.Stop()
 	defer func() {
 		if cause := context.Cause(ctx); cause != nil {
@@ -164,13 +166,13 @@
 	scan := bufio.NewScanner(body)
 	scan.Buffer(nil, maxListBytes)
 	for scan.Scan() {
-		watchdog.Reset(silence)
+		watchdog.Reset(d.silence)
 		lines++
 		line := bytes.TrimSpace(scan.Bytes())
 		if len(line) == 0 {
 			continue // a heartbeat
 		}
-		if err := d.take(line); err != nil {
+		if err := d.take(line, true); err != nil {
 			return lines, err
 		}
 	}
@@ -181,15 +183,17 @@
 }
 
 // take reads and passes on one list.
-func (d *discovery) take(raw []byte) error {
+func (d *discovery) take(raw []byte, watched bool) error {
 	var l hostList
 	if err := json.Unmarshal(raw, &l); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock() // lists reach the module in the order of their versions
-	if l.Seq < d.seq && !l.Whole {
-		return nil // a fetch has told it already
+	// Guards against a fetched list that a watch has overtaken: it would bring drained backends
+	// back. Its call is still owed an answer: nothing has changed.
+	if !watched && l.Seq < d.seq {
+		l = hostList{Seq: d.seq}
 	}
 	d.seq = l.Seq
 	kind := aldermux.ListDelta
@@ -256,7 +260,7 @@
 			raw, err = io.ReadAll(io.LimitReader(body, maxListBytes))
 			body.Close()
 			if err == nil {
-				err = d.take(raw)
+				err = d.take(raw, false)
 			}
 		}
 		if err != nil {
--- /dev/null
+++ b/internal/agent/discovery_test.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"aldermux"
+)
+
+// roster is a scripted discovery: each call is handed to the test.
+type roster struct {
+	calls chan *rosterCall
+	srv   *httptest.Server
+}
+
+type rosterCall struct {
+	query string
+	lines chan string // sent as they come; the answer ends when it is closed
+}
+
+func newRoster(t *testing.T) *roster {
+	r := &roster{calls: make(chan *rosterCall, 10)}
+	r.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		c := &rosterCall{req.URL.RawQuery, make(chan string, 10)}
+		r.calls <- c
+		for {
+			select {
+			case line, ok := <-c.lines:
+				if !ok {
+					return
+				}
+				io.WriteString(w, line+"\n")
+				w.(http.Flusher).Flush()
+			case <-req.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(r.srv.Close)
+	return r
+}
+
+func list(seq int, whole bool, hosts ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%t,"hosts":[%s]}`, seq, whole, strings.Join(hosts, ","))
+}
+
+func entry(id, site, class, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":"127.0.0.1:9000","site":%q,"class":%q,"block":3,"health":%q,"share":1,"born_ms":1500}`,
+		id, site, class, health)
+}
+
+type told struct {
+	list  aldermux.List
+	addrs map[string]string
+}
+
+func following(t *testing.T, r *roster, ask bool) (*discovery, <-chan told) {
+	t.Helper()
+	cfg := testConfig(t)
+	cfg.Discovery = addrPort(t, r.srv.Listener.Addr().String())
+	cfg.Settings.Subscribe = ask
+	ctx, cancel := context.WithCancel(context.Background())
+	lists := make(chan told, 10)
+	d := newDiscovery(ctx, cfg, func(l aldermux.List, addrs map[string]string) { lists <- told{l, addrs} }, quiet)
+	t.Cleanup(cancel)
+	return d, lists
+}
+
+func TestWatch(t *testing.T) {
+	r := newRoster(t)
+	d, lists := following(t, r, false)
+	go d.run()
+	c := await(t, r.calls)
+	if c.query != "follow=1&since=41" {
+		t.Errorf("asked %q", c.query)
+	}
+	c.lines <- list(42, false, entry("h1", "b", "m2", "draining"), entry("h2", "nowhere", "m1", "ready"), entry("h3", "", "", "gone"))
+	got := await(t, lists)
+	want := []aldermux.Backend{
+		{ID: "h1", State: aldermux.Draining, Zone: 1, Cell: 3, Kind: 1, Weight: 1, Started: 1500 * time.Millisecond},
+		// an entry that makes no sense can't be used, nor live on as it was
+		{ID: "h2", State: aldermux.Gone, Zone: -1, Cell: 3, Weight: 1, Started: 1500 * time.Millisecond},
+		{ID: "h3", State: aldermux.Gone, Zone: -1, Cell: 3, Kind: -1, Weight: 1, Started: 1500 * time.Millisecond},
+	}
+	if got.list.Kind != aldermux.ListDelta || got.list.Version != 42 || fmt.Sprint(got.list.Backends) != fmt.Sprint(want) ||
+		got.addrs["h1"] != "127.0.0.1:9000" {
+		t.Errorf("got %+v", got)
+	}
+	c.lines <- ""
+	c.lines <- list(43, true, entry("h1", "a", "m1", "ready"))
+	if got := await(t, lists); got.list.Kind != aldermux.ListFull || got.list.Backends[0].State != aldermux.Up {
+		t.Errorf("got %+v", got)
+	}
+	close(c.lines) // discovery goes down
+	if c = await(t, r.calls); c.query != "follow=1&since=43" {
+		t.Errorf("asked %q after the break", c.query)
+	}
+}
+
+// A watch on a machine that is cut off never ends by itself.
+func TestSilentWatchIsReopened(t *testing.T) {
+	r := newRoster(t)
+	d, _ := following(t, r, false)
+	d.silence = 50 * time.Millisecond
+	go d.run()
+	await(t, r.calls) // says nothing
+	await(t, r.calls)
+}
+
+func TestDiscoveryIsAsked(t *testing.T) {
+	r := newRoster(t)
+	d, lists := following(t, r, true)
+	d.run() // opens nothing by itself
+	d.subscribe()
+	c := await(t, r.calls)
+	c.lines <- list(42, false)
+	if got := await(t, lists); got.list.Kind != aldermux.ListDelta || got.list.Version != 42 {
+		t.Errorf("got %+v", got)
+	}
+	d.fetch()
+	f := await(t, r.calls)
+	if f.query != "" {
+		t.Errorf("fetch asked %q", f.query)
+	}
+	f.lines <- list(44, true, entry("h1", "a", "m1", "ready"))
+	close(f.lines)
+	if got := await(t, lists); got.list.Kind != aldermux.ListFull {
+		t.Errorf("got %+v", got)
+	}
+	d.fetch()
+	f = await(t, r.calls)
+	f.lines <- list(43, true) // overtaken on its way: it would undo what 44 told
+	close(f.lines)
+	if got := await(t, lists); got.list.Kind != aldermux.ListDelta || len(got.list.Backends) != 0 {
+		t.Errorf("got %+v", got)
+	}
+	close(c.lines) // the subscription breaks: the module is told, and asks again when it likes
+	if got := await(t, lists); got.list.Kind != aldermux.ListFailed {
+		t.Errorf("got %+v", got)
+	}
+	d.subscribe()
+	await(t, r.calls)
+	d.unsubscribe()
+	d.fetch()
+	close(await(t, r.calls).lines) // no list: this call failed, the end of the watch was wanted
+	if got := await(t, lists); got.list.Kind != aldermux.ListFailed {
+		t.Errorf("got %+v", got)
+	}
+	if len(lists) > 0 {
+		t.Errorf("also told %+v", await(t, lists))
+	}
+}
+
+// With discovery down an agent starts from the list that it last had.
+func TestDiscoveryDown(t *testing.T) {
+	base, _, _ := running(t, testConfig(t, backend(t, always(hello))), nil)
+	if resp, body, err := ask(newClient(t), base, "d1"); err != nil || resp.StatusCode != http.StatusOK || body != "hello" {
+		t.Errorf("got %v, %q, %v", resp, body, err)
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"aldermux"
+	"aldermux/internal/wire"
 )
 
 // decider is what the loop asks for decisions; in service an *aldermux.Balancer.
@@ -260,7 +261,8 @@
 func (l *loop) send(s aldermux.Send) {
 	c, addr := l.calls[s.Request], l.addrs[s.Backend]
 	if c == nil {
-		l.event(aldermux.Outcome{Request: s.Request, Backend: s.Backend, Result: aldermux.NotSent, Done: true})
+		l.event(aldermux.Outcome{Request: s.Request, Backend: s.Backend, Result: aldermux.NotSent,
+			Done: true, Load: wire.NoLoad()})
 		return
 	}
 	now := time.Now()
@@ -273,7 +275,7 @@
 	c.attempts = append(c.attempts, &attempt{sent: now, cancel: cancel})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
-		l.ended(c, n, s.Backend, response{result: aldermux.NotSent})
+		l.ended(c, n, s.Backend, response{result: aldermux.NotSent, load: wire.NoLoad()})
 		return
 	}
 	go func() {
@@ -286,7 +288,7 @@
 func (l *loop) probe(backend string) {
 	addr, sent := l.addrs[backend], time.Now()
 	if addr == "" || !l.s.MayProbe {
-		l.event(aldermux.ProbeResult{Backend: backend, Result: aldermux.NotSent})
+		l.event(aldermux.ProbeResult{Backend: backend, Result: aldermux.NotSent, Load: wire.NoLoad()})
 		return
 	}
 	go func() {
--- /dev/null
+++ b/internal/agent/loop_test.go
@@ -0,0 +1,398 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"aldermux"
+)
+
+// sendAll sends each request to h0, and ends what is not served.
+func sendAll(e aldermux.Event) []aldermux.Action {
+	switch e := e.(type) {
+	case aldermux.Request:
+		return []aldermux.Action{aldermux.Send{Request: e.ID, Backend: "h0"}}
+	case aldermux.Outcome:
+		if !e.Done {
+			return []aldermux.Action{aldermux.Fail{Request: e.Request}}
+		}
+	}
+	return nil
+}
+
+func TestAnswers(t *testing.T) {
+	for _, tt := range []struct {
+		name, backend string
+		action        func(id string) aldermux.Action
+		status        int
+		body, after   string
+	}{
+		{"served", hello, func(id string) aldermux.Action { return aldermux.Send{Request: id, Backend: "h0"} },
+			http.StatusOK, "hello", ""},
+		{"refused", hello, func(id string) aldermux.Action { return aldermux.Refuse{Request: id} },
+			http.StatusServiceUnavailable, "Service Unavailable\n", ""},
+		{"refused with advice", hello, func(id string) aldermux.Action {
+			return aldermux.Refuse{Request: id, RetryAfter: 250 * time.Millisecond}
+		}, http.StatusServiceUnavailable, "Service Unavailable\n", "0.250"},
+		{"failed", hello, func(id string) aldermux.Action { return aldermux.Fail{Request: id} },
+			http.StatusBadGateway, "Bad Gateway\n", ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			bal := newScripted(func(e aldermux.Event) []aldermux.Action {
+				if r, ok := e.(aldermux.Request); ok {
+					return []aldermux.Action{tt.action(r.ID)}
+				}
+				return nil
+			})
+			url, _, _ := running(t, testConfig(t, backend(t, always(tt.backend))), bal)
+			resp, body, err := ask(newClient(t), url, "d1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || body != tt.body || resp.Header.Get("Retry-After") != tt.after {
+				t.Errorf("got %d %q, Retry-After %q", resp.StatusCode, body, resp.Header.Get("Retry-After"))
+			}
+			e := next[aldermux.Request](t, bal)
+			if e.Key != "7f" || e.Left <= 0 || e.Left > 10*time.Second {
+				t.Errorf("the module was told %+v", e)
+			}
+		})
+	}
+}
+
+// Bad input is answered by the server alone: the module never hears of it.
+func TestBadInput(t *testing.T) {
+	bal := newScripted(sendAll)
+	base, _, _ := running(t, testConfig(t, backend(t, always(hello))), bal)
+	for _, tt := range []struct {
+		name, method, path, left, id, effect, body string
+		want                                       int
+	}{
+		{"unknown class", "GET", "/write", "1000m", "d1", "", "", 404},
+		{"no class", "GET", "/", "1000m", "d1", "", "", 404},
+		{"no id", "GET", "/read", "1000m", "", "", "", 400},
+		{"no time", "GET", "/read", "", "d1", "", "", 400},
+		{"no unit", "GET", "/read", "1000", "d1", "", "", 400},
+		{"no number", "GET", "/read", "NaNm", "d1", "", "", 400},
+		{"a negative time", "GET", "/read", "-5m", "d1", "", "", 400},
+		{"an endless time", "GET", "/read", "1e300m", "d1", "", "", 400},
+		{"no key to drop repeats by", "POST", "/sub", "1000m", "d1", "", "x", 400},
+		{"wrong method", "GET", "/sub", "1000m", "d1", "5c", "", 405},
+		{"too large", "POST", "/sub", "1000m", "d1", "5c", strings.Repeat("x", maxBody+1), 413},
+		{"large", "POST", "/sub", "1000000u", "d2", "5c", strings.Repeat("x", maxBody), 200},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			req, err := http.NewRequest(tt.method, base+tt.path, strings.NewReader(tt.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for name, v := range map[string]string{"X-Correlation-Id": tt.id, "X-Time-Left": tt.left, "Idempotency-Key": tt.effect} {
+				if v != "" {
+					req.Header.Set(name, v)
+				}
+			}
+			resp, err := newClient(t).Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != tt.want {
+				t.Errorf("got %d, want %d", resp.StatusCode, tt.want)
+			}
+		})
+	}
+	if e := next[aldermux.Request](t, bal); e.ID != "d2" {
+		t.Errorf("the module was told of %+v", e)
+	}
+}
+
+// A client that leaves is owed nothing; its attempt goes on and still has its one outcome.
+func TestClientLeaves(t *testing.T) {
+	release := make(chan struct{})
+	bal := newScripted(sendAll)
+	base, _, _ := running(t, testConfig(t, backend(t, func(c net.Conn, r *bufio.Reader) {
+		receive(r)
+		<-release
+		io.WriteString(c, hello)
+	})), bal)
+	ctx, leave := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/read", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Correlation-Id", "d1")
+	req.Header.Set("X-Time-Left", "10000m")
+	client := newClient(t)
+	go client.Do(req)
+	next[aldermux.Request](t, bal)
+	leave()
+	if e := next[aldermux.Abandoned](t, bal); e.Request != "d1" {
+		t.Errorf("got %+v", e)
+	}
+	close(release)
+	if e := next[aldermux.Outcome](t, bal); e.Result != aldermux.OK || !e.Done {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// An id that is in hand can't be taken twice: the module would owe the second nothing.
+func TestIDInUse(t *testing.T) {
+	release := make(chan struct{})
+	bal := newScripted(sendAll)
+	base, _, _ := running(t, testConfig(t, backend(t, func(c net.Conn, r *bufio.Reader) {
+		receive(r)
+		<-release
+		io.WriteString(c, hello)
+	})), bal)
+	first := make(chan int, 1)
+	client := newClient(t)
+	go func() {
+		resp, _, err := ask(client, base, "d1")
+		if err != nil {
+			first <- 0
+			return
+		}
+		first <- resp.StatusCode
+	}()
+	next[aldermux.Request](t, bal)
+	if resp, _, err := ask(client, base, "d1"); err != nil || resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("the second got %v, %v", resp, err)
+	}
+	close(release)
+	if status := await(t, first); status != http.StatusOK {
+		t.Errorf("the first got %d", status)
+	}
+}
+
+// bare is a loop that no goroutine runs: the test says what happens, and when.
+func bare(bal decider) (*loop, *call) {
+	l := newLoop(bal, &aldermux.Settings{AnswerGrace: 20 * time.Millisecond}, quiet)
+	l.up = newUpstream(l.s, &sockets{}, quiet)
+	c := &call{event: aldermux.Request{ID: "d1"}, deadline: time.Now().Add(time.Hour), reply: make(chan answer, 1),
+		out: outgoing{method: http.MethodGet, url: &url.URL{Path: "/read"}}}
+	return l, c
+}
+
+// An answer that arrives together with the time-out of the same call: the first to be taken
+// counts, and neither the client nor the module gets two ends.
+func TestAnswerArrivesWithTimeOut(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		l, c := bare(nil)
+		l.arrived(c)
+		c.attempts = []*attempt{{sent: time.Now(), cancel: func() {}}}
+		c.open = 1
+		answered := func() { l.ended(c, 0, "h0", response{result: aldermux.OK, body: []byte("hello")}) }
+		overdue := func() { l.due(c.deadline.Add(time.Second)) }
+		want := http.StatusOK
+		if served {
+			answered()
+			overdue()
+		} else {
+			overdue()
+			answered()
+			want = http.StatusBadGateway
+		}
+		if a := <-c.reply; a.status != want {
+			t.Errorf("got %d, want %d", a.status, want)
+		}
+		outcomes := 0
+		for _, e := range l.events {
+			if o, ok := e.(aldermux.Outcome); ok {
+				outcomes++
+				if !o.Done {
+					t.Error("the module still owes an answer")
+				}
+			}
+		}
+		if len(c.reply) != 0 || outcomes != 1 || len(l.calls) != 0 {
+			t.Errorf("%d answers more, %d outcomes, %d calls in hand", len(c.reply), outcomes, len(l.calls))
+		}
+	}
+}
+
+// Whatever the module sends has one outcome, even for a call that has ended or a backend that
+// no list has named.
+func TestEverySendHasAnOutcome(t *testing.T) {
+	l, c := bare(nil)
+	l.arrived(c)
+	l.events = nil
+	l.do(aldermux.Send{Request: "d1", Backend: "unheard of"})
+	l.do(aldermux.Fail{Request: "d1"})
+	l.do(aldermux.Send{Request: "d1", Backend: "h0"})
+	if len(l.events) != 2 {
+		t.Fatalf("got %v", l.events)
+	}
+	for i, e := range l.events {
+		if o := e.(aldermux.Outcome); o.Result != aldermux.NotSent || o.Done != (i == 1) {
+			t.Errorf("got %+v", o)
+		}
+	}
+}
+
+// A module that never answers must not keep a client waiting beyond the deadline.
+func TestOverdueAnswer(t *testing.T) {
+	bal := newScripted(func(aldermux.Event) []aldermux.Action { return nil })
+	base, _, _ := running(t, testConfig(t), bal)
+	req, err := http.NewRequest(http.MethodGet, base+"/read", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Correlation-Id", "d1")
+	req.Header.Set("X-Time-Left", "10m")
+	resp, err := newClient(t).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got %d", resp.StatusCode)
+	}
+	next[aldermux.Abandoned](t, bal)
+}
+
+func TestTimersFireInOrder(t *testing.T) {
+	bal := newScripted(func(e aldermux.Event) []aldermux.Action {
+		if _, ok := e.(aldermux.List); ok {
+			return []aldermux.Action{aldermux.SetTimer{After: 20 * time.Millisecond, Token: 2},
+				aldermux.SetTimer{After: time.Millisecond, Token: 1}, aldermux.Trace{Text: "set"}}
+		}
+		return nil
+	})
+	running(t, testConfig(t), bal)
+	for want := int64(1); want <= 2; want++ {
+		if e := next[aldermux.TimerFired](t, bal); e.Token != want {
+			t.Errorf("got %d, want %d", e.Token, want)
+		}
+	}
+}
+
+func TestProbeAction(t *testing.T) {
+	bal := newScripted(func(e aldermux.Event) []aldermux.Action {
+		if _, ok := e.(aldermux.List); ok {
+			return []aldermux.Action{aldermux.Probe{Backend: "h0"}}
+		}
+		return nil
+	})
+	running(t, testConfig(t, backend(t, always(hello))), bal)
+	if e := next[aldermux.ProbeResult](t, bal); e.Backend != "h0" || e.Result != aldermux.OK {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// A panic in the module loses no request quietly: the client is told, and the program ends.
+func TestPanicIsVisible(t *testing.T) {
+	bal := newScripted(func(e aldermux.Event) []aldermux.Action {
+		if _, ok := e.(aldermux.Request); ok {
+			panic("out of ideas")
+		}
+		return nil
+	})
+	base, _, done := running(t, testConfig(t), bal)
+	resp, _, err := ask(newClient(t), base, "d1")
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got %v, %v", resp, err)
+	}
+	if err := await(t, done); err == nil || !strings.Contains(err.Error(), "out of ideas") {
+		t.Errorf("the agent ended with %v", err)
+	}
+}
+
+// A planned restart: what is in hand is answered, connections that come while the platform
+// still sends some are served, each with a close, and then the agent ends without an error.
+func TestPlannedStop(t *testing.T) {
+	release := make(chan struct{})
+	cfg := testConfig(t, backend(t, func(c net.Conn, r *bufio.Reader) {
+		receive(r)
+		<-release
+		io.WriteString(c, hello)
+	}))
+	cfg.linger = 3 * time.Second // a slow machine must not turn the verdict
+	bal := newScripted(sendAll)
+	base, stop, done := running(t, cfg, bal)
+	client := newClient(t)
+	closing := func() bool { // uses the connection that it left idle the time before
+		resp, err := client.Get(base + "/up")
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return resp.Close
+	}
+	if closing() {
+		t.Error("connections are not kept before the stop")
+	}
+	type result struct {
+		resp *http.Response
+		body string
+		err  error
+	}
+	results := make(chan result, 2)
+	request := func(c *http.Client, id string) {
+		resp, body, err := ask(c, base, id)
+		results <- result{resp, body, err}
+	}
+	go request(newClient(t), "in hand")
+	next[aldermux.Request](t, bal)
+	stop()
+	for !closing() {
+		time.Sleep(time.Millisecond)
+	}
+	go request(newClient(t), "late")
+	next[aldermux.Request](t, bal)
+	close(release)
+	for range 2 {
+		r := await(t, results)
+		if r.err != nil || r.resp.StatusCode != http.StatusOK || r.body != "hello" {
+			t.Errorf("got %v, %q, %v", r.resp, r.body, r.err)
+		} else if !r.resp.Close {
+			t.Error("the connection stays open")
+		}
+	}
+	if err := await(t, done); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if _, err := client.Get(base + "/up"); err == nil {
+		t.Error("still listening")
+	}
+}
+
+// The real module, over a backend that goes away and comes back under the same address.
+func TestBackendRestarts(t *testing.T) {
+	ln := listen(t)
+	addr := ln.Addr().String()
+	serveOn := func(ln net.Listener) *http.Server {
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, "hello")
+		})}
+		go srv.Serve(ln)
+		return srv
+	}
+	srv := serveOn(ln)
+	base, _, _ := running(t, testConfig(t, addr), nil)
+	client := newClient(t)
+	served := func(id string) bool {
+		resp, body, err := ask(client, base, id)
+		return err == nil && resp.StatusCode == http.StatusOK && body == "hello"
+	}
+	if !served("d1") {
+		t.Error("not served at first")
+	}
+	srv.Close()
+	again, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv = serveOn(again)
+	defer srv.Close()
+	if !served("d2") {
+		t.Error("not served after the restart")
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -55,6 +55,9 @@
 			switch state {
 			case http.StateNew:
 				s.sockets.open.Add(1)
+				if s.sockets.full() { // room for the next one
+					s.loop.up.evict()
+				}
 			case http.StateClosed:
 				s.sockets.open.Add(-1)
 			}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -90,17 +90,14 @@
 
 // exchange makes one attempt: one request on one connection, written once.
 func (u *upstream) exchange(ctx context.Context, addr string, out outgoing) response {
-	failed := response{load: aldermux.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1,
-		Throughput: -1, ErrorsPerSec: -1}}
 	c := u.take(addr)
 	if c == nil {
 		var err error
 		if c, err = u.dial(ctx, addr); err != nil {
-			failed.result = aldermux.ConnectFailed
 			if errors.Is(ctx.Err(), context.Canceled) {
-				failed.result = aldermux.Cancelled
+				return response{result: aldermux.Cancelled, load: wire.NoLoad()}
 			}
-			return failed
+			return response{result: aldermux.ConnectFailed, load: wire.NoLoad()}
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
@@ -112,11 +109,10 @@
 	} else {
 		u.close(c)
 	}
-	if r.result == aldermux.OK || r.load.Valid {
-		return r
+	if !r.load.Valid {
+		r.load = wire.NoLoad()
 	}
-	failed.result = r.result
-	return failed
+	return r
 }
 
 // roundTrip writes the request and reads the whole answer. Whatever breaks before the last
--- /dev/null
+++ b/internal/agent/upstream_test.go
@@ -0,0 +1,270 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"aldermux"
+)
+
+func newTestUpstream(t *testing.T) *upstream {
+	u := newUpstream(&aldermux.Settings{ConnectTimeout: patience, IdleClose: time.Minute}, &sockets{}, quiet)
+	t.Cleanup(func() {
+		for u.evict() {
+		}
+		if n := u.sockets.open.Load(); n != 0 {
+			t.Errorf("%d sockets are left over", n)
+		}
+	})
+	return u
+}
+
+var read = outgoing{method: http.MethodGet, url: &url.URL{Path: "/read"}, host: "api.internal",
+	header: http.Header{"X-Correlation-Id": {"d1"}}}
+
+func attemptOf(t *testing.T, u *upstream, addr string, out outgoing) response {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return u.exchange(ctx, addr, out)
+}
+
+// The protocol's table of outcomes.
+func TestOutcomes(t *testing.T) {
+	long := strings.Repeat("x", maxBody+1)
+	for _, tt := range []struct {
+		name, answer string // then the connection ends
+		want         aldermux.Result
+	}{
+		{"served", hello, aldermux.OK},
+		{"served after a 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + hello, aldermux.OK},
+		{"an error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", aldermux.Errored},
+		{"turned away", "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", aldermux.Full},
+		{"turned away as over", "HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", aldermux.Full},
+		{"503 that may have run", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", aldermux.Errored},
+		{"500 can't say that it never ran", "HTTP/1.1 500 Oops\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", aldermux.Errored},
+		{"no 200", "HTTP/1.1 204 No Content\r\n\r\n", aldermux.Errored},
+		{"no answer", "", aldermux.Reset},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-", aldermux.Reset},
+		{"a short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", aldermux.Reset},
+		{"a short chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", aldermux.Reset},
+		{"noise", "hello, world\r\n\r\n", aldermux.Reset},
+		{"too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), aldermux.Reset},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newTestUpstream(t)
+			addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+				receive(r)
+				io.WriteString(c, tt.answer)
+			})
+			r := attemptOf(t, u, addr, read)
+			if r.result != tt.want {
+				t.Errorf("got %v, want %v", r.result, tt.want)
+			}
+			if r.result == aldermux.OK && string(r.body) != "hello" {
+				t.Errorf("body %q", r.body)
+			}
+			if r.load.Valid || r.load.Queue >= 0 {
+				t.Errorf("a load from nowhere: %+v", r.load)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	if r := attemptOf(t, newTestUpstream(t), deadAddr(t), read); r.result != aldermux.ConnectFailed {
+		t.Errorf("got %v", r.result)
+	}
+}
+
+// A machine that has vanished says nothing; neither waiting for a connection nor for an
+// answer may outlast the attempt, and only the first proves that it never ran.
+func TestSilentMachine(t *testing.T) {
+	u := newTestUpstream(t)
+	over := make(chan struct{})
+	addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+		receive(r)
+		io.Copy(io.Discard, r) // until the agent gives up
+		close(over)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if r := u.exchange(ctx, addr, read); r.result != aldermux.TimedOut {
+		t.Errorf("got %v", r.result)
+	}
+	await(t, over) // giving up closed the connection
+}
+
+func TestCancelledAttemptClosesItsConnection(t *testing.T) {
+	u := newTestUpstream(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+		receive(r)
+		cancel()
+		io.Copy(io.Discard, r)
+		close(over)
+	})
+	if r := u.exchange(ctx, addr, read); r.result != aldermux.Cancelled {
+		t.Errorf("got %v", r.result)
+	}
+	await(t, over)
+}
+
+func TestWhatGoesOn(t *testing.T) {
+	u := newTestUpstream(t)
+	got := make(chan string, 1)
+	addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+		req, body, _ := receive(r)
+		got <- fmt.Sprint(req.Method, " ", req.RequestURI, " ", req.Host, " ", req.Header.Get("Idempotency-Key"),
+			" ", body, " ", strings.HasSuffix(req.Header.Get("X-Time-Left"), "u"))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Backend-Load: {\"backlog\":2,\"recent_ms\":14.5}\r\n\r\n")
+	})
+	target, err := url.ParseRequestURI("/sub/a%2Fb?key=7f&x=%20")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := attemptOf(t, u, addr, outgoing{method: http.MethodPost, url: target, host: "api.internal",
+		header: http.Header{"Idempotency-Key": {"5c"}}, body: []byte("payload")})
+	if want, sent := "POST /sub/a%2Fb?key=7f&x=%20 api.internal 5c payload true", await(t, got); sent != want {
+		t.Errorf("got %q, want %q", sent, want)
+	}
+	if l := r.load; !l.Valid || l.Queue != 2 || l.Service != 14500*time.Microsecond || l.Outstanding >= 0 {
+		t.Errorf("load %+v", l)
+	}
+}
+
+// counting is a backend that counts its connections and the requests on them.
+func counting(t *testing.T) (addr string, conns, requests *atomic.Int64, hangUp chan struct{}) {
+	conns, requests, hangUp = new(atomic.Int64), new(atomic.Int64), make(chan struct{})
+	addr = backend(t, func(c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		go func() {
+			<-hangUp
+			c.Close()
+		}()
+		for {
+			if _, _, err := receive(r); err != nil {
+				return
+			}
+			requests.Add(1)
+			io.WriteString(c, hello)
+		}
+	})
+	return addr, conns, requests, hangUp
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	u := newTestUpstream(t)
+	addr, conns, _, _ := counting(t)
+	for range 3 {
+		attemptOf(t, u, addr, read)
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections for three requests in turn", n)
+	}
+	u.closeIdle(addr)
+	attemptOf(t, u, addr, read)
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections after the idle one was closed", n)
+	}
+}
+
+// A backend that restarts closes what was kept. A request written to such a connection would
+// end as a reset, and a library that sends it again by itself would make two attempts of one.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	u := newTestUpstream(t)
+	addr, conns, requests, hangUp := counting(t)
+	attemptOf(t, u, addr, read)
+	u.mu.Lock()
+	kept := u.idle[addr][0]
+	u.mu.Unlock()
+	close(hangUp)
+	for begun := time.Now(); kept.silent(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("the close does not show")
+		}
+	}
+	attemptOf(t, u, addr, read) // its connection may be hung up on as well
+	if conns.Load() != 2 || requests.Load() > 2 {
+		t.Errorf("%d connections, %d requests", conns.Load(), requests.Load())
+	}
+}
+
+func TestResetIsNotSentAgain(t *testing.T) {
+	u := newTestUpstream(t)
+	var requests atomic.Int64
+	addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+		receive(r)
+		requests.Add(1)
+	})
+	if r := attemptOf(t, u, addr, read); r.result != aldermux.Reset || requests.Load() != 1 {
+		t.Errorf("got %v after %d requests", r.result, requests.Load())
+	}
+}
+
+func TestIdleConnectionsAreDropped(t *testing.T) {
+	u := newTestUpstream(t)
+	addr, conns, _, _ := counting(t)
+	attemptOf(t, u, addr, read)
+	u.mu.Lock()
+	u.idle[addr][0].since = time.Now().Add(-u.idleTime)
+	u.mu.Unlock()
+	attemptOf(t, u, addr, read)
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections: one that was idle for too long was used", n)
+	}
+	u.mu.Lock()
+	u.idle[addr][0].since = time.Now().Add(-u.idleTime)
+	u.mu.Unlock()
+	u.sweep()
+	if n := u.sockets.open.Load(); n != 0 {
+		t.Errorf("%d sockets after the sweep", n)
+	}
+}
+
+// At the limit on sockets an idle connection gives way before a dial fails.
+func TestIdleConnectionGivesWay(t *testing.T) {
+	u := newTestUpstream(t)
+	u.sockets.limit = 1
+	one, _, _, _ := counting(t)
+	two, _, _, _ := counting(t)
+	for _, addr := range []string{one, two, one} {
+		if r := attemptOf(t, u, addr, read); r.result != aldermux.OK {
+			t.Errorf("got %v", r.result)
+		}
+	}
+	u.sockets.open.Add(1) // a client's; nothing idle is left after the next
+	u.evict()
+	if r := attemptOf(t, u, two, read); r.result != aldermux.ConnectFailed {
+		t.Errorf("got %v with no socket to be had", r.result)
+	}
+	u.sockets.open.Add(-1)
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	u := newTestUpstream(t)
+	addr := backend(t, always(hello+hello))
+	for range 2 {
+		if r := attemptOf(t, u, addr, read); r.result != aldermux.OK {
+			t.Fatalf("got %v", r.result)
+		}
+	}
+}
+
+func TestProbe(t *testing.T) {
+	u := newTestUpstream(t)
+	addr := backend(t, always("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"backlog\":3}"))
+	if r := u.probe(addr, true); r.result != aldermux.OK || r.load.Queue != 3 {
+		t.Errorf("got %+v", r)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -302,13 +302,18 @@
 func ParseLoad(raw []byte) (aldermux.Load, error) {
 	var u usage
 	if err := json.Unmarshal(raw, &u); err != nil {
-		return load(nil), fmt.Errorf("load report: %w", err)
+		return NoLoad(), fmt.Errorf("load report: %w", err)
 	}
 	return load(&u), nil
 }
 
+// NoLoad is what is known where no report came.
+func NoLoad() aldermux.Load {
+	return aldermux.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
+}
+
 func load(u *usage) aldermux.Load {
-	l := aldermux.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
+	l := NoLoad()
 	if u == nil {
 		return l
 	}
