Tell refused clients when to come back

Lines: finish, the only place that refuses, left RetryAfter empty. The agent was ruled out: it writes the header wherever the module gives a time (tested).

--- a/aldermux.go
+++ b/aldermux.go
@@ -61,6 +61,7 @@
 type Balancer struct {
 	s       Settings
 	rng     *rand.Rand
+	advice  *rand.Rand // for what clients are told
 	now     time.Duration
 	actions []Action
 
@@ -160,8 +161,8 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
-		base: aimedDelay / aimedRise, perBack: startPerBack, stale: 1,
+	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), advice: rand.New(rand.NewPCG(seed, 1)),
+		tokens: bucketCap, base: aimedDelay / aimedRise, perBack: startPerBack, stale: 1,
 		byID: map[string]*backend{}, kinds: map[int]*speed{}, requests: map[string]*request{},
 		timers: map[int64]*request{}}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
@@ -849,13 +850,25 @@
 		return
 	}
 	if r.risky == 0 {
-		b.actions = append(b.actions, Refuse{Request: r.id})
+		b.actions = append(b.actions, Refuse{Request: r.id, RetryAfter: b.comeBack(&b.classes[r.class])})
 	} else {
 		b.actions = append(b.actions, Fail{Request: r.id})
 	}
 	b.close(r)
 }
 
+// comeBack is the advice that goes with a refusal: about the time in which the next answer of the
+// class comes in and leaves room. Jittered, so that those refused together don't come together.
+// Guards against clients that come back at their own quick pace, into the crowd they were turned
+// away from. Longer advice would take a refused client's second chance within its aim. Drawn from
+// a source of its own: it changes no other choice.
+func (b *Balancer) comeBack(c *classState) time.Duration {
+	if !b.s.RetryAfter {
+		return 0
+	}
+	return min(time.Duration(c.latency*(0.5+b.advice.Float64())), b.s.MaxRetryAfter)
+}
+
 // close forgets a request once it has ended and its attempts are in.
 func (b *Balancer) close(r *request) {
 	r.ended = true
--- a/aldermux_test.go
+++ b/aldermux_test.go
@@ -769,6 +769,41 @@
 
 // Latency above the aimed delay cuts what is kept in flight; what does not fit
 // waits and is refused, and a client's repeat is refused first.
+// A refused client is told when to come back, where it is shown that; never later than it heeds.
+func TestRefusalAdvises(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		told      bool
+		most      time.Duration
+		low, high time.Duration
+	}{
+		{"not shown", false, time.Hour, 0, 0},
+		{"half to one and a half mean latencies of the class", true, time.Hour, 50 * ms, 150 * ms},
+		{"no longer than is heeded", true, 20 * ms, 20 * ms, 20 * ms},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := settings()
+			s.RetryAfter, s.MaxRetryAfter = tt.told, tt.most
+			r := newRig(t, s, 1, nil) // the mean latency starts at a quarter of the aim
+			seen := map[time.Duration]bool{}
+			for i := range 50 {
+				r.request(fmt.Sprint(i), safe) // held, for nothing: there is no backend
+				for _, a := range r.advance(time.Second) {
+					if a, ok := a.(aldermux.Refuse); ok {
+						seen[a.RetryAfter] = true
+						if a.RetryAfter < tt.low || a.RetryAfter > tt.high {
+							t.Errorf("come back after %v", a.RetryAfter)
+						}
+					}
+				}
+			}
+			if len(seen) == 0 || tt.low < tt.high && len(seen) < 25 {
+				t.Errorf("%d kinds of advice", len(seen))
+			}
+		})
+	}
+}
+
 func TestInFlightLimit(t *testing.T) {
 	s := settings()
 	s.Balancers = 2
