Tests: generous bounds for the silent machine and the peers; the parser's names

The silent machine's attempt had 50 ms to connect in, which a busy machine may not keep: it would have ended as a failed connection. The names and the load report that the agent takes from internal/wire have tests of their own.

--- a/internal/agent/peers_test.go
+++ b/internal/agent/peers_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"aldermux"
 )
@@ -17,6 +18,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
+	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
 	return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -228,3 +228,22 @@
 		}
 	})
 }
+
+func TestParseSettingsNames(t *testing.T) {
+	_, names, err := ParseSettings([]byte(`{"Dcs":["a","b"],"Kinds":["m1"],"Tenants":[{"Name":"acme"}],
+	 "Profiles":[{"Name":"read","Semantics":"repeatable"},{"Name":"sub","Semantics":"by_key"}]}`))
+	want := Names{Classes: []string{"read", "sub"}, Tenants: []string{"acme"}, Zones: []string{"a", "b"}, Kinds: []string{"m1"}}
+	if err != nil || !reflect.DeepEqual(names, want) {
+		t.Errorf("got %+v, %v", names, err)
+	}
+}
+
+func TestParseLoad(t *testing.T) {
+	l, err := ParseLoad([]byte(`{"recent_ms":14.5,"backlog":0,"new":1}`))
+	if err != nil || !l.Valid || l.Service != 14500*time.Microsecond || l.Queue != 0 || l.Throughput >= 0 {
+		t.Errorf("got %+v, %v", l, err)
+	}
+	if l, err := ParseLoad([]byte(`{"backlog":`)); err == nil || l != NoLoad() {
+		t.Errorf("got %+v, %v", l, err)
+	}
+}
