--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -17,13 +17,15 @@
 )
 
 func main() {
-	if err := run(os.Stderr); err != nil {
+	hup := make(chan os.Signal, 1) // one that waits says as much as several
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(hup, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
 		os.Exit(1)
 	}
 }
 
-func run(log io.Writer) error {
+func run(hup <-chan os.Signal, log io.Writer) error {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
 		return errors.New("LB_CONFIG is not set")
@@ -37,5 +39,5 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return agent.Run(ctx, cfg, slog.New(slog.NewTextHandler(log, nil)))
+	return agent.Run(ctx, cfg, hup, slog.New(slog.NewTextHandler(log, nil)))
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -20,7 +21,8 @@
 const lingering = 600 * time.Millisecond
 
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
-func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+// With each hup it reads its configuration again.
+func Run(ctx context.Context, cfg *Config, hup <-chan os.Signal, log *slog.Logger) error {
 	bal, err := aldermux.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return err
@@ -34,11 +36,12 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, cfg, bal, ln, peers, log)
+	return serve(ctx, cfg, bal, ln, peers, hup, log)
 }
 
 // serve runs the parts round a balancer until ctx ends or one of them fails.
-func serve(ctx context.Context, cfg *Config, bal decider, ln net.Listener, peers *peers, log *slog.Logger) error {
+func serve(ctx context.Context, cfg *Config, bal decider, ln net.Listener, peers *peers, hup <-chan os.Signal,
+	log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -52,7 +55,7 @@
 		l.post(func() { l.listed(list, addrs) })
 	}, log)
 
-	s := &server{loop: l, cfg: cfg, sockets: socks}
+	s := &server{loop: l, cfg: cfg, clients: newClients(socks, func() { l.up.evict() })}
 	srv := s.newHTTP(log)
 	failed := make(chan error, 2)
 	parts.Go(func() {
@@ -63,6 +66,7 @@
 	parts.Go(func() { l.up.run(inner) })
 	l.disc.tell(cfg.Known, aldermux.ListCached)
 	parts.Go(l.disc.run)
+	parts.Go(func() { follow(inner, hup, cfg.path, l.disc.move, log) })
 	if peers != nil {
 		parts.Go(func() {
 			peers.run(inner, func(m aldermux.PeerMessage) { l.post(func() { l.event(m) }) })
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -30,6 +30,7 @@
 	Names    wire.Names
 	Known    hostList
 
+	path   string        // of the file
 	linger time.Duration // see lingering
 }
 
@@ -43,6 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	cfg.path = path
 	return cfg, nil
 }
 
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -78,8 +79,7 @@
 
 // discovery follows the list of backends and hands what it learns to told at once.
 type discovery struct {
-	base  string // URL of the list
-	ask   bool   // the module asks; else a watch stays open by itself
+	ask   bool // the module asks; else a watch stays open by itself
 	names wire.Names
 	told  func(list aldermux.List, addrs map[string]string)
 	log   *slog.Logger
@@ -88,18 +88,52 @@
 
 	silence time.Duration // a watch without a line for so long is dead
 
-	mu  sync.Mutex // held while a list is told, so never by the loop
-	seq int64
+	mu    sync.Mutex // held while a list is told, so never by the loop
+	base  string     // URL of the list
+	seq   int64
+	moved int                // how often the service was replaced by another
+	fresh bool               // the present one has told nothing yet
+	watch context.CancelFunc // ends the watch that is open; nil: none
+	wake  chan struct{}      // ends the wait for the next one
 
 	stop context.CancelFunc // ends the watch that was asked for; nil: none; the loop's own
 }
 
 func newDiscovery(ctx context.Context, cfg *Config, told func(aldermux.List, map[string]string), log *slog.Logger) *discovery {
-	return &discovery{base: "http://" + cfg.Discovery.String() + "/discovery/hosts", ask: cfg.Settings.Subscribe,
+	return &discovery{base: listURL(cfg.Discovery), wake: make(chan struct{}, 1), ask: cfg.Settings.Subscribe,
 		names: cfg.Names, told: told, log: log, ctx: ctx, seq: cfg.Known.Seq, silence: silence,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
+func listURL(service netip.AddrPort) string { return "http://" + service.String() + "/discovery/hosts" }
+
+// move follows another service from now on. The list stays as it is until that one speaks.
+func (d *discovery) move(service netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	base := listURL(service)
+	if base == d.base {
+		return
+	}
+	d.base, d.fresh = base, true
+	d.moved++
+	if d.watch != nil {
+		d.watch()
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// source is the service that a call goes to: a list of one that has been replaced counts no more.
+type source struct {
+	base  string
+	since int64
+	fresh bool
+	moved int
+}
+
 // tell passes on a list. Guards against an entry that makes no sense: it counts as gone, since
 // a backend that can't be understood can't be used, and must not live on as it was before.
 func (d *discovery) tell(l hostList, kind aldermux.ListKind) {
@@ -133,7 +167,7 @@
 	}
 	wait := reopenFirst
 	for d.ctx.Err() == nil {
-		lines, err := d.watch(d.ctx)
+		lines, err := d.follow(d.ctx)
 		if lines > 0 {
 			wait = reopenFirst
 		}
@@ -141,6 +175,10 @@
 		pause := time.NewTimer(time.Duration(rand.Float64() * float64(wait)))
 		select {
 		case <-pause.C:
+		case <-d.wake:
+			pause.Stop()
+			wait = reopenFirst
+			continue
 		case <-d.ctx.Done():
 			pause.Stop()
 		}
@@ -148,8 +186,8 @@
 	}
 }
 
-// watch follows the list until its connection ends or falls silent. It returns the number of lines.
-func (d *discovery) watch(ctx context.Context) (lines int, err error) {
+// follow watches the list until the connection ends or falls silent, or the service moves. It returns the number of lines.
+func (d *discovery) follow(ctx context.Context) (lines int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(d.silence, func() { cancel(errors.New("watch is silent")) })
@@ -160,9 +198,14 @@
 		}
 	}()
 	d.mu.Lock()
-	since := d.seq
+	from := d.source()
+	d.watch = func() { cancel(errors.New("discovery has moved")) }
 	d.mu.Unlock()
-	body, err := d.get(ctx, "?follow=1&since="+strconv.FormatInt(since, 10))
+	query := "?follow=1"
+	if !from.fresh { // versions of another service mean nothing
+		query += "&since=" + strconv.FormatInt(from.since, 10)
+	}
+	body, err := d.get(ctx, from.base+query)
 	if err != nil {
 		return 0, err
 	}
@@ -176,7 +219,7 @@
 		if len(line) == 0 {
 			continue // a heartbeat
 		}
-		if err := d.take(line, true); err != nil {
+		if err := d.take(line, from, true); err != nil {
 			return lines, err
 		}
 	}
@@ -187,19 +230,23 @@
 }
 
 // take reads and passes on one list.
-func (d *discovery) take(raw []byte, watched bool) error {
+func (d *discovery) take(raw []byte, from source, watched bool) error {
 	var l hostList
 	if err := json.Unmarshal(raw, &l); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock() // lists reach the module in the order of their versions
-	// Guards against a fetched list that a watch has overtaken: it would bring drained backends
-	// back. Its call is still owed an answer: nothing has changed.
-	if !watched && l.Seq < d.seq {
+	if from.moved != d.moved && watched {
+		return errors.New("watch of a service that was replaced")
+	}
+	// Guards against a fetched list that a watch or another service has overtaken: it would bring
+	// drained backends back. Its call is still owed an answer: nothing has changed.
+	if from.moved != d.moved || !watched && !d.fresh && l.Seq < d.seq {
 		l = hostList{Seq: d.seq}
+	} else {
+		d.seq, d.fresh = l.Seq, false
 	}
-	d.seq = l.Seq
 	kind := aldermux.ListDelta
 	if l.Whole {
 		kind = aldermux.ListFull
@@ -208,8 +255,11 @@
 	return nil
 }
 
-func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+query, nil)
+// source is called with the lock held.
+func (d *discovery) source() source { return source{d.base, d.seq, d.fresh, d.moved} }
+
+func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -233,7 +283,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.stop = cancel
 	go func() {
-		_, err := d.watch(ctx)
+		_, err := d.follow(ctx)
 		if ctx.Err() == nil { // not ended by unsubscribe
 			d.failed(err)
 		}
@@ -254,13 +304,16 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(d.ctx, fetchLimit)
 		defer cancel()
-		body, err := d.get(ctx, "")
+		d.mu.Lock()
+		from := d.source()
+		d.mu.Unlock()
+		body, err := d.get(ctx, from.base)
 		if err == nil {
 			var raw []byte
 			raw, err = io.ReadAll(io.LimitReader(body, maxListBytes))
 			body.Close()
 			if err == nil {
-				err = d.take(raw, false)
+				err = d.take(raw, from, false)
 			}
 		}
 		if err != nil {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -70,16 +70,36 @@
 
 	events []aldermux.Event // for the next step
 	calls  map[string]*call // in hand, or answered with attempts still out
+	past   *past
 	addrs  map[string]string
 	timers timers
 }
 
+// past holds the ids of the calls that ended last, a bounded number of them.
+type past struct {
+	ids  map[string]bool
+	ring []string
+	next int
+}
+
+const pastCalls = 4096 // at 1,300 requests a second three seconds of them, longer than any client waits
+
+func newPast() *past { return &past{ids: map[string]bool{}, ring: make([]string, pastCalls)} }
+
+func (p *past) has(id string) bool { return p.ids[id] }
+
+func (p *past) add(id string) {
+	delete(p.ids, p.ring[p.next])
+	p.ids[id], p.ring[p.next] = true, id
+	p.next = (p.next + 1) % len(p.ring)
+}
+
 const inboxSize = 4096 // what may queue while one step runs; beyond it senders wait
 
 func newLoop(bal decider, s *aldermux.Settings, log *slog.Logger) *loop {
 	return &loop{bal: bal, s: s, clock: clock{time.Now()}, log: log,
 		inbox: make(chan func(), inboxSize), dead: make(chan struct{}),
-		calls: map[string]*call{}, addrs: map[string]string{}}
+		calls: map[string]*call{}, past: newPast(), addrs: map[string]string{}}
 }
 
 // post hands f to the loop. It may wait; the loop itself must not call it.
@@ -133,9 +153,9 @@
 
 // arrived takes a client's request in hand.
 func (l *loop) arrived(c *call) {
-	if l.calls[c.event.ID] != nil {
-		// Guards against an id in use: the module would take the second request for the first
-		// and owe it nothing.
+	if l.calls[c.event.ID] != nil || l.past.has(c.event.ID) {
+		// Guards against an id that is or has just been in use: the module would take the second
+		// request for the first and owe it nothing, and a backend would be sent what has had its answer.
 		c.reply <- answer{status: http.StatusBadRequest}
 		return
 	}
@@ -168,8 +188,9 @@
 }
 
 func (l *loop) forget(c *call) {
-	if c.answered && c.open == 0 {
+	if c.answered && c.open == 0 && l.calls[c.event.ID] == c {
 		delete(l.calls, c.event.ID)
+		l.past.add(c.event.ID)
 	}
 }
 
@@ -198,6 +219,8 @@
 			l.addrs[b.ID] = addrs[b.ID]
 		}
 	}
+	// Guards against connections to backends that are gone: they would hold sockets, and serve nobody.
+	l.up.closeIdle(func(to target) bool { return l.addrs[to.id] == to.addr })
 	l.event(list)
 }
 
@@ -248,7 +271,7 @@
 	case aldermux.FetchList:
 		l.disc.fetch()
 	case aldermux.CloseIdle:
-		l.up.closeIdle(l.addrs[a.Backend])
+		l.up.closeIdle(func(to target) bool { return to.id != a.Backend })
 	case aldermux.Trace:
 		l.log.Info("module", "trace", a.Text)
 	default:
@@ -279,7 +302,7 @@
 		return
 	}
 	go func() {
-		r := l.up.exchange(ctx, addr, c.out)
+		r := l.up.exchange(ctx, target{s.Backend, addr}, c.out)
 		l.post(func() { l.ended(c, n, s.Backend, r) })
 	}()
 }
@@ -292,7 +315,7 @@
 		return
 	}
 	go func() {
-		r := l.up.probe(addr, l.s.Reports != aldermux.ReportsOff)
+		r := l.up.probe(target{backend, addr}, l.s.Reports != aldermux.ReportsOff)
 		l.post(func() {
 			l.event(aldermux.ProbeResult{Backend: backend, Result: r.result, Latency: time.Since(sent), Load: r.load})
 		})
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -8,11 +8,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,9 +22,16 @@
 
 const (
 	maxBody  = 64 << 10 // bytes of a request's or an answer's body
-	maxHead  = 64 << 10 // bytes of an answer's head
+	maxHead  = 8 << 10  // bytes of an answer's head
 	maxInfos = 8        // 1xx answers ahead of the final one
 
+	// An answer that has begun comes in one go: one that stands still for so long is spoilt.
+	stallLimit = 100 * time.Millisecond
+
+	// What a backend sends behind an answer shows by then; until it has rested for so long, a
+	// connection takes no request, which could be given those bytes for its answer.
+	restTime = 10 * time.Millisecond
+
 	idleShare   = 0.75 // of the time after which a backend closes an idle connection
 	maxIdleTime = time.Minute
 	probeLimit  = time.Second
@@ -42,13 +47,30 @@
 
 func (s *sockets) full() bool { return s.limit > 0 && s.open.Load() >= s.limit }
 
-// outgoing is what of a client's request goes on to a backend.
+// outgoing is a client's request as it goes on to a backend, but for the time left, which
+// stands between its two parts. Attempts share it.
 type outgoing struct {
-	method string
-	url    *url.URL
-	host   string
-	header http.Header // read only: attempts share it
-	body   []byte
+	head, rest []byte
+	method     string
+}
+
+// render writes a request out. The headers must not tell the time left or the body's length.
+func render(method, target, host string, header http.Header, body []byte) (outgoing, error) {
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return outgoing{}, fmt.Errorf("target: %w", err)
+	}
+	req := &http.Request{Method: method, URL: u, Host: host, Header: header,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
+	if len(body) == 0 {
+		req.Body = http.NoBody
+	}
+	var buf bytes.Buffer
+	if err := req.Write(&buf); err != nil {
+		return outgoing{}, fmt.Errorf("request: %w", err)
+	}
+	_, rest, _ := bytes.Cut(buf.Bytes(), []byte("\r\n"))
+	return outgoing{head: fmt.Appendf(nil, "%s %s HTTP/1.1\r\n", method, target), rest: rest, method: method}, nil
 }
 
 // response is how an attempt ended.
@@ -68,9 +90,13 @@
 	log            *slog.Logger
 
 	mu   sync.Mutex
-	idle map[string][]*conn // by address, the newest last
+	idle map[target][]*conn // the newest last
 }
 
+// target is a backend at its address. Guards against an address that passes from one backend to
+// another: neither is sent what a connection to the other was kept for.
+type target struct{ id, addr string }
+
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
@@ -85,27 +111,24 @@
 		idle = maxIdleTime
 	}
 	return &upstream{connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, log: log,
-		idle: map[string][]*conn{}}
+		idle: map[target][]*conn{}}
 }
 
 // exchange makes one attempt: one request on one connection, written once.
-func (u *upstream) exchange(ctx context.Context, addr string, out outgoing) response {
-	c := u.take(addr)
+func (u *upstream) exchange(ctx context.Context, to target, out outgoing) response {
+	c := u.take(to)
 	if c == nil {
 		var err error
-		if c, err = u.dial(ctx, addr); err != nil {
-			if errors.Is(ctx.Err(), context.Canceled) {
-				return response{result: aldermux.Cancelled, load: wire.NoLoad()}
-			}
-			return response{result: aldermux.ConnectFailed, load: wire.NoLoad()}
+		if c, err = u.dial(ctx, to.addr); err != nil {
+			return response{result: dialResult(ctx, err), load: wire.NoLoad()}
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	r, reusable := c.roundTrip(ctx, out)
 	// Guards against a kept connection whose deadline has passed: once stop is too late, the
 	// deadline may strike at any time.
-	if stop() && reusable {
-		u.keep(addr, c)
+	if stop() && reusable && c.SetDeadline(time.Time{}) == nil {
+		u.keep(to, c)
 	} else {
 		u.close(c)
 	}
@@ -115,57 +138,153 @@
 	return r
 }
 
+var (
+	longAgo         = time.Unix(1, 0)
+	errOutOfSockets = errors.New("out of sockets")
+)
+
+// dialResult tells what a dial that failed says. Guards against blame for the wrong one: want of
+// sockets and a client's deadline that cuts a dial short say nothing of the backend.
+func dialResult(ctx context.Context, err error) aldermux.Result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return aldermux.Cancelled
+	}
+	for _, own := range []error{errOutOfSockets, context.DeadlineExceeded, syscall.EMFILE, syscall.ENFILE,
+		syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, own) {
+			return aldermux.NotSent
+		}
+	}
+	if ctx.Err() != nil {
+		return aldermux.NotSent
+	}
+	return aldermux.ConnectFailed
+}
+
+// errSpoilt is an answer that can't be read, or not to its end. The backend is there, and has
+// run the request.
+var errSpoilt = errors.New("spoilt answer")
+
 // roundTrip writes the request and reads the whole answer. Whatever breaks before the last
 // byte is written proves that the request never ran; after that it may have.
 func (c *conn) roundTrip(ctx context.Context, out outgoing) (r response, reusable bool) {
-	deadline, _ := ctx.Deadline()
-	req := &http.Request{Method: out.method, URL: out.url, Host: out.host, Header: maps.Clone(out.header),
-		ContentLength: int64(len(out.body)), Body: http.NoBody}
-	if len(out.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(out.body))
-	}
-	if !deadline.IsZero() {
-		req.Header.Set(headerTimeLeft, strconv.FormatInt(max(0, time.Until(deadline).Microseconds()), 10)+"u")
+	buf := make([]byte, 0, len(out.head)+len(out.rest)+len(headerTimeLeft)+24)
+	buf = append(buf, out.head...)
+	if deadline, ok := ctx.Deadline(); ok {
+		buf = fmt.Appendf(buf, "%s: %du\r\n", headerTimeLeft, max(0, time.Until(deadline).Microseconds()))
 	}
-	var buf bytes.Buffer
-	err := req.Write(&buf)
-	if err == nil {
-		_, err = c.Write(buf.Bytes())
-	}
-	if err != nil {
+	buf = append(buf, out.rest...)
+	if _, err := c.Write(buf); err != nil {
 		return response{result: aldermux.ConnectFailed}, false
 	}
-	lost := func() aldermux.Result {
-		switch {
-		case errors.Is(ctx.Err(), context.Canceled):
-			return aldermux.Cancelled
-		case ctx.Err() != nil:
-			return aldermux.TimedOut
+	resp, body, err := c.answer(ctx, out.method)
+	switch {
+	case err == nil:
+	case errors.Is(ctx.Err(), context.Canceled):
+		return response{result: aldermux.Cancelled}, false
+	case ctx.Err() != nil:
+		return response{result: aldermux.TimedOut}, false
+	case errors.Is(err, errSpoilt):
+		return response{result: aldermux.Errored}, false
+	default:
+		return response{result: aldermux.Reset}, false
+	}
+	r = response{result: result(resp), header: resp.Header, body: body}
+	if report := resp.Header[headerLoad]; len(report) == 1 {
+		if l, err := wire.ParseLoad([]byte(report[0])); err == nil {
+			r.load = l
 		}
-		return aldermux.Reset
 	}
-	c.limit.N = maxHead + maxBody
-	var resp *http.Response
+	return r, resp.ContentLength >= 0 && !resp.Close && c.r.Buffered() == 0
+}
+
+// answer reads the final answer. An error that is no errSpoilt comes from a connection that
+// broke before the answer began, or from the end of ctx.
+func (c *conn) answer(ctx context.Context, method string) (resp *http.Response, body []byte, err error) {
+	begun := false
+	defer func() {
+		// What breaks once bytes have come is a spoilt answer, unless the connection was reset.
+		if err != nil && begun && !errors.Is(err, syscall.ECONNRESET) {
+			err = fmt.Errorf("%w: %w", errSpoilt, err)
+		}
+	}()
+	c.limit.N = maxInfos*maxHead + maxBody
 	for range maxInfos {
-		resp, err = http.ReadResponse(c.r, req)
+		if _, err := c.r.Peek(1); err != nil {
+			return nil, nil, err
+		}
+		begun = true
+		if err := c.head(ctx); err != nil {
+			return nil, nil, err
+		}
+		resp, err = http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
-			return response{result: lost()}, false
+			return nil, nil, err
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= 200 {
 			break
 		}
+		c.within(ctx, 0) // the final answer takes its time
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil || len(body) > maxBody { // a short body is no answer
-		return response{result: lost()}, false
+	switch {
+	case resp.StatusCode < 200:
+		return nil, nil, errors.New("no final answer")
+	case resp.StatusCode != http.StatusOK && resp.ContentLength < 0:
+		return resp, nil, nil // the status says it all, and the connection is of no further use
+	case resp.ContentLength > maxBody:
+		return nil, nil, errors.New("too long") // and not read first
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		// Guards against an answer cut short: nothing tells its end from that of the connection.
+		return nil, nil, errors.New("no length")
 	}
-	r = response{result: result(resp), header: resp.Header, body: body}
-	if report := resp.Header.Get(headerLoad); report != "" {
-		if l, err := wire.ParseLoad([]byte(report)); err == nil {
-			r.load = l
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errors.New("too long")
+	}
+	if resp.ContentLength < 0 { // chunks: whole once they have been read
+		resp.ContentLength = int64(len(body))
+	}
+	return resp, body, err
+}
+
+// within bounds the wait for each further read of an answer; 0 lifts the bound. The end of ctx
+// stays in force.
+func (c *conn) within(ctx context.Context, d time.Duration) {
+	var at time.Time
+	if d > 0 {
+		at = time.Now().Add(d)
+	}
+	c.SetReadDeadline(at)
+	if ctx.Err() != nil { // it may have struck before, and been overwritten
+		c.SetReadDeadline(longAgo)
+	}
+}
+
+// head waits for a whole head without taking it. Guards against noise, of which ReadResponse
+// would wait for the end of the line, and against heads that give two lengths or don't end.
+func (c *conn) head(ctx context.Context) error {
+	const version = "HTTP/1."
+	for n := 1; ; {
+		seen, _ := c.r.Peek(c.r.Buffered())
+		if m := min(len(seen), len(version)); string(seen[:m]) != version[:m] {
+			return errors.New("no HTTP")
+		}
+		if i := bytes.Index(seen, []byte("\r\n\r\n")); i >= 0 {
+			low := bytes.ToLower(seen[:i])
+			if bytes.Contains(low, []byte("\r\ntransfer-encoding:")) && bytes.Contains(low, []byte("\r\ncontent-length:")) {
+				return errors.New("two lengths")
+			}
+			return nil
+		}
+		n = len(seen) + 1
+		if n > maxHead {
+			return errors.New("head without end")
+		}
+		c.within(ctx, stallLimit)
+		if _, err := c.r.Peek(n); err != nil {
+			return err
 		}
 	}
-	return r, resp.StatusCode >= 200 && !resp.Close && c.r.Buffered() == 0
 }
 
 // result reads the outcome of an attempt off an answer.
@@ -182,15 +301,18 @@
 }
 
 // probe asks a backend how it is.
-func (u *upstream) probe(addr string, reports bool) response {
+func (u *upstream) probe(to target, reports bool) response {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
 	defer cancel()
 	path := "/alive"
 	if reports {
 		path = "/metrics/load"
 	}
-	r := u.exchange(ctx, addr, outgoing{method: http.MethodGet, url: &url.URL{Path: path}, host: addr,
-		header: http.Header{}})
+	out, err := render(http.MethodGet, path, to.addr, http.Header{}, nil)
+	if err != nil {
+		return response{result: aldermux.NotSent, load: wire.NoLoad()}
+	}
+	r := u.exchange(ctx, to, out)
 	if r.result == aldermux.OK && reports && !r.load.Valid {
 		r.load, _ = wire.ParseLoad(r.body)
 	}
@@ -201,8 +323,7 @@
 func (u *upstream) dial(ctx context.Context, addr string) (*conn, error) {
 	for u.sockets.full() {
 		if !u.evict() {
-			u.log.Warn("out of sockets", "open", u.sockets.open.Load())
-			return nil, errors.New("out of sockets")
+			return nil, errOutOfSockets
 		}
 	}
 	u.sockets.open.Add(1)
@@ -213,7 +334,7 @@
 		return nil, fmt.Errorf("dial backend: %w", err)
 	}
 	limit := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, limit: limit, r: bufio.NewReader(limit)}, nil
+	return &conn{Conn: nc, limit: limit, r: bufio.NewReaderSize(limit, maxHead)}, nil
 }
 
 func (u *upstream) close(c *conn) {
@@ -221,39 +342,40 @@
 	u.sockets.open.Add(-1)
 }
 
-// take returns the newest idle connection to addr, nil if there is none.
-func (u *upstream) take(addr string) *conn {
+// take returns the newest idle connection to a backend that has rested, nil if there is none.
+func (u *upstream) take(to target) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for {
-		list := u.idle[addr]
-		if len(list) == 0 {
-			return nil
+	for i := len(u.idle[to]) - 1; i >= 0; i-- {
+		c := u.idle[to][i]
+		age := time.Since(c.since)
+		if age < restTime {
+			continue
 		}
-		c := list[len(list)-1]
-		u.drop(addr, len(list)-1)
-		if time.Since(c.since) < u.idleTime && c.silent() {
+		u.drop(to, i)
+		if age < u.idleTime && c.silent() {
 			return c
 		}
 		u.close(c)
 	}
+	return nil
 }
 
-// drop takes the connection at place i off the idle ones of addr.
-func (u *upstream) drop(addr string, i int) {
-	list := u.idle[addr]
+// drop takes the connection at place i off the idle ones.
+func (u *upstream) drop(to target, i int) {
+	list := u.idle[to]
 	copy(list[i:], list[i+1:])
 	list[len(list)-1] = nil
-	if u.idle[addr] = list[:len(list)-1]; len(list) == 1 {
-		delete(u.idle, addr)
+	if u.idle[to] = list[:len(list)-1]; len(list) == 1 {
+		delete(u.idle, to)
 	}
 }
 
-func (u *upstream) keep(addr string, c *conn) {
+func (u *upstream) keep(to target, c *conn) {
 	c.since = time.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.idle[addr] = append(u.idle[addr], c)
+	u.idle[to] = append(u.idle[to], c)
 }
 
 // silent reports whether an idle connection is open with nothing to read. Guards against a
@@ -277,13 +399,13 @@
 func (u *upstream) evict() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	oldest := ""
-	for addr, list := range u.idle {
-		if oldest == "" || list[0].since.Before(u.idle[oldest][0].since) {
-			oldest = addr
+	var oldest target
+	for to, list := range u.idle {
+		if oldest == (target{}) || list[0].since.Before(u.idle[oldest][0].since) {
+			oldest = to
 		}
 	}
-	if oldest == "" {
+	if oldest == (target{}) {
 		return false
 	}
 	u.close(u.idle[oldest][0])
@@ -295,24 +417,29 @@
 func (u *upstream) sweep() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for addr, list := range u.idle {
+	for to, list := range u.idle {
 		for i := len(list) - 1; i >= 0; i-- {
 			if c := list[i]; time.Since(c.since) >= u.idleTime || !c.silent() {
-				u.drop(addr, i)
+				u.drop(to, i)
 				u.close(c)
 			}
 		}
 	}
 }
 
-// closeIdle closes the idle connections to addr.
-func (u *upstream) closeIdle(addr string) {
+// closeIdle closes the idle connections to all backends but those that are wanted.
+func (u *upstream) closeIdle(wanted func(target) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, c := range u.idle[addr] {
-		u.close(c)
+	for to, list := range u.idle {
+		if wanted(to) {
+			continue
+		}
+		for _, c := range list {
+			u.close(c)
+		}
+		delete(u.idle, to)
 	}
-	delete(u.idle, addr)
 }
 
 // run sweeps until ctx ends, then closes what is idle.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -307,6 +307,8 @@
 	return load(&u), nil
 }
 
+const loadMost = 1e6 // no figure of a backend's load is larger: ten minutes, a million requests
+
 // NoLoad is what is known where no report came.
 func NoLoad() aldermux.Load {
 	return aldermux.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
@@ -318,6 +320,12 @@
 		return l
 	}
 	l.Valid = true
+	// Guards against figures that can't be: they would stay in the module's running means.
+	for _, f := range []*float64{u.Outstanding, u.Backlog, u.Utilization, u.RecentMs, u.Throughput, u.ErrorsPerSec} {
+		if f != nil && !(*f >= 0 && *f <= loadMost) {
+			return NoLoad()
+		}
+	}
 	for _, f := range []struct {
 		from *float64
 		to   *float64
