--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -17,14 +17,20 @@
 )
 
 func main() {
-	hup := make(chan os.Signal, 1) // one that waits says as much as several
-	signal.Notify(hup, syscall.SIGHUP)
+	hup := hangups()
 	if err := run(hup, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
 		os.Exit(1)
 	}
 }
 
+// hangups catches SIGHUP, which would end the program otherwise.
+func hangups() <-chan os.Signal {
+	hup := make(chan os.Signal, 1) // one that waits says as much as several
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
 func run(hup <-chan os.Signal, log io.Writer) error {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -25,8 +25,8 @@
 	maxHead  = 8 << 10  // bytes of an answer's head
 	maxInfos = 8        // 1xx answers ahead of the final one
 
-	// An answer that has begun comes in one go: one that stands still for so long is spoilt.
-	stallLimit = 100 * time.Millisecond
+	// An answer that has begun comes in one go: one whose next part takes so long is spoilt.
+	stallLimit = 200 * time.Millisecond
 
 	// What a backend sends behind an answer shows by then; until it has rested for so long, a
 	// connection takes no request, which could be given those bytes for its answer.
@@ -237,6 +237,7 @@
 		// Guards against an answer cut short: nothing tells its end from that of the connection.
 		return nil, nil, errors.New("no length")
 	}
+	c.within(ctx, stallLimit)
 	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err == nil && len(body) > maxBody {
 		err = errors.New("too long")
@@ -247,7 +248,7 @@
 	return resp, body, err
 }
 
-// within bounds the wait for each further read of an answer; 0 lifts the bound. The end of ctx
+// within bounds the wait for what is read next of an answer; 0 lifts the bound. The end of ctx
 // stays in force.
 func (c *conn) within(ctx context.Context, d time.Duration) {
 	var at time.Time
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -295,3 +296,81 @@
 		t.Errorf("got %+v", r)
 	}
 }
+
+// The connection stays open behind what is spoilt: waiting for more would last until the client
+// has gone, and the request could not be tried again.
+func TestSpoiltAnswersEndAtOnce(t *testing.T) {
+	for _, answer := range []string{"noise", "HTTP/1.1 200 OK\r\nX-Pad: ", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhello", "HTTP/1.1 200 OK\r\n\r\nhello"} {
+		u := newTestUpstream(t)
+		addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+			receive(r)
+			io.WriteString(c, answer)
+			io.Copy(io.Discard, r) // until the agent gives up
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if r := u.exchange(ctx, at(addr), read); r.result != aldermux.Errored || ctx.Err() != nil {
+			t.Errorf("%q: got %v, %v", answer, r.result, ctx.Err())
+		}
+		cancel()
+	}
+}
+
+// Bytes that come a moment behind an answer must not be taken for the answer to the next request.
+func TestLateBytesBehindAnAnswer(t *testing.T) {
+	u := newTestUpstream(t)
+	var conns atomic.Int64
+	addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+		n := conns.Add(1)
+		for {
+			if _, _, err := receive(r); err != nil {
+				return
+			}
+			one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+			io.WriteString(c, one)
+			time.Sleep(2 * time.Millisecond)
+			io.WriteString(c, one)
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for want := 1; want <= 3; want++ { // without a rest between
+		if r := u.exchange(ctx, at(addr), read); r.result != aldermux.OK || string(r.body) != fmt.Sprint(want) {
+			t.Errorf("got %v %q, want %d", r.result, r.body, want)
+		}
+	}
+}
+
+// A new backend at the address of one that has gone is another: it is not sent what a connection
+// to the old one was kept for, and that connection holds no socket.
+func TestConnectionsGoWithTheirBackend(t *testing.T) {
+	u := newTestUpstream(t)
+	addr, conns, _, _ := counting(t)
+	attemptOf(t, u, addr, read)
+	u.closeIdle(func(to target) bool { return to == target{"h1", addr} })
+	if n := u.sockets.open.Load(); n != 0 {
+		t.Errorf("%d sockets", n)
+	}
+	attemptOf(t, u, addr, read)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if r := u.exchange(ctx, target{"h1", addr}, read); r.result != aldermux.OK || conns.Load() != 3 {
+		t.Errorf("got %v, %d connections", r.result, conns.Load())
+	}
+}
+
+// Neither a client whose time runs out while a connection is being made nor the agent's own
+// limits are the backend's fault.
+func TestBlameForDials(t *testing.T) {
+	over, cancel := context.WithDeadline(context.Background(), longAgo)
+	defer cancel()
+	if r := newTestUpstream(t).exchange(over, at(deadAddr(t)), read); r.result != aldermux.NotSent {
+		t.Errorf("got %v", r.result)
+	}
+	for err, want := range map[error]aldermux.Result{errOutOfSockets: aldermux.NotSent, syscall.EMFILE: aldermux.NotSent,
+		syscall.EADDRNOTAVAIL: aldermux.NotSent, syscall.ECONNREFUSED: aldermux.ConnectFailed} {
+		if got := dialResult(context.Background(), fmt.Errorf("dial: %w", err)); got != want {
+			t.Errorf("%v: got %v", err, got)
+		}
+	}
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -247,3 +247,12 @@
 		t.Errorf("got %+v, %v", l, err)
 	}
 }
+
+// A figure that can't be spoils its report: it would stay in the module's running means.
+func TestParseLoadRange(t *testing.T) {
+	for _, raw := range []string{`{"recent_ms":14,"backlog":-1}`, `{"recent_ms":1e300}`, `{"backlog":3,"throughput":1e7}`, `{"backlog":1e999}`, `{"outstanding":"3"}`} {
+		if l, _ := ParseLoad([]byte(raw)); l != NoLoad() {
+			t.Errorf("%s: got %+v", raw, l)
+		}
+	}
+}
