--- a/aldermux.go
+++ b/aldermux.go
@@ -31,6 +31,9 @@
 	slowBound    = 8.0   // one sample says at most that a backend is so many times slower than the mean
 	strikeHeal   = 0.25  // strikes that a served attempt takes back: one error in five keeps them growing
 	oddErrors    = 3.0   // a backend's share of errors that is so many times the usual one is its own fault
+	evenErrors   = 0.02  // usual share of errors from which on a single one says nothing
+	errorHeal    = 0.02  // of an error in a backend's excess that any answer takes back at least
+	errorCap     = 3.0   // the most that an excess counts
 	strikeCap    = 5.0   // longest ejection is 2^(cap-1) times the first
 	coldTrickle  = 0.25  // of a core's work all agents send a cold backend where none is warm
 	heavy        = 2.0   // a cold backend gets no request of more than so many times the mean work
@@ -93,6 +96,7 @@
 	crowd    float64 // running mean of the attempts that other agents had at a backend, by its reports
 	stale    float64 // running share of reports that are older than the attempt they came with
 	width    float64 // the most attempts that a backend said to work on at once; 0: not told
+	bad      float64 // running share of errors among the answers of backends without a strike
 	doneWork float64 // decayed work that warm backends served
 	doneAt   time.Duration
 	askFails int
@@ -113,7 +117,7 @@
 	speed
 	crowd    float64       // attempts of other agents there, by its last report
 	heard    time.Duration // when that came; 0: never
-	bad      float64 // running share of errors among its answers
+	excess   float64       // errors that it returned beyond what is usual, lately
 	strikes  float64
 	ejected  time.Duration // no traffic before this time
 	struckAt time.Duration
@@ -565,7 +569,7 @@
 			b.doneWork = b.decayed() + a.cost
 		}
 		t.strikes = max(0, t.strikes-strikeHeal)
-		t.bad -= smooth * t.bad
+		b.odd(t, 0)
 		t.lastOK = b.now
 		t.seen = true
 		b.learnSpeed(t, lat/a.cost)
@@ -591,10 +595,7 @@
 			b.learnSpeed(t, lat/a.cost) // at least so slow
 		}
 	case Errored:
-		// Departure: errors that come from all backends alike, as spoilt answers do, say nothing of
-		// the one they came from, and ejecting for each would leave no backend in use. Where errors
-		// are rare the usual share is 0, and the first one strikes. May harm where most backends fail.
-		if t.bad += smooth * (1 - t.bad); t.bad > oddErrors*b.usualBad() {
+		if b.odd(t, 1) {
 			b.strike(t, a, c)
 		}
 	case ConnectFailed, Reset:
@@ -603,19 +604,17 @@
 	}
 }
 
-// usualBad is the share of errors of the middle one of the backends that are up.
-func (b *Balancer) usualBad() float64 {
-	var all []float64
-	for _, t := range b.backends {
-		if t.State == Up {
-			all = append(all, t.bad)
-		}
-	}
-	if len(all) == 0 {
-		return 0
+// odd takes an answer with so many errors, and reports whether a backend returns more than is usual.
+// Departure: errors that come from all backends alike, as spoilt answers do, say nothing of the
+// one they came from, and ejecting for each would leave few in use. Where errors are rare the first
+// one tells; where they are usual, three in near succession. May harm where most backends fail.
+func (b *Balancer) odd(t *backend, errors float64) bool {
+	usual := b.bad
+	if t.strikes == 0 {
+		b.bad += smooth / 10 * (errors - b.bad)
 	}
-	slices.Sort(all)
-	return all[(len(all)-1)/2]
+	t.excess = min(max(0, t.excess-max(oddErrors*usual, errorHeal))+errors, errorCap)
+	return t.excess >= 1+min(1, usual/evenErrors)
 }
 
 // kind is what a quiet agent knows of a backend's kind, since it meets few twice: an unknown
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -26,7 +26,7 @@
 	maxInfos = 8        // 1xx answers ahead of the final one
 
 	// An answer that has begun comes in one go: one whose next part takes so long is spoilt.
-	stallLimit = 200 * time.Millisecond
+	stallLimit = 100 * time.Millisecond
 
 	// What a backend sends behind an answer shows by then; until it has rested for so long, a
 	// connection takes no request, which could be given those bytes for its answer.
