Weigh resets like errors; write past stale connections; refuse HTTP/1.0

Each reset struck its backend, set it down, and made its next answer a cold start: 119 kept connections reset at their next request took the whole fleet's capacity. Probed with log lines (since taken out): all such resets came 40 to 180 us after the write on connections idle for over 100 ms, half of those, whatever their age; none below. Ruled out: shorter keeping, since a new connection costs as much as it saves (half of the old ones serve). Now a reset strikes, and marks down, only beyond the usual share, like an error; a cold backend is still struck by each. What could not be written to a kept connection goes out on a new one within the same attempt: it was never sent. HTTP/1.0 is refused, as net/http reads past Transfer-Encoding there, and the framing is checked before /up too.

--- a/aldermux.go
+++ b/aldermux.go
@@ -594,19 +594,21 @@
 			b.spare -= saveAtMost * b.usual()
 			b.learnSpeed(t, lat/a.cost) // at least so slow
 		}
-	case Errored:
-		if b.odd(t, 1) {
+	case Errored, Reset:
+		odd := b.odd(t, 1)
+		t.down = t.down || odd && e.Result == Reset
+		if odd || t.cold { // a cold one has to show that it is well
 			b.strike(t, a, c)
 		}
-	case ConnectFailed, Reset:
+	case ConnectFailed:
 		t.down = true
 		b.strike(t, a, c)
 	}
 }
 
 // odd takes an answer with so many errors, and reports whether a backend returns more than is usual.
-// Departure: errors that come from all backends alike, as spoilt answers do, say nothing of the
-// one they came from, and ejecting for each would leave few in use. Where errors are rare the first
+// Departure: errors that come from all backends alike, as spoilt answers or resets do, say nothing of
+// the one they came from, and ejecting for each would leave few in use. Where errors are rare the first
 // one tells; where they are usual, three in near succession. May harm where most backends fail.
 func (b *Balancer) odd(t *backend, errors float64) bool {
 	usual := b.bad
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -25,7 +25,7 @@
 const (
 	silence      = 5 * time.Second // a watch has a heartbeat every 2 s: it is dead after this long without a line
 	reopenFirst  = 100 * time.Millisecond
-	reopenMost   = 2 * time.Second
+	reopenMost   = 500 * time.Millisecond
 	fetchLimit   = 5 * time.Second
 	maxListBytes = 8 << 20
 )
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -66,6 +66,10 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if status, err := framing(r); err != nil {
+		refuse(w, status, err)
+		return
+	}
 	if r.URL.Path == "/up" {
 		if !s.ready.Load() {
 			http.Error(w, "starting", http.StatusServiceUnavailable)
@@ -74,9 +78,7 @@
 	}
 	c, status, err := s.read(w, r, arrived)
 	if err != nil {
-		// Guards against what else such a client has sent: it may be no request of its own.
-		w.Header().Set("Connection", "close")
-		http.Error(w, err.Error(), status)
+		refuse(w, status, err)
 		return
 	}
 	rc := http.NewResponseController(w)
@@ -101,17 +103,33 @@
 	write(w, a)
 }
 
+// refuse turns away what makes no sense, and ends the connection. Guards against what else such a
+// client has sent: it may be no request of its own.
+func refuse(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+// framing checks what tells where a request begins and ends.
+func framing(r *http.Request) (status int, err error) {
+	switch {
+	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
+		// Guards against a request that hides another: where the two ways to tell a body's length
+		// meet, net/http drops one of them, and the protocol's clients give a length.
+		return http.StatusLengthRequired, errors.New("a body needs a Content-Length")
+	case !r.ProtoAtLeast(1, 1): // there net/http reads past the other way altogether
+		return http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 is needed")
+	case !strings.HasPrefix(r.RequestURI, "/") || r.Host == "":
+		// Guards against targets that would not go on as they came.
+		return http.StatusBadRequest, errors.New("a path and a host are needed")
+	case r.Method == http.MethodGet && r.ContentLength != 0:
+		return http.StatusBadRequest, errors.New("GET takes no body")
+	}
+	return 0, nil
+}
+
 // read takes in a whole request. An error comes with the status that tells the client.
 func (s *server) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, int, error) {
-	// Guards against a request that hides another: where the two ways to tell a body's length meet,
-	// net/http drops one of them, and the protocol's clients give a length.
-	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 {
-		return nil, http.StatusLengthRequired, errors.New("a body needs a Content-Length")
-	}
-	// Guards against targets that would not go on as they came.
-	if !strings.HasPrefix(r.RequestURI, "/") || r.Host == "" {
-		return nil, http.StatusBadRequest, errors.New("a path and a host are needed")
-	}
 	query, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil || len(query["key"]) > 1 {
 		return nil, http.StatusBadRequest, errors.New("the query makes no sense")
@@ -159,9 +177,6 @@
 			return nil, http.StatusBadRequest, fmt.Errorf("%s: %w", headerWork, err)
 		}
 	}
-	if effect == aldermux.Safe && r.ContentLength != 0 {
-		return nil, http.StatusBadRequest, errors.New("GET takes no body")
-	}
 	if r.ContentLength > maxBody { // not one byte of it is read
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body over %d bytes", maxBody)
 	}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -116,13 +116,22 @@
 
 // exchange makes one attempt: one request on one connection, written once.
 func (u *upstream) exchange(ctx context.Context, to target, out outgoing) response {
-	c := u.take(to)
-	if c == nil {
-		var err error
-		if c, err = u.dial(ctx, to.addr); err != nil {
-			return response{result: dialResult(ctx, err), load: wire.NoLoad()}
+	if c := u.take(to); c != nil {
+		// Guards against blame for a kept connection that has gone stale: what could not be written
+		// to it is no attempt yet, and goes out on a new one.
+		if r := u.use(ctx, c, to, out); r.result != aldermux.ConnectFailed {
+			return r
 		}
 	}
+	c, err := u.dial(ctx, to.addr)
+	if err != nil {
+		return response{result: dialResult(ctx, err), load: wire.NoLoad()}
+	}
+	return u.use(ctx, c, to, out)
+}
+
+// use makes an attempt on a connection, and keeps or closes it.
+func (u *upstream) use(ctx context.Context, c *conn, to target, out outgoing) response {
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	r, reusable := c.roundTrip(ctx, out)
 	// Guards against a kept connection whose deadline has passed: once stop is too late, the
@@ -175,6 +184,9 @@
 	}
 	buf = append(buf, out.rest...)
 	if _, err := c.Write(buf); err != nil {
+		if ctx.Err() != nil {
+			return response{result: dialResult(ctx, err)}, false
+		}
 		return response{result: aldermux.ConnectFailed}, false
 	}
 	resp, body, err := c.answer(ctx, out.method)
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -228,6 +228,30 @@
 	}
 }
 
+// What can't be written to a kept connection has not been sent: it goes out on a new one, and the
+// backend is not to blame.
+func TestStaleConnectionIsReplaced(t *testing.T) {
+	u := newTestUpstream(t)
+	over := make(chan struct{})
+	defer close(over)
+	addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, _, err := receive(r); err != nil {
+				<-over // an end that the agent can't see
+				return
+			}
+			io.WriteString(c, hello)
+		}
+	})
+	attemptOf(t, u, addr, read)
+	if err := u.idle[at(addr)][0].Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if r := attemptOf(t, u, addr, read); r.result != aldermux.OK {
+		t.Errorf("got %v", r.result)
+	}
+}
+
 func TestResetIsNotSentAgain(t *testing.T) {
 	u := newTestUpstream(t)
 	var requests atomic.Int64
