--- a/aldermux.go
+++ b/aldermux.go
@@ -31,7 +31,7 @@
 	slowBound    = 8.0   // one sample says at most that a backend is so many times slower than the mean
 	strikeHeal   = 0.25  // strikes that a served attempt takes back: one error in five keeps them growing
 	oddErrors    = 3.0   // a backend's share of errors that is so many times the usual one is its own fault
-	evenErrors   = 0.02  // usual share of errors from which on a single one says nothing
+	evenErrors   = 0.01  // usual share of errors from which on a single one says nothing
 	errorHeal    = 0.02  // of an error in a backend's excess that any answer takes back at least
 	errorCap     = 3.0   // the most that an excess counts
 	strikeCap    = 5.0   // longest ejection is 2^(cap-1) times the first
@@ -124,7 +124,8 @@
 	fullTill time.Duration
 	lastOK   time.Duration
 	usedAt   time.Duration // when an attempt last left a connection behind
-	down     bool          // connections failed or broke since the last answer
+	down     bool          // looks gone since the last answer: connections fail, or broke
+	refused  bool          // the last attempt could not connect
 	warmFrom time.Duration // when its latest start became known or seen
 	cold     bool
 	budget   float64 // work that may be sent while it is cold
@@ -564,7 +565,7 @@
 		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
 			t.start(b.now, b.now)
 		}
-		t.down = false
+		t.down, t.refused = false, false
 		if !t.cold {
 			b.doneWork = b.decayed() + a.cost
 		}
@@ -594,15 +595,17 @@
 			b.spare -= saveAtMost * b.usual()
 			b.learnSpeed(t, lat/a.cost) // at least so slow
 		}
-	case Errored, Reset:
+	case Errored, Reset, ConnectFailed:
+		rare := b.bad < evenErrors
 		odd := b.odd(t, 1)
-		t.down = t.down || odd && e.Result == Reset
-		if odd || t.cold { // a cold one has to show that it is well
+		refused := e.Result == ConnectFailed
+		// Where connections break all the time, one that breaks is no restart; one that can't be made,
+		// twice in a row, is a process that has gone.
+		t.down = t.down || refused && (rare || t.refused) || rare && e.Result == Reset
+		t.refused = refused
+		if odd || refused || rare && t.cold { // a cold one has to show that it is well
 			b.strike(t, a, c)
 		}
-	case ConnectFailed:
-		t.down = true
-		b.strike(t, a, c)
 	}
 }
 
@@ -613,10 +616,10 @@
 func (b *Balancer) odd(t *backend, errors float64) bool {
 	usual := b.bad
 	if t.strikes == 0 {
-		b.bad += smooth / 10 * (errors - b.bad)
+		b.bad += smooth / 30 * (errors - b.bad)
 	}
 	t.excess = min(max(0, t.excess-max(oddErrors*usual, errorHeal))+errors, errorCap)
-	return t.excess >= 1+min(1, usual/evenErrors)
+	return t.excess >= min(max(1, 2*usual/evenErrors), 2)
 }
 
 // kind is what a quiet agent knows of a backend's kind, since it meets few twice: an unknown
@@ -653,6 +656,7 @@
 		return
 	}
 	t.strikes = min(t.strikes+1, strikeCap)
+	t.excess = max(0, t.excess-1) // the error that led here has been answered
 	t.struckAt = b.now
 	// Departure: many agents that each try an ejected backend soon keep it busy for ever, and one that
 	// has turned slow must rest: each waits longer the more agents there are for a backend. May harm
@@ -831,7 +835,7 @@
 		}
 		if n.Started > t.Started {
 			t.start(max(n.Started, t.warmFrom), b.now)
-			t.strikes, t.ejected, t.down = 0, 0, false
+			t.strikes, t.ejected, t.down, t.refused = 0, 0, false, false
 		}
 		t.Backend = n
 	}
--- a/aldermux_test.go
+++ b/aldermux_test.go
@@ -549,6 +549,10 @@
 		for range n {
 			id := fmt.Sprint("q", len(r.sent))
 			r.request(id, safe)
+			if len(r.sent[id]) == 0 { // all are cold, and have had their part
+				r.now += 20 * ms
+				continue
+			}
 			b := r.sent[id][0]
 			used[b]++
 			answers[b]++
