--- a/aldermux.go
+++ b/aldermux.go
@@ -45,7 +45,6 @@
 
 	aimedDelay   = 0.55 // mean latency over aim to keep to: less refuses uneven work, more crowds servers
 	aimedBlind   = 0.35 // the same without fresh reports, for an agent that is not quiet
-	outlier      = 2.0  // a backend so many times slower than the mean tells of itself, not of the others
 	aimedRise    = 2.0  // and above so many times its low: servers may slow down when crowded
 	limitCut     = 0.9  // one cut of the in-flight limit
 	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
@@ -579,9 +578,7 @@
 			lat *= c.work / r.work
 		}
 		c.latency = blend(c.latency, max(lat, 1))
-		// Departure: one backend that is far slower than the rest must not cut the limit for all. Where
-		// all slow down together none is. May harm where the slow one is most of the fleet.
-		b.pace(float64(e.Latency) / float64(c.Aim) / max(1, b.slowness(t)/outlier))
+		b.pace(float64(e.Latency) / float64(c.Aim))
 	case Full:
 		t.fullTill = b.now + time.Duration(b.rng.Float64()*c.latency)
 		b.pace(1)
