--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -10,7 +10,8 @@
 
 // clients keeps the number of clients' connections under a cap, so that backends have their
 // share of the sockets. At the cap the connection that has been silent for longest gives way,
-// never one with a request in hand.
+// never one with a request in hand. The cap is a quarter of the sockets: clients may hold a third
+// for requests, and those that ask once and stay would leave them none to ask on.
 type clients struct {
 	most    int // 0: no cap
 	sockets *sockets
@@ -22,7 +23,7 @@
 }
 
 func newClients(socks *sockets, room func()) *clients {
-	return &clients{most: int(socks.limit) / 2, sockets: socks, room: room,
+	return &clients{most: int(socks.limit) / 4, sockets: socks, room: room,
 		open: map[net.Conn]*list.Element{}, silent: list.New()}
 }
 
