internal/admission: a governor of clients' connections, so that no request read is dropped

Cause: at the cap clients.go closed the connection that had been silent for longest, and took one off that list only when its handler had read the whole request; busy() then dropped it unanswered.

Change: decisions (who gives way, when accepting pauses, which answers end their connection, what bodies may hold) in a Governor without I/O; a Listener and Conn round net/http carry them out. A connection gives way only by its own reader, after one more look at the socket, and never once its request's head is whole. Planned stops use it too: the server's own Shutdown drops requests that it has just read. A client that has ended its sending only was served an empty 200 by the handler's bare return; it gets a 502.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"aldermux"
+	"aldermux/internal/admission"
 )
 
 // lingering is how long after a stop the listener stays open: new connections keep coming for
@@ -55,7 +56,21 @@
 		l.post(func() { l.listed(list, addrs) })
 	}, log)
 
-	s := &server{loop: l, cfg: cfg, clients: newClients(socks, func() { l.up.evict() })}
+	s := &server{loop: l, cfg: cfg}
+	front, err := admission.Listen(ln, admission.DefaultConfig(int(socks.limit), cfg.MemoryMB<<20), s.comeBack(),
+		admission.Hooks{
+			Opened: func() {
+				socks.open.Add(1)
+				if socks.full() { // room for the next one
+					l.up.evict()
+				}
+			},
+			Closed: func() { socks.open.Add(-1) },
+			Room:   func() { l.up.evict() },
+		})
+	if err != nil {
+		return err
+	}
 	srv := s.newHTTP(log)
 	failed := make(chan error, 2)
 	parts.Go(func() {
@@ -73,7 +88,7 @@
 		})
 	}
 	parts.Go(func() {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(front); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("clients: %w", err)
 		}
 	})
@@ -85,8 +100,7 @@
 	case fault = <-failed:
 	case <-ctx.Done():
 		log.Info("stopping")
-		s.draining.Store(true)
-		srv.SetKeepAlivesEnabled(false) // ends idle connections, and others with their answer
+		front.Drain()
 		select {
 		case <-time.After(cfg.linger):
 		case fault = <-failed:
@@ -94,9 +108,11 @@
 	}
 	patience, cancel := context.WithTimeout(context.Background(), s.longest())
 	defer cancel()
-	if err := srv.Shutdown(patience); err != nil { // a connection on which no request came
-		srv.Close()
+	// Not the server's own Shutdown: it drops requests that it has just read.
+	if left := front.Finish(patience); left > 0 {
+		log.Warn("connections cut off", "count", left)
 	}
+	srv.Close()
 	return fault
 }
 
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -128,7 +128,7 @@
 		<-release
 		io.WriteString(c, hello)
 	}))
-	cfg.Sockets = reservedSockets + 12 // three for clients
+	cfg.Sockets = reservedSockets + 12 // four for clients
 	bal := newScripted(sendAll)
 	base, _, _ := running(t, cfg, bal)
 	busy := dial(t, base)
@@ -136,7 +136,7 @@
 	next[aldermux.Request](t, bal)
 	begun := time.Now()
 	var silent []net.Conn
-	for range 4 {
+	for range 5 {
 		silent = append(silent, dial(t, base))
 	}
 	for _, c := range silent[:2] {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/textproto"
@@ -15,6 +14,7 @@
 	"time"
 
 	"aldermux"
+	"aldermux/internal/admission"
 )
 
 // Headers of the protocol.
@@ -36,6 +36,7 @@
 	maxLeft      = time.Hour               // a client that waits for longer has lost its way
 	maxHeadBytes = 8 << 10
 	maxID        = 256 // bytes of an id
+	heldCopies   = 2   // of a body: as it was read, and as it goes on
 )
 
 // single are the headers that say what becomes of a request: two values contradict each other.
@@ -46,11 +47,9 @@
 
 // server takes clients' requests. It owes each the one answer that the loop decides on.
 type server struct {
-	loop     *loop
-	cfg      *Config
-	clients  *clients
-	ready    atomic.Bool
-	draining atomic.Bool
+	loop  *loop
+	cfg   *Config
+	ready atomic.Bool
 }
 
 // newHTTP returns the server of clients' connections. Its limits guard against clients that
@@ -58,39 +57,38 @@
 func (s *server) newHTTP(log *slog.Logger) *http.Server {
 	return &http.Server{Handler: s, ReadTimeout: readLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeadBytes,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ConnContext: s.clients.context, ConnState: s.clients.changed}
+		ConnContext: admission.Context, ConnState: admission.StateChanged}
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	conn := admission.Of(r.Context())
 	if status, err := framing(r); err != nil {
-		refuse(w, status, err)
+		refuse(conn, w, status, err)
 		return
 	}
 	if r.URL.Path == "/up" {
+		last(conn, w)
 		if !s.ready.Load() {
 			http.Error(w, "starting", http.StatusServiceUnavailable)
 		}
 		return
 	}
-	c, status, err := s.read(w, r, arrived)
+	c, status, err := s.read(conn, w, r, arrived)
 	if err != nil {
-		refuse(w, status, err)
+		refuse(conn, w, status, err)
 		return
 	}
-	rc := http.NewResponseController(w)
-	if !s.clients.busy(r.Context()) || rc.SetReadDeadline(time.Time{}) != nil {
-		panic(http.ErrAbortHandler) // the connection is closed, and nothing was sent on for it
-	}
+	conn.Taken()
 	s.loop.post(func() { s.loop.arrived(c) })
 	var a answer
 	select {
 	case a = <-c.reply:
 	case <-r.Context().Done():
 		s.loop.post(func() { s.loop.left(c) })
+		// Guards against a client that has ended its sending only: a handler that returns without
+		// a word would serve it an empty answer that no backend made.
+		refuse(conn, w, http.StatusBadGateway, errors.New("the client has gone away"))
 		return
 	case <-s.loop.dead:
 		select { // the loop may have answered on its way out
@@ -99,13 +97,23 @@
 			a.status = http.StatusBadGateway
 		}
 	}
-	rc.SetWriteDeadline(time.Now().Add(writeLimit))
+	last(conn, w)
 	write(w, a)
 }
 
+// last notes that an answer is about to be written, and says in it if it is its connection's last.
+// A client that doesn't read it holds the connection no longer than for writeLimit.
+func last(conn *admission.Conn, w http.ResponseWriter) {
+	if !conn.Answer() {
+		w.Header().Set("Connection", "close")
+	}
+	conn.SetWriteDeadline(time.Now().Add(writeLimit))
+}
+
 // refuse turns away what makes no sense, and ends the connection. Guards against what else such a
 // client has sent: it may be no request of its own.
-func refuse(w http.ResponseWriter, status int, err error) {
+func refuse(conn *admission.Conn, w http.ResponseWriter, status int, err error) {
+	last(conn, w)
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
 }
@@ -129,7 +137,7 @@
 }
 
 // read takes in a whole request. An error comes with the status that tells the client.
-func (s *server) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, int, error) {
+func (s *server) read(conn *admission.Conn, w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, int, error) {
 	query, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil || len(query["key"]) > 1 {
 		return nil, http.StatusBadRequest, errors.New("the query makes no sense")
@@ -180,9 +188,15 @@
 	if r.ContentLength > maxBody { // not one byte of it is read
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body over %d bytes", maxBody)
 	}
+	if !conn.Reserve(heldCopies * int(r.ContentLength)) { // it has not been read, and may come again
+		if after := s.comeBack(); after > 0 {
+			w.Header().Set("Retry-After", seconds(after))
+		}
+		return nil, http.StatusServiceUnavailable, errors.New("too many bodies in hand")
+	}
 	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
+	if err := conn.ReadBody(r.Body, body, arrived.Add(readLimit)); err != nil {
+		return nil, http.StatusRequestTimeout, fmt.Errorf("body: %w", err)
 	}
 	out, err := encode(r, body)
 	if err != nil {
@@ -240,11 +254,23 @@
 	return d, nil
 }
 
+// seconds is a time as Retry-After tells it.
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
+// comeBack is when a client may come again that the front turns away by itself; 0 where settings
+// allow no such advice.
+func (s *server) comeBack() time.Duration {
+	if !s.cfg.Settings.RetryAfter {
+		return 0
+	}
+	return s.cfg.Settings.MaxRetryAfter
+}
+
 // write passes the final answer on. What fails here is the client's loss of its own connection.
 func write(w http.ResponseWriter, a answer) {
 	h := w.Header()
 	if a.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", seconds(a.retryAfter))
 	}
 	if a.status != http.StatusOK {
 		http.Error(w, http.StatusText(a.status), a.status)
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"aldermux"
+	"aldermux/internal/peek"
 	"aldermux/internal/wire"
 )
 
@@ -393,20 +394,7 @@
 
 // silent reports whether an idle connection is open with nothing to read. Guards against a
 // request on a connection that the backend has closed: it would end as a reset, that may have run.
-func (c *conn) silent() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
+func (c *conn) silent() bool { return peek.Look(c.Conn) == peek.Silent }
 
 // evict closes the connection that has been idle for longest. It reports whether there was one.
 func (u *upstream) evict() bool {
