HAR files and access logs as load, a stand-in site, an observer of the four rules, lemonctl

Change: internal/load reads HAR and access logs as a stream, puts times right, maps entries to requests, recognises repeats and plays them in an open loop; internal/standin is a scripted site with timed faults; internal/ledger judges the four rules without the agent's code; internal/trial joins them; cmd/lemonctl has load inspect, play, generate and rules, site up, and try. agent.RunOn takes a listener, so that agents can run within a test.

--- /dev/null
+++ b/cmd/lemonctl/main.go
@@ -0,0 +1,80 @@
+// Command lemonctl is the operators' tool of lemonrail: it reads and plays recorded load, and runs
+// stand-in sites to try agents against.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Load struct {
+		Inspect  inspectCmd  `cmd:"" help:"Tell what HAR files and access logs hold, and what would be played of them."`
+		Play     playCmd     `cmd:"" help:"Play HAR files and access logs against agents on loopback addresses."`
+		Generate generateCmd `cmd:"" help:"Write a log that is made up."`
+		Rules    rulesCmd    `cmd:"" help:"Print the rules by which entries become requests, to begin a file of your own with."`
+	} `cmd:"" help:"Recorded load."`
+	Site struct {
+		Up siteUpCmd `cmd:"" help:"Run a stand-in site and write its agents' configurations."`
+	} `cmd:"" help:"Stand-in sites."`
+	Try tryCmd `cmd:"" help:"Start a stand-in site with agents, play a log against them, and report."`
+}
+
+// streams are what a command reads and writes.
+type streams struct {
+	in  io.Reader
+	out io.Writer // results
+	err io.Writer // progress and complaints
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], streams{os.Stdin, os.Stdout, os.Stderr}))
+}
+
+// errBroken says that a rule was broken: the report has been printed already.
+var errBroken = errors.New("a rule was broken")
+
+// run carries out a command line: 0 done, 1 failed, 2 not understood.
+func run(ctx context.Context, args []string, s streams) (code int) {
+	var c cli
+	exit := -1
+	parser, err := kong.New(&c, kong.Name("lemonctl"), kong.Description("The operators' tool of lemonrail."), kong.UsageOnError(),
+		kong.Writers(s.out, s.err), kong.Exit(func(n int) { exit = n; panic(exited{}) }))
+	if err != nil {
+		fmt.Fprintln(s.err, "lemonctl:", err)
+		return 1
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			if _, ok := p.(exited); !ok {
+				panic(p)
+			}
+			if code = exit; code != 0 {
+				code = 2
+			}
+		}
+	}()
+	k, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(s.err, "lemonctl:", err)
+		return 2
+	}
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(s); err != nil {
+		fmt.Fprintln(s.err, "lemonctl:", err)
+		return 1
+	}
+	return 0
+}
+
+// exited unwinds from kong's own end, as after --help.
+type exited struct{}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,15 +24,20 @@
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
 // With each hup it reads its configuration again.
 func Run(ctx context.Context, cfg *Config, hup <-chan os.Signal, log *slog.Logger) error {
-	bal, err := aldermux.New(cfg.Settings, cfg.Seed)
-	if err != nil {
-		return err
-	}
 	ln, err := net.Listen("tcp", cfg.Listen.String())
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
+	return RunOn(ctx, ln, cfg, hup, log)
+}
+
+// RunOn is Run with a listener that is there already; it closes it.
+func RunOn(ctx context.Context, ln net.Listener, cfg *Config, hup <-chan os.Signal, log *slog.Logger) error {
 	defer ln.Close()
+	bal, err := aldermux.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return err
+	}
 	peers, err := listenPeers(cfg, log)
 	if err != nil {
 		return err
--- a/internal/agent/crowd_test.go
+++ b/internal/agent/crowd_test.go
@@ -47,7 +47,7 @@
 }
 
 // backend answers each request with its own id and some bytes.
-func (c *crowd) backend(t *testing.T, bytes int) string {
+func (c *crowd) backend(t testing.TB, bytes int) string {
 	return backend(t, func(nc net.Conn, r *bufio.Reader) {
 		for {
 			req, _, err := receive(r)
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -41,7 +41,7 @@
 	 "known":{"seq":41,"whole":true,"hosts":[%s]},"settings":%s}`, discovery, more, hosts, settingsJSON)
 }
 
-func testConfig(t *testing.T, backends ...string) *Config {
+func testConfig(t testing.TB, backends ...string) *Config {
 	t.Helper()
 	cfg, err := parseConfig([]byte(configJSON(deadAddr(t), "", backends...)))
 	if err != nil {
@@ -53,7 +53,7 @@
 
 // deadAddr is an address that refuses connections: bound, so that nobody else gets it, but not
 // listened on.
-func deadAddr(t *testing.T) string {
+func deadAddr(t testing.TB) string {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -70,7 +70,7 @@
 	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -81,7 +81,7 @@
 }
 
 // backend is a scripted one. Every connection is handed to handle; it closes when that returns.
-func backend(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) string {
+func backend(t testing.TB, handle func(c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
 	ln := listen(t)
 	go func() {
@@ -124,7 +124,7 @@
 }
 
 // running starts an agent round bal, or round a real balancer if that is nil.
-func running(t *testing.T, cfg *Config, bal decider) (url string, stop context.CancelFunc, done <-chan error) {
+func running(t testing.TB, cfg *Config, bal decider) (url string, stop context.CancelFunc, done <-chan error) {
 	t.Helper()
 	if bal == nil {
 		var err error
@@ -147,7 +147,7 @@
 	return "http://" + ln.Addr().String(), cancel, ended
 }
 
-func await[T any](t *testing.T, c <-chan T) T {
+func await[T any](t testing.TB, c <-chan T) T {
 	t.Helper()
 	select {
 	case v := <-c:
@@ -175,7 +175,7 @@
 	return resp, string(body), err
 }
 
-func newClient(t *testing.T) *http.Client {
+func newClient(t testing.TB) *http.Client {
 	tr := &http.Transport{}
 	t.Cleanup(tr.CloseIdleConnections)
 	return &http.Client{Transport: tr, Timeout: patience}
@@ -200,7 +200,7 @@
 }
 
 // next returns the next event of a type.
-func next[E aldermux.Event](t *testing.T, s *scripted) E {
+func next[E aldermux.Event](t testing.TB, s *scripted) E {
 	t.Helper()
 	for {
 		if e, ok := await(t, s.seen).(E); ok {
@@ -209,7 +209,7 @@
 	}
 }
 
-func addrPort(t *testing.T, text string) netip.AddrPort {
+func addrPort(t testing.TB, text string) netip.AddrPort {
 	t.Helper()
 	a, err := netip.ParseAddrPort(text)
 	if err != nil {
--- /dev/null
+++ b/internal/load/generate.go
@@ -0,0 +1,172 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// GenerateOptions describe a log that is made up.
+type GenerateOptions struct {
+	Shape   string  // steady, bursty (jumps of 2 s to twice the rate), monsoon (ramp to 2.5 times and back)
+	Rate    float64 // requests a second in the mean of a steady one
+	Seconds float64
+	Format  string  // combined (whole seconds), json (with milliseconds and keys), har
+	Share   float64 // of point-read; 0: 0.57
+	Repeats float64 // share of requests that are sent once more
+	Clients int     // addresses; 0: 200
+	Seed    uint64
+	Start   time.Time
+}
+
+// Generated is what a log that was made up holds.
+type Generated struct {
+	Requests, Repeats int64
+	Classes           map[string]int64
+}
+
+// Generate writes a log. The same options give the same bytes.
+func Generate(w io.Writer, o GenerateOptions) (Generated, error) {
+	if !(o.Rate > 0) || !(o.Seconds > 0) || math.IsInf(o.Rate*o.Seconds, 0) {
+		return Generated{}, fmt.Errorf("rate %v and seconds %v make no sense", o.Rate, o.Seconds)
+	}
+	if o.Share == 0 {
+		o.Share = 0.57
+	}
+	if o.Clients == 0 {
+		o.Clients = 200
+	}
+	if o.Start.IsZero() {
+		o.Start = time.Date(2026, 7, 14, 4, 30, 0, 0, time.UTC)
+	}
+	at := func(s float64) float64 { // of the rate
+		switch o.Shape {
+		case "steady", "":
+			return 1
+		case "bursty":
+			if math.Mod(s, 8) < 2 {
+				return 2
+			}
+			return 2.0 / 3
+		case "monsoon":
+			x := s / o.Seconds
+			return 1 + 1.5*max(0, 1-math.Abs(x-0.6)/0.4)
+		}
+		return 0
+	}
+	if at(0) == 0 {
+		return Generated{}, fmt.Errorf("shape %q is none of steady, bursty, monsoon", o.Shape)
+	}
+	var write func(g *generated) error
+	out := bufio.NewWriterSize(w, 1<<16)
+	end := ""
+	switch o.Format {
+	case "combined", "":
+		write = func(g *generated) error { return g.combined(out) }
+	case "json":
+		write = func(g *generated) error { return g.json(out) }
+	case "har":
+		io.WriteString(out, `{"log":{"version":"1.2","creator":{"name":"lemonctl","version":"1"},"entries":[`)
+		first := true
+		write = func(g *generated) error {
+			if !first {
+				io.WriteString(out, ",\n")
+			}
+			first = false
+			return g.har(out)
+		}
+		end = "]}}\n"
+	default:
+		return Generated{}, fmt.Errorf("format %q is none of combined, json, har", o.Format)
+	}
+	rng := rand.New(rand.NewPCG(o.Seed, 3))
+	sum := Generated{Classes: map[string]int64{}}
+	var again []*generated // in order of time
+	emit := func(g *generated) error {
+		sum.Requests++
+		sum.Classes[g.class]++
+		return write(g)
+	}
+	for s, n := 0.0, 0; ; n++ {
+		s += rng.ExpFloat64() / (o.Rate * at(s))
+		for len(again) > 0 && again[0].at.Before(o.Start.Add(time.Duration(s*1e9))) {
+			sum.Repeats++
+			if err := emit(again[0]); err != nil {
+				return sum, err
+			}
+			again = again[1:]
+		}
+		if s >= o.Seconds {
+			break
+		}
+		g := &generated{at: o.Start.Add(time.Duration(s * 1e9)).Truncate(time.Millisecond), class: "alert-sub", method: "POST",
+			client: fmt.Sprintf("10.%d.%d.%d", rng.IntN(200), rng.IntN(250), 1+rng.IntN(o.Clients)), key: fmt.Sprintf("%016x", rng.Uint64()), status: 200}
+		if rng.Float64() < o.Share {
+			g.class, g.method = "point-read", "GET"
+		} else {
+			g.effect = fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+		}
+		if rng.Float64() < o.Repeats {
+			g.status = 503
+			r := *g
+			r.at, r.status = g.at.Add(time.Duration(15+rng.IntN(105))*time.Millisecond), 200
+			i := len(again)
+			for i > 0 && again[i-1].at.After(r.at) {
+				i--
+			}
+			again = append(again[:i], append([]*generated{&r}, again[i:]...)...)
+		}
+		if err := emit(g); err != nil {
+			return sum, err
+		}
+	}
+	if _, err := io.WriteString(out, end); err != nil {
+		return sum, err
+	}
+	return sum, out.Flush()
+}
+
+type generated struct {
+	at                                 time.Time
+	class, method, client, key, effect string
+	status                             int
+}
+
+func (g *generated) combined(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%s - - [%s] \"%s /%s?key=%s HTTP/1.1\" %d 312 \"-\" \"advisory/4.2\"\n", g.client, g.at.Format("02/Jan/2006:15:04:05 -0700"), g.method, g.class, g.key, g.status)
+	return err
+}
+
+func (g *generated) json(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "{\"time\":%q,\"remote_addr\":%q,\"method\":%q,\"uri\":\"/%s?key=%s\",\"status\":%d", g.at.Format("2006-01-02T15:04:05.000Z07:00"), g.client, g.method, g.class, g.key, g.status)
+	if g.effect != "" {
+		fmt.Fprintf(w, ",\"http_idempotency_key\":%q", g.effect)
+	}
+	if err == nil {
+		_, err = io.WriteString(w, "}\n")
+	}
+	return err
+}
+
+func (g *generated) har(w io.Writer) error {
+	headers := []harPair{{"X-Forwarded-For", g.client}}
+	request := map[string]any{"method": g.method, "url": "http://api.internal/" + g.class + "?key=" + g.key, "httpVersion": "HTTP/1.1", "bodySize": 0}
+	if g.effect != "" {
+		headers = append(headers, harPair{"Idempotency-Key", g.effect})
+		body := fmt.Sprintf(`{"district":%q}`, g.key)
+		request["bodySize"] = len(body)
+		request["postData"] = map[string]any{"mimeType": "application/json", "text": body}
+	}
+	request["headers"] = headers
+	raw, err := json.Marshal(map[string]any{"startedDateTime": g.at.Format("2006-01-02T15:04:05.000Z07:00"), "time": 40, "request": request,
+		"response": map[string]any{"status": g.status}, "timings": map[string]any{"send": 0, "wait": 40, "receive": 0}})
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(raw)
+	return err
+}
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"errors"
+	"io"
+	"time"
+)
+
+// Plan is files, a mapping and what is made of them: a stream of requests in order of time.
+type Plan struct {
+	Counts  *Counts
+	Mapper  *Mapper
+	Repeats *Repeats
+
+	src   Source
+	first time.Time
+}
+
+// NewPlan opens the files. Each is put in order by itself; together they are merged by time.
+func NewPlan(files []string, o Options, order OrderOptions, m *Mapping) (*Plan, error) {
+	if len(files) == 0 {
+		return nil, errors.New("no files")
+	}
+	if m == nil {
+		m = DefaultMapping()
+	}
+	p := &Plan{Counts: NewCounts(), Repeats: NewRepeats(m)}
+	p.Mapper = NewMapper(m, p.Counts)
+	var sources []Source
+	for _, f := range files {
+		src, err := Open(f, o, p.Counts)
+		if err != nil {
+			for _, s := range sources {
+				s.Close()
+			}
+			return nil, err
+		}
+		sources = append(sources, Order(src, order, p.Counts))
+	}
+	p.src = Merge(sources...)
+	return p, nil
+}
+
+// Close closes the files.
+func (p *Plan) Close() error { return p.src.Close() }
+
+// Next returns the next request; io.EOF at the end. What is skipped is counted.
+func (p *Plan) Next() (*Request, error) {
+	for {
+		e, err := p.src.Next()
+		if err != nil {
+			if p.Counts.Skip(err) {
+				continue
+			}
+			return nil, err
+		}
+		p.Counts.Read++
+		q, err := p.Mapper.Map(e)
+		if err != nil {
+			if p.Counts.Skip(err) {
+				continue
+			}
+			return nil, err
+		}
+		if q == nil {
+			continue
+		}
+		p.Repeats.Note(q)
+		if p.first.IsZero() {
+			p.first = q.Time
+		}
+		q.At = q.Time.Sub(p.first)
+		return q, nil
+	}
+}
+
+// Window is the requests of one span of time.
+type Window struct {
+	T        float64          `json:"t"` // s since the first request
+	Requests int64            `json:"requests"`
+	Classes  map[string]int64 `json:"classes"`
+}
+
+// Inspection is what a plan holds.
+type Inspection struct {
+	Requests  int64            `json:"requests"` // repeats included
+	Repeats   int64            `json:"repeats"`
+	Unmatched int64            `json:"unmatched"` // entries that fit no rule
+	Skipped   map[string]int64 `json:"skipped"`   // by reason
+	Notes     map[string]int64 `json:"notes"`     // repaired and used
+	First     string           `json:"first"`     // RFC 3339
+	Last      string           `json:"last"`
+	SpanS     float64          `json:"span_s"`
+	RatePerS  float64          `json:"rate_per_s"`
+	Classes   map[string]int64 `json:"classes"`
+	WindowS   float64          `json:"window_s"`
+	Windows   []Window         `json:"windows"`
+
+	Examples          []string `json:"skipped_examples"`
+	UnmatchedExamples []string `json:"unmatched_examples"`
+}
+
+// maxWindows bounds the windows of an inspection; beyond it requests count in the last one.
+const maxWindows = 200_000
+
+// Inspect reads a plan to its end. progress, if not nil, is called now and then; an error ends it.
+func Inspect(p *Plan, window time.Duration, progress func(requests int64) error) (*Inspection, error) {
+	in := &Inspection{Classes: map[string]int64{}, WindowS: window.Seconds(), Windows: []Window{}}
+	var first, last time.Time
+	for {
+		q, err := p.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		if in.Requests++; in.Requests&0xffff == 0 && progress != nil {
+			if err := progress(in.Requests); err != nil {
+				return nil, err
+			}
+		}
+		if first.IsZero() {
+			first = q.Time
+		}
+		last = q.Time
+		in.Classes[q.Class]++
+		in.add(q, window)
+	}
+	in.Repeats, in.Unmatched, in.Skipped, in.Notes = p.Repeats.Count, p.Mapper.Unmatched, p.Counts.Skipped, p.Counts.Notes
+	in.Examples, in.UnmatchedExamples = p.Counts.First, p.Mapper.UnmatchedFirst
+	if in.Requests > 0 {
+		in.First, in.Last = first.UTC().Format(time.RFC3339Nano), last.UTC().Format(time.RFC3339Nano)
+		in.SpanS = last.Sub(first).Seconds()
+		if in.SpanS > 0 {
+			in.RatePerS = float64(in.Requests) / in.SpanS
+		}
+	}
+	return in, nil
+}
+
+func (in *Inspection) add(q *Request, window time.Duration) {
+	i := min(int(q.At/window), maxWindows-1)
+	for len(in.Windows) <= i {
+		in.Windows = append(in.Windows, Window{T: float64(len(in.Windows)) * window.Seconds(), Classes: map[string]int64{}})
+	}
+	in.Windows[i].Requests++
+	in.Windows[i].Classes[q.Class]++
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,313 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Quantiles of a set of times, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// hist is a histogram of times up to an hour, in microseconds, to three digits.
+func hist() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(max(1, d.Microseconds()), h.HighestTrackableValue()))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1000 }
+	if h.TotalCount() == 0 {
+		return Quantiles{}
+	}
+	return Quantiles{h.TotalCount(), q(50), q(90), q(99), q(99.9), float64(h.Max()) / 1000}
+}
+
+// Step is one window of a play: what the source has in it and what was sent.
+type Step struct {
+	T       float64            `json:"t"` // s since the start, as played
+	Source  map[string]int64   `json:"source"`
+	Played  map[string]int64   `json:"played"` // sent within it
+	Ended   map[Outcome]int64  `json:"ended"`  // by what became of those due in it
+	P99     map[string]float64 `json:"p99_ms"` // of those served, by class
+	latency map[string]*hdrhistogram.Histogram
+}
+
+// Recorder collects samples into a Report, in memory that doesn't grow with their number: the
+// windows are bounded, and made twice as long when they run out.
+type Recorder struct {
+	window  time.Duration
+	begun   time.Time
+	steps   []*Step
+	late    *hdrhistogram.Histogram
+	latency map[string]*hdrhistogram.Histogram
+	r       Report
+}
+
+const maxSteps = 4096
+
+// NewRecorder begins a report in windows of a length.
+func NewRecorder(window time.Duration) *Recorder {
+	return &Recorder{window: window, late: hist(), latency: map[string]*hdrhistogram.Histogram{},
+		r: Report{Outcomes: map[Outcome]int64{}, Statuses: map[int]int64{}, Classes: map[string]*ClassReport{}}}
+}
+
+func (r *Recorder) step(at time.Duration) *Step {
+	for at/r.window >= maxSteps {
+		r.double()
+	}
+	i := max(0, int(at/r.window))
+	for len(r.steps) <= i {
+		r.steps = append(r.steps, &Step{Source: map[string]int64{}, Played: map[string]int64{}, Ended: map[Outcome]int64{}, P99: map[string]float64{},
+			latency: map[string]*hdrhistogram.Histogram{}})
+	}
+	return r.steps[i]
+}
+
+// double joins the windows two by two.
+func (r *Recorder) double() {
+	r.window *= 2
+	var joined []*Step
+	for i, s := range r.steps {
+		if i%2 == 0 {
+			joined = append(joined, s)
+			continue
+		}
+		to := joined[len(joined)-1]
+		for k, v := range s.Source {
+			to.Source[k] += v
+		}
+		for k, v := range s.Played {
+			to.Played[k] += v
+		}
+		for k, v := range s.Ended {
+			to.Ended[k] += v
+		}
+		for k, h := range s.latency {
+			if to.latency[k] == nil {
+				to.latency[k] = h
+			} else {
+				to.latency[k].Merge(h)
+			}
+		}
+	}
+	r.steps = joined
+}
+
+// Add takes one sample.
+func (r *Recorder) Add(s *Sample) {
+	if r.begun.IsZero() {
+		r.begun = s.Due
+	}
+	class := s.Request.Class
+	c := r.r.Classes[class]
+	if c == nil {
+		c = &ClassReport{Outcomes: map[Outcome]int64{}}
+		r.r.Classes[class], r.latency[class] = c, hist()
+	}
+	due := r.step(s.Due.Sub(r.begun))
+	due.Source[class]++
+	due.Ended[s.Outcome]++
+	r.r.Requests++
+	if s.Request.Repeat {
+		r.r.Repeats++
+	}
+	c.Requests++
+	c.Outcomes[s.Outcome]++
+	r.r.Outcomes[s.Outcome]++
+	r.r.Statuses[s.Status]++
+	if s.Sent.IsZero() {
+		return
+	}
+	record(r.late, s.Sent.Sub(s.Due))
+	r.step(s.Sent.Sub(r.begun)).Played[class]++
+	if s.Outcome == Served {
+		// From the time when it was due, not from when it was sent: a late client waits all the same.
+		d := s.Ended.Sub(s.Due)
+		record(r.latency[class], d)
+		if due.latency[class] == nil {
+			due.latency[class] = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2)
+		}
+		record(due.latency[class], d)
+	}
+}
+
+// ClassReport is a class's part of a report.
+type ClassReport struct {
+	Requests int64             `json:"requests"`
+	Outcomes map[Outcome]int64 `json:"outcomes"`
+	Latency  Quantiles         `json:"latency"` // of those served, from when they were due
+}
+
+// Report is what a play came to.
+type Report struct {
+	Requests int64                   `json:"requests"`
+	Repeats  int64                   `json:"repeats"`
+	SpanS    float64                 `json:"span_s"`
+	RatePerS float64                 `json:"rate_per_s"`
+	Stopped  bool                    `json:"stopped"`
+	Lateness Quantiles               `json:"lateness"` // of sends, against when they were due
+	Outcomes map[Outcome]int64       `json:"outcomes"`
+	Statuses map[int]int64           `json:"statuses"`
+	Classes  map[string]*ClassReport `json:"classes"`
+	WindowS  float64                 `json:"window_s"`
+	Windows  []*Step                 `json:"windows"`
+
+	RateError float64 `json:"rate_error"` // the largest of any window, as a share of the source's rate
+	MixError  float64 `json:"mix_error"`  // the largest of any class in any window, as a share of all requests in it
+
+	Source  *SourceReport `json:"source,omitempty"`
+	Verdict any           `json:"verdict,omitempty"` // of the observer
+	Site    []string      `json:"site,omitempty"`    // what the site did to itself
+}
+
+// SourceReport is what reading the source came to.
+type SourceReport struct {
+	Files     []string         `json:"files"`
+	Read      int64            `json:"read"`
+	Unmatched int64            `json:"unmatched"`
+	Skipped   map[string]int64 `json:"skipped"`
+	Notes     map[string]int64 `json:"notes"`
+	Examples  []string         `json:"examples"`
+}
+
+// Report sums up. Windows that hold only part of their time, at the end, don't count for the errors.
+func (r *Recorder) Report(t Totals) *Report {
+	out := &r.r
+	out.Stopped, out.WindowS, out.Windows = t.Stopped, r.window.Seconds(), r.steps
+	out.Lateness = quantiles(r.late)
+	for name, c := range out.Classes {
+		c.Latency = quantiles(r.latency[name])
+	}
+	last := 0
+	for i, s := range r.steps {
+		s.T = float64(i) * r.window.Seconds()
+		for name, h := range s.latency {
+			s.P99[name] = float64(h.ValueAtQuantile(99)) / 1000
+		}
+		if sum(s.Source) > 0 {
+			last = i
+		}
+	}
+	if out.SpanS = t.Finished.Sub(t.Begun).Seconds(); out.SpanS > 0 {
+		out.RatePerS = float64(out.Requests) / out.SpanS
+	}
+	for i, s := range r.steps[:min(len(r.steps), last+1)] {
+		want, got := sum(s.Source), sum(s.Played)
+		if want == 0 || i == last && last > 0 {
+			continue
+		}
+		out.RateError = max(out.RateError, math.Abs(float64(got-want))/float64(want))
+		for class := range s.Source {
+			if got > 0 {
+				out.MixError = max(out.MixError, math.Abs(float64(s.Source[class])/float64(want)-float64(s.Played[class])/float64(got)))
+			}
+		}
+	}
+	return out
+}
+
+func sum(m map[string]int64) (n int64) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+// JSON writes the report for programs.
+func (r *Report) JSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", " ")
+	return enc.Encode(r)
+}
+
+// Text writes the report for people.
+func (r *Report) Text(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "requests  %d in %.1f s, %.1f a second, %d of them repeats", r.Requests, r.SpanS, r.RatePerS, r.Repeats)
+	if r.Stopped {
+		b.WriteString("; stopped before the end")
+	}
+	fmt.Fprintf(&b, "\nsent late %.2f ms in the median, %.2f ms p99, %.2f ms at the most\n", r.Lateness.P50, r.Lateness.P99, r.Lateness.Max)
+	fmt.Fprintf(&b, "windows   of %.0f s: rate within %.2f %% of the source, mix within %.2f %%\n\n", r.WindowS, 100*r.RateError, 100*r.MixError)
+	fmt.Fprintf(&b, "%-16s %9s %9s %9s %9s %9s %9s | ms %8s %8s %8s\n", "class", "requests", "served", "refused", "failed", "broken", "no end", "p50", "p99", "max")
+	for _, name := range sortedKeys(r.Classes) {
+		c := r.Classes[name]
+		fmt.Fprintf(&b, "%-16s %9d %9d %9d %9d %9d %9d | %11.2f %8.2f %8.2f\n", name, c.Requests, c.Outcomes[Served], c.Outcomes[Refused], c.Outcomes[Failed],
+			c.Outcomes[Broken], c.Outcomes[TimedOut]+c.Outcomes[Unsent], c.Latency.P50, c.Latency.P99, c.Latency.Max)
+	}
+	if s := r.Source; s != nil {
+		fmt.Fprintf(&b, "\nsource    %d entries read from %s; %d fit no rule\n", s.Read, strings.Join(s.Files, ", "), s.Unmatched)
+		for _, m := range []struct {
+			what string
+			m    map[string]int64
+		}{{"skipped", s.Skipped}, {"repaired", s.Notes}} {
+			for _, k := range sortedKeys(m.m) {
+				fmt.Fprintf(&b, "%-9s %d: %s\n", m.what, m.m[k], k)
+			}
+		}
+	}
+	if len(r.Site) > 0 {
+		fmt.Fprintf(&b, "\nthe site:\n  %s\n", strings.Join(r.Site, "\n  "))
+	}
+	if v, ok := r.Verdict.(fmt.Stringer); ok {
+		fmt.Fprintf(&b, "\n%s\n", v)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// Text writes an inspection for people.
+func (in *Inspection) Text(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "requests  %d, %d of them repeats; %d entries fit no rule\n", in.Requests, in.Repeats, in.Unmatched)
+	if in.Requests > 0 {
+		fmt.Fprintf(&b, "time      %s to %s: %.1f s, %.2f a second\n", in.First, in.Last, in.SpanS, in.RatePerS)
+	}
+	for _, k := range sortedKeys(in.Classes) {
+		fmt.Fprintf(&b, "class     %-20s %9d  %5.1f %%\n", k, in.Classes[k], 100*float64(in.Classes[k])/float64(in.Requests))
+	}
+	for _, k := range sortedKeys(in.Skipped) {
+		fmt.Fprintf(&b, "skipped   %9d  %s\n", in.Skipped[k], k)
+	}
+	for _, k := range sortedKeys(in.Notes) {
+		fmt.Fprintf(&b, "repaired  %9d  %s\n", in.Notes[k], k)
+	}
+	for _, e := range append(slices.Clone(in.Examples), in.UnmatchedExamples...) {
+		fmt.Fprintf(&b, "  %s\n", e)
+	}
+	if len(in.Windows) > 0 {
+		most := int64(1)
+		for _, x := range in.Windows {
+			most = max(most, x.Requests)
+		}
+		every := (len(in.Windows) + 39) / 40 // no more lines than a screen holds
+		fmt.Fprintf(&b, "\nrequests in each %.0f s", in.WindowS)
+		if every > 1 {
+			fmt.Fprintf(&b, ", one of %d shown", every)
+		}
+		b.WriteString("\n")
+		for i := 0; i < len(in.Windows); i += every {
+			x := in.Windows[i]
+			fmt.Fprintf(&b, "%9.0f s %8d %s\n", x.T, x.Requests, strings.Repeat("#", int(50*x.Requests/most)))
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
--- /dev/null
+++ b/internal/strict/strict.go
@@ -0,0 +1,59 @@
+// Package strict reads TOML files that people write: unknown keys and what makes no sense are
+// refused, with file, line and key.
+package strict
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Decode reads raw into a value; file is what errors call it.
+func Decode(file string, raw []byte, into any) error {
+	dec := toml.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(into)
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) && len(missing.Errors) > 0 {
+		row, _ := missing.Errors[0].Position()
+		return fmt.Errorf("%s: line %d: unknown key %s", file, row, strings.Join(missing.Errors[0].Key(), "."))
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, _ := decode.Position()
+		if key := strings.Join(decode.Key(), "."); key != "" {
+			return fmt.Errorf("%s: line %d: %s: %w", file, row, key, err)
+		}
+		return fmt.Errorf("%s: line %d: %w", file, row, err)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+// DecodeFile reads a file.
+func DecodeFile(path string, into any) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return Decode(path, raw, into)
+}
+
+// Table is the line on which the table [[name]] begins for the time n, counted from 0; 0: it doesn't.
+func Table(raw []byte, name string, n int) int {
+	for i, line := range strings.Split(string(raw), "\n") {
+		if head, _, _ := strings.Cut(strings.TrimSpace(line), "#"); strings.TrimSpace(head) == "[["+name+"]]" {
+			if n == 0 {
+				return i + 1
+			}
+			n--
+		}
+	}
+	return 0
+}
