--- a/cmd/lemonctl/load.go
+++ b/cmd/lemonctl/load.go
@@ -16,13 +16,14 @@
 
 // sourceFlags say what is read and how.
 type sourceFlags struct {
-	Files   []string      `arg:"" name:"file" help:"HAR files and access logs, plain or compressed by gzip or zstd; - for standard input. Several are merged by time."`
-	Format  string        `enum:"auto,har,json,common,combined,vhost_combined,custom" default:"auto" help:"What the files hold (${enum}); auto tells by their first bytes."`
-	Nginx   []string      `sep:"none" placeholder:"FORMAT" help:"An nginx log_format string or directive, tried first."`
-	Apache  []string      `sep:"none" placeholder:"FORMAT" help:"An Apache LogFormat string or directive, tried first."`
-	Map     string        `placeholder:"FILE" help:"TOML rules by which entries become requests; see load rules."`
-	Reorder time.Duration `default:"5s" help:"How much too late entries may stand in a file."`
-	MaxGap  time.Duration `placeholder:"TIME" help:"Shorten longer silences to this."`
+	Files   []string          `arg:"" name:"file" help:"HAR files and access logs, plain or compressed by gzip or zstd; - for standard input. Several are merged by time."`
+	Format  string            `enum:"auto,har,json,common,combined,vhost_combined,custom" default:"auto" help:"What the files hold (${enum}); auto tells by their first bytes."`
+	Nginx   []string          `sep:"none" placeholder:"FORMAT" help:"An nginx log_format string or directive, tried first."`
+	Apache  []string          `sep:"none" placeholder:"FORMAT" help:"An Apache LogFormat string or directive, tried first."`
+	Member  map[string]string `placeholder:"WHAT=NAME" help:"Which member of a JSON line holds what: time, client, method, target, query, host, status, request or body."`
+	Map     string            `placeholder:"FILE" help:"TOML rules by which entries become requests; see load rules."`
+	Reorder time.Duration     `default:"5s" help:"How much too late entries may stand in a file."`
+	MaxGap  time.Duration     `placeholder:"TIME" help:"Shorten longer silences to this."`
 }
 
 // plan opens the files.
@@ -34,7 +35,13 @@
 			return nil, err
 		}
 	}
-	return load.NewPlan(f.Files, load.Options{Format: f.Format, Nginx: f.Nginx, Apache: f.Apache, Stdin: s.in},
+	names := load.DefaultJSONNames()
+	for what, member := range f.Member {
+		if err := names.Set(what, member); err != nil {
+			return nil, fmt.Errorf("--member: %w", err)
+		}
+	}
+	return load.NewPlan(f.Files, load.Options{Format: f.Format, Nginx: f.Nginx, Apache: f.Apache, JSON: &names, Stdin: s.in},
 		load.OrderOptions{Window: f.Reorder, MaxGap: f.MaxGap}, mapping)
 }
 
--- a/cmd/lemonctl/main_test.go
+++ b/cmd/lemonctl/main_test.go
@@ -140,6 +140,16 @@
 	}
 }
 
+func TestNamedMembers(t *testing.T) {
+	const line = `{"when":1784003400250,"who":"192.0.2.1","what":"GET /point-read?key=a HTTP/1.1"}` + "\n"
+	if code, out, complaints := call(t, line, "load", "inspect", "--json", "--member", "time=when", "--member", "client=who", "--member", "request=what", "-"); code != 0 || !strings.Contains(out, `"point-read": 1`) {
+		t.Errorf("%s %s", out, complaints)
+	}
+	if code, _, complaints := call(t, line, "load", "inspect", "--member", "colour=red", "-"); code != 1 || !strings.Contains(complaints, "--member: colour=red") {
+		t.Errorf("ended with %d: %s", code, complaints)
+	}
+}
+
 func TestWrongCalls(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	if err := os.WriteFile(bad, []byte("[[rule]]\nclas = 'x'\n"), 0o600); err != nil {
--- a/internal/load/accesslog.go
+++ b/internal/load/accesslog.go
@@ -151,6 +151,18 @@
 	}
 }
 
+// Set makes a member the one that holds something: time, client, method, target, query, host, status,
+// request or body.
+func (n *JSONNames) Set(what, member string) error {
+	to := map[string]*[]string{"time": &n.Time, "client": &n.Client, "method": &n.Method, "target": &n.Target, "query": &n.Query,
+		"host": &n.Host, "status": &n.Status, "request": &n.Request, "body": &n.Body}[what]
+	if to == nil || member == "" {
+		return fmt.Errorf("%s=%s: there are time, client, method, target, query, host, status, request and body", what, member)
+	}
+	*to = []string{member}
+	return nil
+}
+
 // jsonLines reads objects with named members.
 type jsonLines struct{ names JSONNames }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -314,18 +314,14 @@
 		{"whole seconds are spread", []string{"04:30:00Z", "04:30:00Z", "04:30:00Z", "04:30:00Z", "04:30:01Z"}, OrderOptions{}, []int64{125, 375, 625, 875, 1500}, nil},
 		{"missing between two", []string{"04:30:00.100Z", "", "", "04:30:00.400Z"}, OrderOptions{}, []int64{100, 200, 300, 400}, map[string]int64{NoteTimeMissing: 2}},
 		{"missing at both ends", []string{"", "04:30:00.100Z", ""}, OrderOptions{}, []int64{100, 100, 100}, map[string]int64{NoteTimeMissing: 2}},
-		{"over a zone", []string{"10:00:00.100+05:30", "04:30:00.200+00:00", "23:30:00.300-05:00"}, OrderOptions{}, []int64{100, 200}, nil},
+		{"over a zone", []string{"10:00:00.100+05:30", "04:30:00.200+00:00", "06:30:00.300+02:00", "05:30:00.400+01:00"}, OrderOptions{}, []int64{100, 200, 300, 400}, nil},
 		{"a long silence kept", []string{"04:30:00.000Z", "05:30:00.000Z"}, OrderOptions{}, []int64{0, 3600000}, nil},
 		{"and shortened", []string{"04:30:00.000Z", "05:30:00.000Z", "05:30:00.500Z"}, OrderOptions{MaxGap: time.Second}, []int64{0, 1000, 1500}, map[string]int64{NoteClockAhead: 1}},
 		{"stepped back an hour", []string{"05:00:00.000Z", "05:00:00.500Z", "04:00:00.700Z", "04:00:00.900Z", "04:00:01.100Z"}, OrderOptions{backRun: 3},
 			[]int64{1800000, 1800500, 1800500, 1800700, 1800900}, map[string]int64{NoteClockBack: 1}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			in := tt.in
-			if tt.name == "over a zone" {
-				in = tt.in[:2]
-			}
-			got, counts := times(t, tt.o, in...)
+			got, counts := times(t, tt.o, tt.in...)
 			if tt.notes == nil {
 				tt.notes = map[string]int64{}
 			}
--- a/internal/load/mapping.go
+++ b/internal/load/mapping.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	_ "embed"
 	"errors"
 	"fmt"
 	"math"
@@ -15,6 +14,7 @@
 	"unicode"
 	"unicode/utf8"
 
+	"aldermux/deploy"
 	"aldermux/internal/strict"
 )
 
@@ -75,12 +75,9 @@
 // MaxBody is the most bytes of a body (PROTOCOL: 64 KiB).
 const MaxBody = 64 << 10
 
-//go:embed default.toml
-var defaultMapping string
-
-// DefaultMapping returns the rules that hold where no file is given.
+// DefaultMapping returns the rules that hold where no file is given: deploy/load.toml as it was built in.
 func DefaultMapping() *Mapping {
-	m, err := ParseMapping("default.toml", []byte(defaultMapping))
+	m, err := ParseMapping("deploy/load.toml", []byte(deploy.Load))
 	if err != nil {
 		panic(err)
 	}
@@ -88,7 +85,7 @@
 }
 
 // DefaultMappingText is the TOML of DefaultMapping, to begin a file of one's own with.
-func DefaultMappingText() string { return defaultMapping }
+func DefaultMappingText() string { return deploy.Load }
 
 // ReadMapping reads a file.
 func ReadMapping(path string) (*Mapping, error) {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -42,9 +42,12 @@
 	silent   bool
 	faults   map[string]float64 // by what, its size
 	conns    map[net.Conn]bool
-	busy     int    // cores
-	queue    []*job // waiting
-	count    uint64 // attempts so far, for the choices
+	working  []*job    // in work, sharing the cores
+	queue    []*job    // waiting
+	rate     float64   // work that each in work gets done in a second
+	counted  time.Time // until when that is counted
+	turn     uint64    // of the last look ahead; earlier ones are void
+	count    uint64    // attempts so far, for the choices
 	lastings []time.Duration
 	lastAt   []time.Time
 	report   string // the load report in force
@@ -58,9 +61,9 @@
 
 // job is work on the machine.
 type job struct {
-	took time.Duration // on one core, as the machine is when it begins
-	work float64       // s on a core of speed 1
-	done func()
+	left  float64 // s on a core of speed 1
+	begun time.Time
+	done  func()
 }
 
 // choose draws a number in 0 to 1 for the nth attempt at this node, from the scenario's seed.
@@ -191,7 +194,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.id, m.up, m.started, m.draining, m.silent = id, true, now, time.Time{}, false
-	m.busy, m.queue, m.report = 0, nil, ""
+	m.working, m.queue, m.report = nil, nil, ""
 	m.life, m.end = context.WithCancel(m.site.ctx)
 	if !now.IsZero() {
 		m.site.watch.Started(id, now, float64(m.kind.Cores))
@@ -218,38 +221,83 @@
 func (m *machine) submit(work float64, done func()) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	j := &job{work: work, done: done}
-	if m.busy < m.kind.Cores {
-		m.begin(j)
+	j := &job{left: work, done: done}
+	if len(m.working) >= m.kind.Slots {
+		if len(m.queue) >= m.kind.Queue {
+			return false
+		}
+		m.queue = append(m.queue, j)
 		return true
 	}
-	if len(m.queue) >= m.kind.Queue {
-		return false
-	}
-	m.queue = append(m.queue, j)
+	now := time.Now()
+	m.progress(now)
+	j.begun = now
+	m.working = append(m.working, j)
+	m.ahead(now)
 	return true
 }
 
-func (m *machine) begin(j *job) {
-	m.busy++
-	j.took = time.Duration(j.work / m.speed(time.Now()) * float64(time.Second))
-	life := m.life
-	m.site.timers.after(j.took, func() {
-		m.mu.Lock()
-		if life.Err() != nil { // its process has died
-			m.mu.Unlock()
-			return
-		}
-		m.busy--
-		m.lasted(j.took)
-		if len(m.queue) > 0 {
-			next := m.queue[0]
-			m.queue = m.queue[1:]
-			m.begin(next)
+// progress counts what has been done since it was last counted.
+func (m *machine) progress(now time.Time) {
+	if done := m.rate * now.Sub(m.counted).Seconds(); done > 0 {
+		for _, j := range m.working {
+			j.left -= done
 		}
+	}
+	m.counted = now
+}
+
+// ahead shares the cores out anew and looks ahead to when the next piece of work is done. A cold
+// machine gets faster on the way, so that the look is repeated at least every 20 ms.
+func (m *machine) ahead(now time.Time) {
+	m.turn++
+	if len(m.working) == 0 {
+		return
+	}
+	m.rate = m.speed(now) * min(1, float64(m.kind.Cores)/float64(len(m.working)))
+	least := math.Inf(1)
+	for _, j := range m.working {
+		least = min(least, j.left)
+	}
+	wait := time.Duration(max(0, least/m.rate) * float64(time.Second))
+	if !m.started.IsZero() || len(m.faults) > 0 {
+		wait = min(wait, 20*time.Millisecond)
+	}
+	turn, life := m.turn, m.life
+	m.site.timers.after(wait, func() { m.look(turn, life) })
+}
+
+// look ends the work that is done and begins what waits.
+func (m *machine) look(turn uint64, life context.Context) {
+	m.mu.Lock()
+	if turn != m.turn || life.Err() != nil { // overtaken, or its process has died
 		m.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	m.progress(now)
+	var ended []*job
+	still := m.working[:0]
+	for _, j := range m.working {
+		if j.left <= 1e-6 {
+			ended = append(ended, j)
+			m.lasted(now.Sub(j.begun))
+		} else {
+			still = append(still, j)
+		}
+	}
+	m.working = still
+	for len(m.queue) > 0 && len(m.working) < m.kind.Slots {
+		j := m.queue[0]
+		m.queue = m.queue[1:]
+		j.begun = now
+		m.working = append(m.working, j)
+	}
+	m.ahead(now)
+	m.mu.Unlock()
+	for _, j := range ended {
 		j.done()
-	})
+	}
 }
 
 // lasted remembers how long the last pieces of work took.
@@ -284,7 +332,7 @@
 		var parts []string
 		for _, f := range fields {
 			v := map[string]float64{"latency_ms": mean, "qps": qps, "queue": float64(len(m.queue)),
-				"inflight": float64(m.busy + len(m.queue)), "util": float64(m.busy) / float64(m.kind.Cores)}[f]
+				"inflight": float64(len(m.working) + len(m.queue)), "util": min(1, float64(len(m.working))/float64(m.kind.Cores))}[f]
 			parts = append(parts, fmt.Sprintf("%q:%.2f", f, v))
 		}
 		m.report, m.reportAt = "X-Backend-Load: {"+strings.Join(parts, ",")+"}\r\n", now
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -85,6 +85,7 @@
 	Name        string  `toml:"name"`
 	Cores       int     `toml:"cores"`
 	Speed       float64 `toml:"speed"`
+	Slots       int     `toml:"slots"`        // requests in work at a time, which share the cores evenly; 0: as many as cores
 	Queue       int     `toml:"queue"`        // requests that wait beyond those in work
 	Conns       int     `toml:"conns"`        // open connections it accepts
 	HandshakeMs float64 `toml:"handshake_ms"` // work of a new connection
@@ -262,6 +263,9 @@
 		if k.Cores == 0 {
 			k.Cores = 4
 		}
+		if k.Slots == 0 {
+			k.Slots = k.Cores
+		}
 		if k.Queue == 0 {
 			k.Queue = 20 * k.Cores
 		}
@@ -273,6 +277,8 @@
 			return fmt.Errorf("%sname: missing", at)
 		case k.Cores < 1 || k.Cores > 1024:
 			return fmt.Errorf("%scores: %d makes no sense", at, k.Cores)
+		case k.Slots < k.Cores || k.Slots > 1<<14:
+			return fmt.Errorf("%sslots: %d are fewer than its cores, or too many", at, k.Slots)
 		case !(k.Speed > 0) || math.IsInf(k.Speed, 0):
 			return fmt.Errorf("%sspeed: %v makes no sense", at, k.Speed)
 		case k.Queue < 0 || k.Conns < 1 || !(k.HandshakeMs >= 0):
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -350,8 +350,17 @@
 		s.mu.Unlock()
 		s.timers.after(sec(f.Size), func() { s.spawn(func() { s.again(m, id) }) })
 	default:
-		set(func() { m.faults[f.What] = f.Size })
-		s.ending(f, func() { set(func() { delete(m.faults, f.What) }) })
+		// What is in work goes on at its new speed.
+		change := func(g func()) {
+			set(func() {
+				now := time.Now()
+				m.progress(now)
+				g()
+				m.ahead(now)
+			})
+		}
+		change(func() { m.faults[f.What] = f.Size })
+		s.ending(f, func() { change(func() { delete(m.faults, f.What) }) })
 	}
 }
 
