--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"aldermux"
+	"aldermux/internal/standin"
 )
 
 // patience bounds every wait of a test; none is expected to last nearly so long.
@@ -55,19 +56,12 @@
 // listened on.
 func deadAddr(t testing.TB) string {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	fd, addr, err := standin.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	return addr
 }
 
 func listen(t testing.TB) net.Listener {
--- a/internal/load/order.go
+++ b/internal/load/order.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"errors"
 	"io"
+	"slices"
 	"time"
 )
 
@@ -261,7 +262,7 @@
 			n++
 		}
 	}
-	sortByTime(o.second)
+	slices.SortStableFunc(o.second, func(a, b *Entry) int { return a.Time.Compare(b.Time) })
 	for _, e := range o.second {
 		o.gap(e)
 		o.ready = append(o.ready, e)
@@ -331,11 +332,3 @@
 	m.heads[best] = nil
 	return e, nil
 }
-
-func sortByTime(list []*Entry) {
-	for i := 1; i < len(list); i++ { // nearly in order
-		for j := i; j > 0 && list[j].Time.Before(list[j-1].Time); j-- {
-			list[j], list[j-1] = list[j-1], list[j]
-		}
-	}
-}
--- a/internal/load/repeats.go
+++ b/internal/load/repeats.go
@@ -43,7 +43,7 @@
 func (r *Repeats) Note(q *Request) {
 	q.Seq, q.Origin = r.seq, r.seq
 	r.seq++
-	known, window, among := true, r.window, r.recent
+	known, among := true, r.recent
 	r.forget(r.recent, q.Time.Add(-r.window))
 	r.forget(r.keys, q.Time.Add(-r.keyWindow))
 	r.text = r.text[:0]
@@ -54,7 +54,7 @@
 	}
 	switch {
 	case q.Effect != "":
-		window, among = r.keyWindow, r.keys
+		among = r.keys
 		add("key", q.Class, q.Effect)
 	case q.Client != "":
 		add("request", q.Client, q.Class, q.Target)
@@ -65,16 +65,12 @@
 	key := sha256.Sum256(r.text)
 	if known {
 		if at := r.byKey[key]; at != nil {
-			m := at.Value.(*remembered)
-			if d := q.Time.Sub(m.at); d >= 0 && d <= window {
-				q.Repeat, q.Origin, q.Effect = true, m.origin, m.effect
-				r.Count++
-				m.at = q.Time
-				among.MoveToBack(at)
-				return
-			}
-			among.Remove(at)
-			delete(r.byKey, key)
+			m := at.Value.(*remembered) // within its window, or it would have been forgotten
+			q.Repeat, q.Origin, q.Effect = true, m.origin, m.effect
+			r.Count++
+			m.at = q.Time
+			among.MoveToBack(at)
+			return
 		}
 	}
 	if q.keyed && q.Effect == "" {
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -38,8 +38,7 @@
 	Next     func() (*load.Request, error) // the plan
 	Play     load.PlayOptions              // Targets, Observer and Done are set here
 	Window   time.Duration                 // of the report; 0: 10 s
-	Progress func(done load.Totals, r *load.Recorder)
-	Each     func(*load.Sample) // called for each request, by one goroutine at a time
+	Each     func(*load.Sample)            // called for each request, by one goroutine at a time
 }
 
 // Agents are running agents of a site.
@@ -267,17 +266,11 @@
 	rec := load.NewRecorder(o.Window)
 	play := o.Play
 	play.Targets, play.Observer = agents.Targets, &watch{l, names}
-	begun := time.Now()
-	said := begun
 	play.Done = func(s *load.Sample) {
 		rec.Add(s)
 		if o.Each != nil {
 			o.Each(s)
 		}
-		if o.Progress != nil && time.Since(said) >= time.Second {
-			said = time.Now()
-			o.Progress(load.Totals{Begun: begun, Finished: said}, rec)
-		}
 	}
 	moves, stopMoves := context.WithCancel(context.Background())
 	var moving sync.WaitGroup
