--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -359,7 +359,6 @@
 		c.mu.Unlock()
 		c.l.mu.Lock()
 		between := c.e.state == New || c.e.state == Idle
-		asked, state := c.e.asked, c.e.state
 		c.l.mu.Unlock()
 		// Guards against bytes that came in the same instant as the deadline: a read past its
 		// deadline doesn't look for them, and a close would drop a request that is there.
@@ -375,9 +374,7 @@
 			continue // was calmed meanwhile
 		}
 		gone := false
-		if asked && (state == New || state == Head || state == Idle) {
-			c.decide(func(g *Governor, e *Entry, now time.Duration) { gone = g.Yield(e, now) })
-		}
+		c.decide(func(g *Governor, e *Entry, now time.Duration) { gone = g.Yield(e, now) })
 		if gone {
 			if c.got.Load() { // part of a request: none of it has run, and it may come again
 				c.Write(c.l.turnAway)
