--- a/aldermux.go
+++ b/aldermux.go
@@ -104,6 +104,7 @@
 	fraction  float64  // this agent's part of the limit
 	tellToken int64
 
+	workLeft  float64 // running mean of what warm keys leave of the work
 	crowd     float64 // running mean of the attempts that other agents had at a backend, by its reports
 	stale     float64 // running share of reports that are older than the attempt they came with
 	width     float64 // the most attempts that a backend said to work on at once; 0: not told
@@ -127,6 +128,8 @@
 	Backend
 	out  []*attempt // oldest first
 	seen bool       // has answered this balancer since it started
+	hash uint64     // of its id
+	keys []met      // sent lately, the latest last
 	speed
 	crowd    float64       // attempts of other agents there, by its last report
 	heard    time.Duration // when that came; 0: never
@@ -180,7 +183,9 @@
 	came     time.Duration
 	aim      time.Duration // answers after this time earn less
 	deadline time.Duration
-	work     float64 // expected work as told, ns; 0: unknown
+	work     float64  // expected work as told, ns; 0: unknown
+	key      uint64   // hash of what it is about; 0: nothing
+	home     *backend // of the key, for now
 	attempts []*attempt
 	open     int      // attempts out
 	risky    int      // attempts that may have run, those out included
@@ -203,7 +208,7 @@
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), advice: rand.New(rand.NewPCG(seed, 1)),
 		tokens: bucketCap, base: aimedDelay / aimedRise, delay: aimedDelay / aimedRise,
-		perBack: startPerBack, stale: 1,
+		perBack: startPerBack, stale: 1, workLeft: 1,
 		byID: map[string]*backend{}, kinds: map[int]*speed{}, requests: map[string]*request{},
 		timers: map[int64]*request{}, fraction: 1 / float64(s.Balancers),
 		demands: make([]demand, s.Balancers)}
@@ -274,6 +279,9 @@
 	if !e.Repeat {
 		c.patience += min(max(off, -b.s.Tick/4), b.s.Tick/4) // towards the median
 	}
+	if b.s.WarmKeys && e.Key != "" {
+		r.key = hashed(e.Key)
+	}
 	if r.work = float64(e.Work); r.work > 0 {
 		c.work = blend(c.work, r.work)
 	}
@@ -470,6 +478,7 @@
 		}
 	}
 	mean /= float64(max(seen, 1))
+	r.home = b.home(r)
 	var idle, few, last *backend
 	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
 	for _, t := range b.backends {
@@ -486,13 +495,13 @@
 		}
 		load := float64(len(t.out))
 		if !t.seen {
-			load = mean // a new one gets no rush
+			load = max(load, mean) // a new one gets no rush
 		}
-		slow := b.slowness(t)
-		if load < 1 {
+		slow, left := b.slowness(t), b.left(t, r)
+		if load < 1 || load < keyIdle && left == warmWork {
 			// Departure: an even choice among idle backends would load slow ones as much as fast
 			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
-			w := b.warmth(t) / (slow * slow * slow)
+			w := b.warmth(t) / (slow * slow * slow) / math.Pow(left, keyPull)
 			if b.stale < staleMost {
 				crowd := (b.crowdAt(t) + crowdLeast) / (b.crowd + crowdLeast)
 				w /= crowd * crowd * crowd
@@ -513,7 +522,7 @@
 			continue
 		}
 		// Departure: in-flight counts are weighed by slowness for the same reason.
-		score := (load + 1) * slow / b.warmth(t)
+		score := (load + 1) * slow * left / b.warmth(t)
 		if t.cold && !t.seen {
 			// Guards against a newcomer that gets nothing while the limit binds, though the limit counts
 			// it: the others hold the whole limit then, and few of them more than their mean. Its budget
@@ -861,7 +870,7 @@
 // start notes that a backend's process started at a time learned now.
 func (t *backend) start(at, now time.Duration) {
 	t.warmFrom, t.cold, t.seen, t.slow, t.samples = at, true, false, 0, 0
-	t.budget, t.turns, t.budgetAt, t.errors = 0, 0, now, 0
+	t.budget, t.turns, t.budgetAt, t.errors, t.keys = 0, 0, now, 0, nil
 }
 
 // warmth is the share of its full capacity that a backend surely has by now.
@@ -969,7 +978,7 @@
 		listed[n.ID] = true
 		t := b.byID[n.ID]
 		if t == nil {
-			t = &backend{Backend: n}
+			t = &backend{Backend: n, hash: hashed(n.ID)}
 			b.byID[n.ID] = t
 			b.backends = append(b.backends, t)
 			if n.Started > 0 {
@@ -1003,7 +1012,7 @@
 		b.finish(r, NoTime)
 		return
 	}
-	a := &attempt{b: t, sent: b.now, cost: max(b.expected(r), 1), open: true}
+	a := &attempt{b: t, sent: b.now, cost: max(b.expected(r)*b.keyed(t, r), 1), open: true}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.risky++; r.anchor == nil {
--- /dev/null
+++ b/keys_test.go
@@ -0,0 +1,130 @@
+package aldermux_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"aldermux"
+)
+
+// askKeys asks a balancer for many keys, one request at a time, and returns the backends of each key.
+// A backend that has met a key takes two fifths as long for it.
+func askKeys(t *testing.T, s aldermux.Settings, seed uint64, rounds, keys int) map[string]map[string]int {
+	t.Helper()
+	r := newRig(t, s, seed, backends(8))
+	got := map[string]map[string]int{}
+	for i := range rounds * keys {
+		id, key := fmt.Sprint("q", i), fmt.Sprint("k", i%keys)
+		r.step(aldermux.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
+		if len(r.sent[id]) != 1 {
+			t.Fatalf("request %d of an idle site was sent %d times", i, len(r.sent[id]))
+		}
+		to := r.sent[id][0]
+		if got[key] == nil {
+			got[key] = map[string]int{}
+		}
+		latency := 5 * ms
+		if got[key][to]++; got[key][to] > 1 {
+			latency = 2 * ms
+		}
+		r.now += latency
+		r.step(aldermux.Outcome{Request: id, Backend: to, Result: aldermux.OK, Latency: latency, Done: true})
+		r.now += ms
+	}
+	return got
+}
+
+func TestKeyStaysWhereItIsKnown(t *testing.T) {
+	share := func(warm bool) float64 {
+		s := settings()
+		s.WarmKeys = warm
+		most, all := 0, 0
+		for _, at := range askKeys(t, s, 7, 20, 40) {
+			top := 0
+			for _, n := range at {
+				top, all = max(top, n), all+n
+			}
+			most += top
+		}
+		return float64(most) / float64(all)
+	}
+	if got := share(true); got < 0.8 {
+		t.Errorf("%.2f of a key's requests went to its usual backend, want 0.8 at least", got)
+	}
+	if got := share(false); got > 0.5 { // 0.25 or so by chance
+		t.Errorf("without warm keys %.2f of a key's requests went to one backend", got)
+	}
+}
+
+// Agents that know nothing of a key send it to the same backend mostly, without a word between them.
+func TestAgentsAgreeOnAKeysHome(t *testing.T) {
+	s := settings()
+	s.WarmKeys, s.Balancers = true, 2
+	one := askKeys(t, s, 1, 1, 200)
+	s.Self = 1
+	other := askKeys(t, s, 2, 1, 200)
+	same := 0
+	for key, at := range one {
+		for to := range at {
+			same += other[key][to]
+		}
+	}
+	if same < 140 { // 25 by chance
+		t.Errorf("two agents chose the same backend for %d of 200 keys", same)
+	}
+}
+
+// One key that draws all traffic must not pile up where it is known.
+func TestPopularKeySpreads(t *testing.T) {
+	s := settings()
+	s.WarmKeys = true
+	r := newRig(t, s, 3, backends(8))
+	out := map[string]int{}
+	for i := range 16 {
+		id := fmt.Sprint("q", i)
+		r.step(aldermux.Request{ID: id, Class: safe, Key: "one", Left: 2000 * ms})
+		for _, to := range r.sent[id] {
+			out[to]++
+		}
+	}
+	for to, n := range out {
+		if n > 4 {
+			t.Errorf("backend %s holds %d of 16 requests for one key", to, n)
+		}
+	}
+	if len(out) < 4 {
+		t.Errorf("16 requests at once for one key use %d of 8 backends", len(out))
+	}
+}
+
+// A backend that has restarted knows no keys, and one that is sent very many has forgotten the first.
+func TestKeysAreForgotten(t *testing.T) {
+	s := settings()
+	s.WarmKeys = true
+	r := newRig(t, s, 5, backends(2))
+	ask := func(i int, key string) string {
+		id := fmt.Sprint("q", i)
+		r.step(aldermux.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
+		to := r.sent[id][0]
+		r.now += 2 * ms
+		r.step(aldermux.Outcome{Request: id, Backend: to, Result: aldermux.OK, Latency: 2 * ms, Done: true})
+		return to
+	}
+	first := ask(0, "first")
+	for i := range 50 {
+		if to := ask(1+i, "first"); to != first {
+			t.Fatalf("request %d for a known key went to %s, not %s", i, to, first)
+		}
+	}
+	r.now += time.Minute // longer than any backend is taken to remember
+	moved := 0
+	for i := range 400 {
+		if ask(100+i, fmt.Sprint("other", i)) != first {
+			moved++
+		}
+	}
+	if moved < 100 || moved > 300 {
+		t.Errorf("of 400 keys asked for once %d went to one of two backends", moved)
+	}
+}
