--- a/keys.go
+++ b/keys.go
@@ -13,12 +13,12 @@
 // agents take the same backend for its home.
 
 const (
-	warmWork = 0.4 // share of the work that is left where the key is known
-	homeWork = 0.5 // and at the key's home, where another agent may have sent it
-	keyPull  = 6.0 // power of that share in the choice among idle backends
-	keyIdle  = 2.0 // attempts out below which a backend that knows the key counts as idle for it
+	warmWork = 0.4  // share of the work that is left where the key is known
+	homeWork = 0.5  // and at the key's home, where another agent may have sent it
+	keyPull  = 6.0  // power of that share in the choice among idle backends
+	keyIdle  = 2.0  // attempts out below which a backend that knows the key counts as idle for it
 	keyAims  = 12.0 // mean aims for which a backend is taken to remember a key
-	keysMost = 64  // keys that a backend is taken to remember; the oldest goes first
+	keysMost = 64   // keys that a backend is taken to remember; the oldest goes first
 )
 
 // met is a key that a backend was sent, and when this was last.
