--- a/aldermux.go
+++ b/aldermux.go
@@ -46,7 +46,7 @@
 	crossWeight  = 150.0 // a backend in another zone counts as 1 over 1 + so many times the price of crossing
 
 	aimedDelay   = 0.55 // mean latency over aim to keep to: less refuses uneven work, more crowds servers
-	aimedBlind   = 0.35 // the same without fresh reports, for an agent that is not quiet
+	aimedBlind   = 0.25 // the same without fresh reports, for an agent that is not quiet
 	aimedRise    = 2.0  // and above so many times its low: servers may slow down when crowded
 	aimedLeast   = 0.2  // but under this share of the aim nothing is lost yet that a refusal would save
 	limitCut     = 0.9  // one cut of the in-flight limit
--- a/keys.go
+++ b/keys.go
@@ -27,23 +27,6 @@
 	at  time.Duration
 }
 
-// hashed is a text as a number that is the same at every agent, and never 0.
-func hashed(text string) uint64 {
-	h := uint64(len(text))
-	for i := range len(text) {
-		h = mixed(h + uint64(text[i]))
-	}
-	return h | 1
-}
-
-// mixed spreads a number over all bits (the finalizer of splitmix64).
-func mixed(h uint64) uint64 {
-	h += 0x9e3779b97f4a7c15
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
 // home is the backend where all agents send a key that they know nothing of: weighted rendezvous
 // hashing over those that are up and warm, so that a change of the list moves few keys.
 func (b *Balancer) home(r *request) (best *backend) {
