--- a/aldermux.go
+++ b/aldermux.go
@@ -207,7 +207,7 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), advice: rand.New(rand.NewPCG(seed, 1)),
-		tokens: bucketCap, base: aimedDelay / aimedRise, delay: aimedDelay / aimedRise,
+		tokens: bucketCap, base: aimedDelay / aimedRise, delay: aimedLeast,
 		perBack: startPerBack, stale: 1, workLeft: 1,
 		byID: map[string]*backend{}, kinds: map[int]*speed{}, requests: map[string]*request{},
 		timers: map[int64]*request{}, fraction: 1 / float64(s.Balancers),
