A test of the limit serves for longer before latency rises

With the blind limit's aim at a quarter of the aim the low of the mean delay has to have come down to 0.12 before a rise to 0.245 shows as one, which takes 1,500 answers instead of 300. What the test expects stands.

--- a/aldermux_test.go
+++ b/aldermux_test.go
@@ -1099,7 +1099,7 @@
 func TestLimitFallsWithRisingLatency(t *testing.T) {
 	inFlight := func(usual time.Duration) (n int) {
 		r := newRig(t, settings(), 1, backends(2))
-		r.serve(300, safe, usual)
+		r.serve(1500, safe, usual)
 		r.serve(200, safe, 98*ms) // between a fifth and a quarter of the aim
 		for i := range 40 {
 			id := fmt.Sprint("q", i)
