--- a/aldermux.go
+++ b/aldermux.go
@@ -38,6 +38,9 @@
 	strikeCap    = 5.0   // longest ejection is 2^(cap-1) times the first
 	fullRow      = 5.0   // times in a row that a full backend's rest doubles at the most
 	coldTrickle  = 0.25  // of a core's work all agents send a cold backend where none is warm
+	turnSaved    = 0.25  // of a request that a cold backend's budget has saved up before it gets one
+	hintLeast    = 0.5   // of the mean latency that little told work is expected to take: it queues too
+	hintMost     = 4.0   // and the most that much work is
 	heavy        = 2.0   // a cold backend gets no request of more than so many times the mean work
 	reportSpan   = 10.0  // mean latencies over which a report on a backend fades to the mean of all
 	staleMost    = 0.1   // share of reports older than what they came with, above which none steers
@@ -548,11 +551,11 @@
 // slowness is how much longer this backend takes than the mean, by its answers or its kind's.
 func (b *Balancer) slowness(t *backend) float64 { return cmp.Or(t.slow, b.kind(t).slow) }
 
-// expected is the mean latency for a request of this class and told work.
+// expected is the mean latency for a request of this class and told work, as far as latency follows work.
 func (b *Balancer) expected(r *request) float64 {
 	c := &b.classes[r.class]
 	if r.work > 0 && c.work > 0 {
-		return c.latency * r.work / c.work
+		return c.latency * min(max(r.work/c.work, hintLeast), hintMost)
 	}
 	return c.latency
 }
@@ -670,9 +673,6 @@
 		t.lastOK = b.now
 		t.seen = true
 		b.learnSpeed(t, lat/a.cost)
-		if r.work > 0 && c.work > 0 {
-			lat *= c.work / r.work
-		}
 		c.latency = blend(c.latency, max(lat, 1))
 		b.pace(a, float64(e.Latency)/float64(c.Aim))
 	case Full:
@@ -941,7 +941,7 @@
 	share := w * math.Sqrt(max(1, b.s.FallMultiple)) * float64(b.now-t.budgetAt)
 	t.budget, t.turns = min(t.budget+share*rate, mean), min(t.turns+share*count, 1)
 	t.budgetAt = b.now
-	return t.budget > 0 && t.turns > 0 && cost <= heavy*mean
+	return t.budget > 0 && t.turns >= turnSaved && cost <= heavy*mean
 }
 
 // decayed is the work lately served by warm backends, over about one fall window.
--- a/limit_test.go
+++ b/limit_test.go
@@ -387,3 +387,47 @@
 		}
 	})
 }
+
+// Incident i25ac6e: answers that waited in a queue were scaled by the work told with them, so that one of
+// little work stood for minutes. The mean delay, which spans a few mean latencies, followed no longer, and
+// the limit grew while all answers were late. Advice on when to return tells the mean latency.
+func TestQueuedAnswersOfLittleWorkStandForThemselves(t *testing.T) {
+	const n = 4
+	s := settings()
+	s.RetryAfter, s.MaxRetryAfter = true, time.Hour
+	r := newRig(t, s, 1, backends(n))
+	works := []time.Duration{ms, 2 * ms, 40 * ms, 200 * ms}
+	serve := func(rounds int, latency time.Duration) {
+		for i := range rounds {
+			ids := make([]string, 4*n)
+			for j := range ids {
+				ids[j] = fmt.Sprint("s", latency, i, "-", j)
+				r.step(aldermux.Request{ID: ids[j], Class: safe, Left: 2000 * ms, Work: works[j%len(works)]})
+			}
+			r.now += latency
+			for _, id := range ids {
+				if len(r.sent[id]) > 0 {
+					r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Result: aldermux.OK,
+						Latency: latency, Done: true, Load: aldermux.Load{Outstanding: -1, Queue: -1}})
+				}
+			}
+		}
+	}
+	serve(40, 20*ms)
+	serve(8, 390*ms) // of an aim of 400 ms
+	for i := range 100 {
+		r.step(aldermux.Request{ID: fmt.Sprint("q", i), Class: safe, Left: 2000 * ms, Work: 40 * ms})
+	}
+	refused := 0
+	for _, a := range r.advance(400 * ms) {
+		if a, ok := a.(aldermux.Refuse); ok {
+			refused++
+			if a.RetryAfter > 600*ms { // one and a half times the latency seen
+				t.Fatalf("told to come back after %v, where answers take 390ms", a.RetryAfter)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("none of 100 requests refused")
+	}
+}
