--- a/aldermux.go
+++ b/aldermux.go
@@ -189,6 +189,7 @@
 	work     float64  // expected work as told, ns; 0: unknown
 	key      uint64   // hash of what it is about; 0: nothing
 	home     *backend // of the key, for now
+	left     float64  // least share of its work that is left at a backend
 	attempts []*attempt
 	open     int      // attempts out
 	risky    int      // attempts that may have run, those out included
@@ -367,6 +368,12 @@
 // hold lets a request wait for room; one that finds some leaves in the same step.
 func (b *Balancer) hold(r *request) {
 	r.holding = true
+	r.left = 1
+	for _, t := range b.backends {
+		if t.State == Up {
+			r.left = min(r.left, b.left(t, r))
+		}
+	}
 	b.held = append(b.held, r)
 }
 
@@ -389,7 +396,7 @@
 			if r.passed {
 				continue
 			}
-			v := b.value(&b.classes[r.class])
+			v := b.value(&b.classes[r.class]) / r.left
 			if r.repeat {
 				v *= repeatValue
 			}
--- a/keys_test.go
+++ b/keys_test.go
@@ -128,3 +128,36 @@
 		t.Errorf("of 400 keys asked for once %d went to one of two backends", moved)
 	}
 }
+
+// Where there is no room, a request whose key a backend knows goes first: it takes less of the room.
+func TestKnownKeysLeaveFirstWhereThereIsNoRoom(t *testing.T) {
+	for _, warm := range []bool{true, false} {
+		s := settings()
+		s.WarmKeys = warm
+		r := newRig(t, s, 1, backends(1))
+		ask := func(id, key string) {
+			r.step(aldermux.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
+			r.now += ms
+		}
+		for i := range 50 {
+			ask(fmt.Sprint("q", i), "known")
+		}
+		if len(r.sent["q49"]) > 0 {
+			t.Fatal("50 requests found room at one backend")
+		}
+		ask("known", "known")
+		ask("new", "new")
+		first := ""
+		for i := 0; i < 5 && first == ""; i++ {
+			for _, a := range r.step(aldermux.Outcome{Request: fmt.Sprint("q", i), Backend: "a",
+				Result: aldermux.OK, Latency: 20 * ms, Done: true}) {
+				if a, ok := a.(aldermux.Send); ok && first == "" {
+					first = a.Request
+				}
+			}
+		}
+		if want := map[bool]string{true: "known", false: "new"}[warm]; first != want {
+			t.Errorf("warm keys %v: %q left first, want %q", warm, first, want)
+		}
+	}
+}
