A key's home does not count as known when a retry is held

Read once more: hold asked left for what is known of a request's key, which counts the home as half the work; on a retry the home of the first pick was still set, so retries of keys that nobody knows left early.

--- a/aldermux.go
+++ b/aldermux.go
@@ -367,8 +367,7 @@
 
 // hold lets a request wait for room; one that finds some leaves in the same step.
 func (b *Balancer) hold(r *request) {
-	r.holding = true
-	r.left = 1
+	r.holding, r.left, r.home = true, 1, nil // a home says where to go, not what is known
 	for _, t := range b.backends {
 		if t.State == Up {
 			r.left = min(r.left, b.left(t, r))
