--- a/aldermux.go
+++ b/aldermux.go
@@ -103,9 +103,11 @@
 
 	wanted    float64 // running mean of attempts out and requests held
 	wantAt    time.Duration
-	demands   []demand // of other agents, by their numbers
-	fraction  float64  // this agent's part of the limit
-	tellToken int64
+	demands   []demand      // of other agents, by their numbers
+	fraction  float64       // this agent's part of the limit
+	asked     float64       // and their sum over time since it told others
+	toldAt    time.Duration // when it last told others
+	tellAfter float64       // spans until it does again
 
 	workLeft  float64 // running mean of what warm keys leave of the work
 	crowd     float64 // running mean of the attempts that other agents had at a backend, by its reports
@@ -215,7 +217,7 @@
 		perBack: startPerBack, stale: 1, workLeft: 1,
 		byID: map[string]*backend{}, kinds: map[int]*speed{}, requests: map[string]*request{},
 		timers: map[int64]*request{}, fraction: 1 / float64(s.Balancers),
-		demands: make([]demand, s.Balancers)}
+		demands: make([]demand, s.Balancers), tellAfter: 1}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
 	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
 	for _, c := range s.Classes {
@@ -228,7 +230,7 @@
 func (b *Balancer) Step(now time.Duration, events []Event) []Action {
 	b.now, b.actions = max(now, b.now), nil
 	if b.pacedAt == 0 { // Guards against a first answer that alone makes the mean.
-		b.pacedAt, b.wantAt = b.now, b.now
+		b.pacedAt, b.wantAt, b.toldAt = b.now, b.now, b.now
 	}
 	b.save()
 	b.measure()
@@ -336,9 +338,6 @@
 	case b.roomToken:
 		b.roomToken = 0
 		return
-	case b.tellToken:
-		b.tellToken = 0
-		return
 	}
 	r := b.timers[token]
 	delete(b.timers, token)
@@ -445,15 +444,15 @@
 // fleet's limit is small and no whole number: it keeps it as a mean over time, and may save up.
 func (b *Balancer) room() bool {
 	out, part := float64(b.inFlight-b.stuck), b.part()
-	if !b.quiet() {
-		return out < part
+	if !b.quiet() && out < part {
+		return true
 	}
 	return b.spare > max(0, out-part)*b.usual()
 }
 
 // save adds to the attempt time that is spare what the limit allowed since, less what was used.
 func (b *Balancer) save() {
-	most := saveAtMost * b.usual()
+	most := saveAtMost * b.usual() * b.crowding()
 	gain := (b.part() - float64(b.inFlight-b.stuck)) * float64(b.now-b.savedAt)
 	b.spare = max(-most, min(most, b.spare+gain))
 	b.savedAt = b.now
@@ -867,6 +866,11 @@
 
 func (b *Balancer) part() float64 { return max(b.perBack*b.capacity*b.fraction, 1e-6) }
 
+// crowding is how far agents outnumber backends: 1 where each is quiet.
+func (b *Balancer) crowding() float64 {
+	return min(1, float64(b.s.Balancers-1)/(quietRatio*float64(max(b.up, 1))))
+}
+
 // quiet reports whether agents far outnumber backends, so that each has too little traffic to
 // learn from, and a part of the limit that rounding up to whole attempts would overrun.
 func (b *Balancer) quiet() bool { return float64(b.s.Balancers) > quietRatio*float64(b.up) }
--- a/limit_test.go
+++ b/limit_test.go
@@ -29,6 +29,7 @@
 
 	served, inTime, refused, failed int
 	refusedIdle                     int // of those refused, while a node that was up had a free core
+	told                            int // bytes that agents were sent by others
 	endedAt                         []time.Duration
 	servedAt                        []time.Duration
 }
@@ -118,7 +119,12 @@
 		case aldermux.SetTimer:
 			d.at(d.now+a.After, func() { d.step(agent, aldermux.TimerFired{Token: a.Token}) })
 		case aldermux.TellPeer:
-			d.at(d.now+10*time.Millisecond, func() { d.step(a.To, aldermux.PeerMessage{From: agent, Data: a.Data}) })
+			for to := range d.agents {
+				if to != agent && (a.To == to || a.To == aldermux.EveryPeer) {
+					d.told += len(a.Data)
+					d.at(d.now+10*time.Millisecond, func() { d.step(to, aldermux.PeerMessage{From: agent, Data: a.Data}) })
+				}
+			}
 		case aldermux.Refuse:
 			d.end(a.Request, &d.refused)
 			for _, n := range d.nodes {
--- a/order_test.go
+++ b/order_test.go
@@ -130,7 +130,7 @@
 			a.fault("a timer in the past: %v", act.After)
 		}
 	case aldermux.TellPeer:
-		if !a.s.Peers || len(act.Data) > 256 || act.To < 0 || act.To >= a.s.Balancers || act.To == a.s.Self {
+		if !a.s.Peers || len(act.Data) > 256 || act.To < aldermux.EveryPeer || act.To >= a.s.Balancers || act.To == a.s.Self {
 			a.fault("%d bytes to peer %d", len(act.Data), act.To)
 		}
 	}
--- a/share.go
+++ b/share.go
@@ -12,11 +12,11 @@
 
 const (
 	evenPart  = 0.25 // of the limit, that is split evenly whatever agents want: a burst finds it
-	tellPace  = 4.0  // mean latencies between two messages
-	tellIdle  = 8.0  // times as long while nothing is wanted
-	demandOld = 20.0 // such spans after which a demand that was heard counts no longer
-	tellMost  = 32   // agents beyond which none tells: messages grow with their square
+	tellPace  = 4.0  // mean latencies between two messages at the least
+	tellBytes = 32.0 // bytes to all peers together that a request pays for
+	demandOld = 20.0 // such spans over which what was heard fades
 	demandTag = 0xd1 // begins a message: a demand, in 256ths of an attempt, follows
+	demandLen = 5    // bytes of it
 )
 
 // demand is what a peer wanted and when it said so.
@@ -26,35 +26,29 @@
 }
 
 // talks reports whether agents tell each other what they want.
-func (b *Balancer) talks() bool {
-	return b.s.Peers && b.s.Balancers > 1 && b.s.Balancers <= tellMost && !b.quiet()
-}
+func (b *Balancer) talks() bool { return b.s.Peers && b.s.Balancers > 1 }
 
 // want moves the running mean of the attempts that this agent would have out, those that wait for
 // room included.
 func (b *Balancer) want() {
+	b.asked += float64(b.inFlight+len(b.held)) * float64(b.now-b.wantAt)
 	weight := 1 - math.Exp(-float64(b.now-b.wantAt)/(tellPace*b.usual()))
 	b.wanted += weight * (float64(b.inFlight+len(b.held)) - b.wanted)
 	b.wantAt = b.now
 }
 
-// tell sends the other agents what this one wants, now and then.
+// tell sends the other agents what this one wanted since the last time: each message goes to every agent,
+// so that in a large fleet one takes several requests to pay for it. An agent with no traffic says nothing.
 func (b *Balancer) tell() {
-	if !b.talks() || b.tellToken != 0 {
+	since, requests := float64(b.now-b.toldAt), b.asked/b.usual()
+	if !b.talks() || since < tellPace*b.usual()*b.tellAfter ||
+		requests < b.tellAfter*demandLen*float64(b.s.Balancers-1)/tellBytes {
 		return
 	}
-	span := tellPace * b.usual()
-	if b.inFlight+len(b.held) == 0 && b.wanted < 1 {
-		span *= tellIdle
-	}
-	data := binary.BigEndian.AppendUint32([]byte{demandTag}, uint32(min(b.wanted*256, math.MaxUint32)))
-	for to := range b.s.Balancers {
-		if to != b.s.Self {
-			b.actions = append(b.actions, TellPeer{To: to, Data: data})
-		}
-	}
+	data := binary.BigEndian.AppendUint32([]byte{demandTag}, uint32(min(b.asked/since*256, math.MaxUint32)))
+	b.actions = append(b.actions, TellPeer{To: EveryPeer, Data: data})
 	// Spread, so that agents that started together don't all speak at once.
-	b.tellToken = b.alarm(time.Duration(span * (0.75 + 0.5*b.advice.Float64())))
+	b.toldAt, b.asked, b.tellAfter = b.now, 0, 0.75+0.5*b.advice.Float64()
 }
 
 // onPeer takes what another agent wants. What is no such message says nothing.
@@ -74,15 +68,15 @@
 	if !b.talks() {
 		return
 	}
-	old := time.Duration(demandOld * tellPace * tellIdle * b.usual())
 	known, sum := 1.0, b.wanted
 	for _, d := range b.demands {
-		if d.heard > 0 && b.now-d.heard < old {
-			known++
-			sum += d.want
+		if d.heard > 0 {
+			fresh := math.Exp(-float64(b.now-d.heard) / (demandOld * tellPace * b.usual()))
+			known += fresh
+			sum += fresh * d.want
 		}
 	}
-	if known > 1 && sum > 0 {
+	if sum > 0 {
 		b.fraction = even*evenPart + known*even*(1-evenPart)*b.wanted/sum
 	}
 }
