--- a/aldermux.go
+++ b/aldermux.go
@@ -48,24 +48,26 @@
 	newConnBias  = 0.005 // chance of an idle backend without an open connection: as of one six times slower
 	crossWeight  = 150.0 // a backend in another zone counts as 1 over 1 + so many times the price of crossing
 
-	aimedDelay   = 0.55 // mean latency over aim to keep to: less refuses uneven work, more crowds servers
-	aimedBlind   = 0.25 // the same without fresh reports, for an agent that is not quiet
-	aimedRise    = 2.0  // and above so many times its low: servers may slow down when crowded
-	aimedLeast   = 0.2  // but under this share of the aim nothing is lost yet that a refusal would save
-	limitCut     = 0.9  // one cut of the in-flight limit
-	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
-	startPerBack = 6.0  // in-flight limit at the start, for all agents together per backend
-	floorPerBack = 4.0  // and the least it falls to: less would leave cores idle
-	floorPerWide = 1.5  // or so many times what a backend works on at once, where reports tell
-	backCap      = 3.0  // no backend holds more than so many mean shares of the limit
-	holdMargin   = 2.0  // a held request leaves when fewer than so many mean latencies remain to its aim
-	holdAtMost   = 0.75 // of the aim; a request may always be held for the rest of it
-	saveAtMost   = 4.0  // a quiet agent saves up so many mean latencies of its part
-	quietRatio   = 2.0  // agents per backend above which an agent is quiet
-	quietFloor   = 2.0  // and its floor, lower since no rounding up leaves it more than its part
-	paceSpan     = 10.0 // mean latencies that the mean delay spans
-	adviceLeast  = 0.05 // of the aim, that a refused client is told to wait on the average
-	repeatValue  = 0.1  // value of a client's repeat against a first try: most of its aim has passed
+	aimedDelay   = 0.55     // mean latency over aim to keep to: less refuses uneven work, more crowds servers
+	aimedBlind   = 0.25     // the same without fresh reports, for an agent that is not quiet
+	aimedRise    = 2.0      // and above so many times its low: servers may slow down when crowded
+	aimedLeast   = 0.2      // but under this share of the aim nothing is lost yet that a refusal would save
+	limitCut     = 0.9      // one cut of the in-flight limit
+	limitGrow    = 0.7      // and its growth, in attempts per backend for each round of answers
+	startPerBack = 6.0      // in-flight limit at the start, for all agents together per backend
+	floorPerBack = 4.0      // and the least it falls to: less would leave cores idle
+	floorPerWide = 1.5      // or so many times what a backend works on at once, where reports tell
+	backCap      = 3.0      // no backend holds more than so many mean shares of the limit
+	holdMargin   = 2.0      // a held request leaves when fewer than so many mean latencies remain to its aim
+	holdAtMost   = 0.75     // of the aim; a request may always be held for the rest of it
+	saveAtMost   = 4.0      // a quiet agent saves up so many mean latencies of its part
+	quietRatio   = 2.0      // agents per backend above which an agent is quiet
+	quietFloor   = 2.0      // and its floor, lower since no rounding up leaves it more than its part
+	askUnit      = 1.0 / 64 // of the longest time between two asks: the wait before the first one ...
+	askFleet     = 4.0      // of up to so many agents
+	paceSpan     = 10.0     // mean latencies that the mean delay spans
+	adviceLeast  = 0.05     // of the aim, that a refused client is told to wait on the average
+	repeatValue  = 0.1      // value of a client's repeat against a first try: most of its aim has passed
 )
 
 // Balancer decides for one agent. See the package comment for its use.
@@ -972,13 +974,11 @@
 		}
 		// Asked again after an exponential, fully jittered wait.
 		b.askFails++
-		unit := float64(b.s.AskWithin) / 64
-		b.askToken = b.alarm(time.Duration(b.rng.Float64() * unit * math.Exp2(float64(min(b.askFails, 4)))))
+		b.ask(min(b.askFails, 4))
 		return
 	}
 	if e.Kind == ListCached && b.s.Subscribe {
-		// Spread in time, since all agents may start at once.
-		b.askToken = b.alarm(time.Duration(b.rng.Float64() * float64(b.s.AskWithin) / 64))
+		b.ask(0)
 	} else {
 		b.askFails = 0
 	}
@@ -1014,6 +1014,15 @@
 	})
 }
 
+// ask asks for the list after an exponential, fully jittered wait. Departure: it grows with the fleet,
+// since all agents may start, or fail, at once: calls that a service can't keep up with wait there until
+// they fail, and those that come after them too. May harm where discovery has room for all.
+func (b *Balancer) ask(fails int) {
+	unit := askUnit * max(1, float64(b.s.Balancers)/askFleet)
+	wait := min(unit*math.Exp2(float64(fails)), 1) * float64(b.s.AskWithin)
+	b.askToken = b.alarm(time.Duration(b.rng.Float64() * wait))
+}
+
 // ---- Attempts and final answers ----
 
 // send starts an attempt. Nothing else does; the rules are checked here last.
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"aldermux"
 )
 
 // skewed has requests come at a rate for a time, to agents that differ in traffic by far.
@@ -39,3 +41,79 @@
 		t.Logf("%d agents, %d nodes: %d of %d refused, %d bytes told for each", size.agents, size.nodes, d.refused, n, d.told/n)
 	}
 }
+
+// asking is a fleet whose agents ask one service for the list, in simulated time. The service works through
+// calls in turn, those that have been given up too, as it can't know.
+type asking struct {
+	*crowdDay
+	perS     float64       // calls that the service does in a second
+	patience time.Duration // after which a call fails
+	most     int           // calls that may wait
+	free     time.Duration // when the service has worked through what it has
+	calls    []time.Duration
+	has      map[int]time.Duration // when an agent got its list
+}
+
+func (a *asking) step(agent int, e aldermux.Event) {
+	for _, act := range a.agents[agent].Step(a.now, []aldermux.Event{e}) {
+		switch act := act.(type) {
+		case aldermux.SetTimer:
+			a.at(a.now+act.After, func() { a.step(agent, aldermux.TimerFired{Token: act.Token}) })
+		case aldermux.Subscribe:
+			a.call(agent)
+		}
+	}
+}
+
+func (a *asking) call(agent int) {
+	a.calls = append(a.calls, a.now)
+	each := time.Duration(float64(time.Second) / a.perS)
+	if a.free-a.now > time.Duration(a.most)*each {
+		a.at(a.now+10*time.Millisecond, func() { a.step(agent, aldermux.List{Kind: aldermux.ListFailed}) })
+		return
+	}
+	a.free = max(a.free, a.now) + each
+	if a.free-a.now > a.patience {
+		a.at(a.now+a.patience, func() { a.step(agent, aldermux.List{Kind: aldermux.ListFailed}) })
+		return
+	}
+	a.at(a.free, func() {
+		if _, known := a.has[agent]; !known {
+			a.has[agent] = a.now
+		}
+		a.step(agent, aldermux.List{Kind: aldermux.ListDelta})
+	})
+}
+
+// Most agents of a large fleet start within a second, with an old list, and the service that has the new
+// one can do few calls: they don't ask faster than it answers, and all have it soon.
+func TestManyAgentsAskInTurn(t *testing.T) {
+	for seed := range uint64(20) {
+		a := &asking{crowdDay: newCrowdDay(t, seed, 0, 0), perS: 15, patience: 2 * time.Second, most: 60, has: map[int]time.Duration{}}
+		const fleet, started = 80, 56
+		for i := range started {
+			s := settings()
+			s.Balancers, s.Self, s.Subscribe, s.AskWithin = fleet, i, true, 10*time.Second
+			b, err := aldermux.New(s, seed*1000+uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.agents = append(a.agents, b)
+			a.at(a.now+time.Duration(a.rng.IntN(1000))*time.Millisecond, func() { a.step(i, aldermux.List{Kind: aldermux.ListCached}) })
+		}
+		began := a.now
+		a.run(a.now + 12*time.Second)
+		if len(a.has) < started {
+			t.Errorf("seed %d: %d of %d agents have the list after 12 s", seed, len(a.has), started)
+		}
+		for first := range a.calls {
+			last := first
+			for last < len(a.calls) && a.calls[last] < a.calls[first]+time.Second {
+				last++
+			}
+			if last-first > 40 {
+				t.Fatalf("seed %d: %d calls in the second from %v", seed, last-first, a.calls[first]-began)
+			}
+		}
+	}
+}
