--- a/aldermux.go
+++ b/aldermux.go
@@ -521,10 +521,10 @@
 			if t.Zone != b.s.Zone {
 				w /= 1 + crossWeight*b.s.Prices.CrossZone
 			}
-			// Departure: a quiet agent that picks evenly opens a connection for most requests and
-			// meets no backend twice.
-			if b.quiet() && (t.usedAt == 0 || b.now-t.usedAt >= b.s.IdleClose) {
-				w *= newConnBias
+			// Departure: an agent with little traffic that picks evenly opens a connection for most
+			// requests and meets no backend twice. Acts from one agent a backend on, in full at two.
+			if t.usedAt == 0 || b.now-t.usedAt >= b.s.IdleClose {
+				w *= math.Pow(newConnBias, max(0, 2*b.crowding()-1))
 			}
 			if total += w; b.rng.Float64()*total < w {
 				idle = t
