--- a/aldermux_test.go
+++ b/aldermux_test.go
@@ -1345,7 +1345,7 @@
 	}{
 		{"within the idle time", 60, 10 * time.Second, 0, func(n int) bool { return n <= 4 }},
 		{"each closes before the next request", 60, ms, 10 * ms, func(n int) bool { return n > 15 }},
-		{"an agent among a few more than backends", 36, 10 * time.Second, 0, func(n int) bool { return n > 4 && n < 18 }},
+		{"an agent among a few more than backends", 36, 10 * time.Second, 0, func(n int) bool { return n > 4 && n < 12 }},
 		{"a busy agent", 2, 10 * time.Second, 0, func(n int) bool { return n > 10 }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -203,6 +203,7 @@
 var (
 	longAgo         = time.Unix(1, 0)
 	errOutOfSockets = errors.New("out of sockets")
+	errNoConnection = errors.New("no connection")
 )
 
 // dialResult tells what a dial that failed says. Guards against blame for the wrong one: want of
@@ -217,7 +218,7 @@
 			return aldermux.NotSent
 		}
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(err, errNoConnection) {
 		return aldermux.NotSent
 	}
 	return aldermux.ConnectFailed
@@ -414,9 +415,16 @@
 	}
 	u.sockets.open.Add(1)
 	d := net.Dialer{Timeout: u.connectTimeout, KeepAlive: -1}
+	began := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		u.sockets.open.Add(-1)
+		// Guards against a backend that says nothing and is taken for a client that had no time: net's own
+		// time-out, too, counts as context.DeadlineExceeded.
+		until, bounded := ctx.Deadline()
+		if errors.Is(err, context.DeadlineExceeded) && (!bounded || until.After(began.Add(u.connectTimeout))) {
+			return nil, fmt.Errorf("dial backend: %w in %v", errNoConnection, u.connectTimeout)
+		}
 		return nil, fmt.Errorf("dial backend: %w", err)
 	}
 	limit := &io.LimitedReader{R: nc}
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -398,3 +398,26 @@
 		}
 	}
 }
+
+// A backend that says nothing to a connection has failed to connect; a client whose time runs out first
+// says nothing of it, though net words both time-outs alike.
+func TestBlameForSilence(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		connect, left time.Duration
+		want          aldermux.Result
+	}{
+		{"the backend is silent", 1, time.Hour, aldermux.ConnectFailed},
+		{"the client's time runs out", time.Hour, 1, aldermux.NotSent},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newTestUpstream(t)
+			u.connectTimeout = tt.connect
+			ctx, cancel := context.WithTimeout(context.Background(), tt.left)
+			defer cancel()
+			if r := u.exchange(ctx, at(deadAddr(t)), read); r.result != tt.want {
+				t.Errorf("result %v, want %v", r.result, tt.want)
+			}
+		})
+	}
+}
