lemonctl fleet-log counts over a whole fleet; hard cases of large fleets as tests; pages

Need: what each agent does without harm and all do with harm shows in no single agent's notes.

Tests in simulated time over 80 agents: nodes replaced within seconds, a third silent and back cold, sizes from 1 to 400, peers' messages lost, doubled, late, cut, garbage, from nobody.

--- a/cmd/lemonctl/limits.go
+++ b/cmd/lemonctl/limits.go
@@ -23,7 +23,7 @@
 	}
 	sum := explain.NewSummary(c.Window)
 	for _, name := range c.Files {
-		if err := readNotes(sum, name, s.in); err != nil {
+		if err := readInto(sum.Read, name, s.in); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
@@ -42,18 +42,6 @@
 	return r.Text(s.out)
 }
 
-func readNotes(sum *explain.Summary, name string, in io.Reader) error {
-	if name != "-" {
-		f, err := os.Open(name)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		in = f
-	}
-	return sum.Read(in)
-}
-
 // writeFile creates a file and has it written.
 func writeFile(name string, write func(io.Writer) error) error {
 	f, err := os.Create(name)
--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -24,8 +24,9 @@
 	Site struct {
 		Up siteUpCmd `cmd:"" help:"Run a stand-in site and write its agents' configurations."`
 	} `cmd:"" help:"Stand-in sites."`
-	Limits limitsCmd `cmd:"" help:"Tell from agents' notes why they refused, failed and cut their limits."`
-	Trial  struct {
+	Limits   limitsCmd   `cmd:"" help:"Tell from agents' notes why they refused, failed and cut their limits."`
+	FleetLog fleetLogCmd `cmd:"" help:"Add up the notes and logs of all agents of a fleet, by second and by backend."`
+	Trial    struct {
 		List trialListCmd `cmd:"" help:"Name the stand-in days."`
 		Run  trialRunCmd  `cmd:"" help:"Play stand-in days against agents and tell what was refused while nodes had room."`
 	} `cmd:"" help:"Stand-in days: what agents make of trouble, measured."`
--- /dev/null
+++ b/internal/explain/fleet.go
@@ -0,0 +1,355 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"aldermux/internal/chart"
+)
+
+// Fleet adds up what all agents of a fleet noted and logged, by time and by backend: what one agent does
+// without harm, and all together with harm, shows in no single agent's notes. It holds windows, agents and
+// backends, each up to a bound, and no notes.
+type Fleet struct {
+	window   float64 // s
+	first    float64 // ms, Unix, of the earliest window
+	windows  []*FleetWindow
+	agents   map[string]bool
+	backends map[string]*FleetBackend
+	left     int // notes that went over a bound or lie too far from the others
+	others   int
+}
+
+// FleetWindow is a fleet over a stretch of time. Sums are over the agents, each counted by the mean of its
+// states in the window.
+type FleetWindow struct {
+	T         float64        `json:"t"`
+	Agents    int            `json:"agents"`    // that noted a state
+	InFlight  float64        `json:"in_flight"` // sum
+	Part      float64        `json:"part"`      // sum: the limit on attempts in flight as agents split it
+	Stuck     float64        `json:"stuck"`     // sum
+	Held      float64        `json:"held"`      // sum
+	UpLeast   int            `json:"up_least"`  // of the agents, the fewest and most backends that any list names
+	UpMost    int            `json:"up_most"`
+	Used      float64        `json:"used"`     // mean
+	Capacity  float64        `json:"capacity"` // mean
+	Delay     float64        `json:"delay"`    // mean
+	Aimed     float64        `json:"aimed"`    // mean
+	Tokens    float64        `json:"tokens"`   // mean
+	Dry       int            `json:"dry"`      // agents whose bucket held less than a retry at some time
+	Ejections float64        `json:"ejections"`
+	Refused   map[string]int `json:"refused,omitempty"`
+	Failed    map[string]int `json:"failed,omitempty"`
+	Cuts      int            `json:"cuts"`
+	ListFails int            `json:"list_fails"` // calls at discovery that failed, by the log
+
+	states map[string]*agentStates
+}
+
+type agentStates struct {
+	n                                                                             float64
+	inFlight, part, stuck, held, used, capacity, delay, aimed, tokens, out, least float64
+}
+
+// FleetBackend is one backend as all agents see it.
+type FleetBackend struct {
+	ID      string  `json:"id"`
+	States  int     `json:"states"`  // of all agents
+	Out     float64 `json:"out"`     // attempts out a state, in the mean
+	Ejected float64 `json:"ejected"` // share of the states in which an agent kept off it
+	Down    float64 `json:"down"`    // and took it for gone
+	Cold    float64 `json:"cold"`    // and for cold
+	Slow    float64 `json:"slow"`    // mean of those that know
+	slows   int
+}
+
+const (
+	mostAgents   = 10000
+	mostBackends = 4096
+	dryTokens    = 5 // the price of a retry
+)
+
+// NewFleet begins a summary in windows of a length in seconds.
+func NewFleet(window float64) *Fleet {
+	return &Fleet{window: window, agents: map[string]bool{}, backends: map[string]*FleetBackend{}}
+}
+
+// Read takes the notes and log lines of one or more agents.
+func (f *Fleet) Read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 64<<10), 1<<20)
+	for lines.Scan() {
+		line := lines.Bytes()
+		if at, ok := listFailed(line); ok {
+			if w := f.at(at); w != nil {
+				w.ListFails++
+			}
+			continue
+		}
+		var rec Record
+		if i := bytes.IndexByte(line, '{'); i < 0 || json.Unmarshal(line[i:], &rec) != nil || rec.Kind == "" {
+			f.others++
+			continue
+		}
+		f.add(&rec)
+	}
+	return lines.Err()
+}
+
+// listFailed reads an agent's log line on a call at discovery that failed.
+func listFailed(line []byte) (at float64, ok bool) {
+	if !bytes.Contains(line, []byte("msg=discovery ")) {
+		return 0, false
+	}
+	i := bytes.Index(line, []byte("time="))
+	if i < 0 {
+		return 0, false
+	}
+	text, _, _ := bytes.Cut(line[i+len("time="):], []byte(" "))
+	t, err := time.Parse(time.RFC3339Nano, string(text))
+	return float64(t.UnixMicro()) / 1000, err == nil
+}
+
+// at is the window of a time, nil where it lies outside what is kept.
+func (f *Fleet) at(ms float64) *FleetWindow {
+	if len(f.windows) == 0 {
+		f.first = ms
+	}
+	step := f.window * 1000
+	if !(math.Abs(ms-f.first)/step < maxWindows) {
+		f.left++
+		return nil
+	}
+	for ms < f.first { // agents' files are read one after another
+		n := int(math.Ceil((f.first - ms) / step))
+		if len(f.windows)+n > maxWindows {
+			f.left++
+			return nil
+		}
+		f.windows = append(make([]*FleetWindow, n), f.windows...)
+		f.first -= float64(n) * step
+	}
+	i := int((ms - f.first) / step)
+	for len(f.windows) <= i {
+		f.windows = append(f.windows, nil)
+	}
+	if f.windows[i] == nil {
+		f.windows[i] = &FleetWindow{Refused: map[string]int{}, Failed: map[string]int{}, states: map[string]*agentStates{}}
+	}
+	return f.windows[i]
+}
+
+func (f *Fleet) add(r *Record) {
+	w := f.at(r.At)
+	if w == nil {
+		return
+	}
+	switch r.Kind {
+	case "cut":
+		w.Cuts++
+	case "refused":
+		w.Refused[r.Why]++
+	case "failed":
+		w.Failed[r.Why]++
+	case "state":
+		f.state(w, r)
+	}
+}
+
+func (f *Fleet) state(w *FleetWindow, r *Record) {
+	if !f.agents[r.Agent] && len(f.agents) >= mostAgents {
+		f.left++
+		return
+	}
+	f.agents[r.Agent] = true
+	s := w.states[r.Agent]
+	if s == nil {
+		s = &agentStates{least: r.Tokens}
+		if len(w.states) == 0 {
+			w.UpLeast, w.UpMost = r.Up, r.Up
+		}
+		w.states[r.Agent] = s
+	}
+	w.UpLeast, w.UpMost = min(w.UpLeast, r.Up), max(w.UpMost, r.Up)
+	s.n++
+	s.least = min(s.least, r.Tokens)
+	ejected := 0.0
+	for i := range r.Backends {
+		b := &r.Backends[i]
+		if b.Ejected > 0 {
+			ejected++
+		}
+		f.backend(b)
+	}
+	for _, v := range []struct{ to, from *float64 }{{&s.inFlight, new(float64(r.InFlight))}, {&s.part, &r.Part}, {&s.stuck, new(float64(r.Stuck))},
+		{&s.held, new(float64(r.Held))}, {&s.used, new(float64(r.Used))}, {&s.capacity, &r.Capacity}, {&s.delay, &r.Delay},
+		{&s.aimed, &r.Aimed}, {&s.tokens, &r.Tokens}, {&s.out, &ejected}} {
+		*v.to += (*v.from - *v.to) / s.n
+	}
+}
+
+func (f *Fleet) backend(b *Backend) {
+	t := f.backends[b.ID]
+	if t == nil {
+		if len(f.backends) >= mostBackends {
+			f.left++
+			return
+		}
+		t = &FleetBackend{ID: b.ID}
+		f.backends[b.ID] = t
+	}
+	t.States++
+	share := func(mean *float64, is bool) {
+		x := 0.0
+		if is {
+			x = 1
+		}
+		*mean += (x - *mean) / float64(t.States)
+	}
+	t.Out += (float64(b.Out) - t.Out) / float64(t.States)
+	share(&t.Ejected, b.Ejected > 0)
+	share(&t.Down, b.Down)
+	share(&t.Cold, b.Warmth < 1)
+	if b.Slow > 0 {
+		t.slows++
+		t.Slow += (b.Slow - t.Slow) / float64(t.slows)
+	}
+}
+
+// FleetReport is what a fleet's notes come to.
+type FleetReport struct {
+	WindowS  float64         `json:"window_s"`
+	Agents   int             `json:"agents"`
+	Left     int             `json:"left_out"`
+	Others   int             `json:"other_lines"`
+	Windows  []*FleetWindow  `json:"windows"`
+	Backends []*FleetBackend `json:"backends"` // those that agents kept off most first
+}
+
+// Report sums up.
+func (f *Fleet) Report() *FleetReport {
+	rep := &FleetReport{WindowS: f.window, Agents: len(f.agents), Left: f.left, Others: f.others}
+	for i, w := range f.windows {
+		if w == nil {
+			w = &FleetWindow{}
+		}
+		w.T = float64(i) * f.window
+		w.sum()
+		rep.Windows = append(rep.Windows, w)
+	}
+	rep.Backends = slices.SortedFunc(maps.Values(f.backends), func(a, b *FleetBackend) int {
+		return cmp.Or(cmp.Compare(b.Ejected+b.Down, a.Ejected+a.Down), cmp.Compare(a.ID, b.ID))
+	})
+	return rep
+}
+
+func (w *FleetWindow) sum() {
+	w.Agents = len(w.states)
+	for _, name := range slices.Sorted(maps.Keys(w.states)) {
+		s := w.states[name]
+		w.InFlight += s.inFlight
+		w.Part += s.part
+		w.Stuck += s.stuck
+		w.Held += s.held
+		w.Ejections += s.out
+		n := float64(len(w.states))
+		w.Used += s.used / n
+		w.Capacity += s.capacity / n
+		w.Delay += s.delay / n
+		w.Aimed += s.aimed / n
+		w.Tokens += s.tokens / n
+		if s.least < dryTokens {
+			w.Dry++
+		}
+	}
+}
+
+// worst names the reason that counts most.
+func worst(counts map[string]int) string {
+	why := ""
+	for _, k := range slices.Sorted(maps.Keys(counts)) {
+		if why == "" || counts[k] > counts[why] {
+			why = k
+		}
+	}
+	return cmp.Or(why, "-")
+}
+
+const backendRows = 20 // of the table; all are in the JSON
+
+// Text writes the report for people.
+func (r *FleetReport) Text(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d agents; sums over them, means for used, capacity, delay, aimed and tokens\n", r.Agents)
+	tab := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tab, "s\tagents\trefused\tmost for\tfailed\tmost for\tpart\tin flight\tstuck\theld\tup\tused\tcapacity\tdelay\taimed\ttokens\tdry\tejections\tlist fails\t")
+	for _, x := range r.Windows {
+		up := fmt.Sprint(x.UpLeast)
+		if x.UpMost != x.UpLeast {
+			up = fmt.Sprintf("%d-%d", x.UpLeast, x.UpMost)
+		}
+		fmt.Fprintf(tab, "%g\t%d\t%d\t%s\t%d\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%s\t%.1f\t%.1f\t%.2f\t%.2f\t%.0f\t%d\t%.0f\t%d\t\n", x.T, x.Agents, total(x.Refused), worst(x.Refused),
+			total(x.Failed), worst(x.Failed), x.Part, x.InFlight, x.Stuck, x.Held, up, x.Used, x.Capacity, x.Delay, x.Aimed, x.Tokens, x.Dry, x.Ejections, x.ListFails)
+	}
+	tab.Flush()
+	tab = tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tab, "backend\tkept off %\tgone %\tcold %\tslow\tout\t")
+	for _, t := range r.Backends[:min(backendRows, len(r.Backends))] {
+		fmt.Fprintf(tab, "%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.3f\t\n", t.ID, 100*t.Ejected, 100*t.Down, 100*t.Cold, t.Slow, t.Out)
+	}
+	tab.Flush()
+	if n := len(r.Backends) - backendRows; n > 0 {
+		fmt.Fprintf(&b, "and %d more backends\n", n)
+	}
+	if r.Left > 0 {
+		fmt.Fprintf(&b, "%d notes were left out: too many agents, backends or windows\n", r.Left)
+	}
+	if r.Others > 0 {
+		fmt.Fprintf(&b, "%d lines were no notes\n", r.Others)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// HTML writes the report as one self-contained page with plots.
+func (r *FleetReport) HTML(w io.Writer, title string) error {
+	col := func(f func(*FleetWindow) float64) (y []float64) {
+		for _, x := range r.Windows {
+			y = append(y, f(x))
+		}
+		return y
+	}
+	c := chart.Colours
+	plots := []template.HTML{
+		chart.Plot("Given up by the fleet", "/s", r.WindowS, []chart.Line{
+			{Name: "refused", Colour: c[1], Y: col(func(x *FleetWindow) float64 { return float64(total(x.Refused)) / r.WindowS })},
+			{Name: "failed", Colour: c[4], Y: col(func(x *FleetWindow) float64 { return float64(total(x.Failed)) / r.WindowS })},
+			{Name: "list fails", Colour: c[3], Y: col(func(x *FleetWindow) float64 { return float64(x.ListFails) / r.WindowS })}}),
+		chart.Plot("Attempts of the fleet", "", r.WindowS, []chart.Line{
+			{Name: "limit", Colour: c[5], Dashed: true, Y: col(func(x *FleetWindow) float64 { return x.Part })},
+			{Name: "in flight", Colour: c[0], Y: col(func(x *FleetWindow) float64 { return x.InFlight })},
+			{Name: "stuck", Colour: c[3], Y: col(func(x *FleetWindow) float64 { return x.Stuck })},
+			{Name: "held", Colour: c[1], Y: col(func(x *FleetWindow) float64 { return x.Held })}}),
+		chart.Plot("Backends in the mean, and agents", "", r.WindowS, []chart.Line{
+			{Name: "used", Colour: c[0], Y: col(func(x *FleetWindow) float64 { return x.Used })},
+			{Name: "capacity", Colour: c[2], Y: col(func(x *FleetWindow) float64 { return x.Capacity })},
+			{Name: "agents", Colour: c[5], Dashed: true, Y: col(func(x *FleetWindow) float64 { return float64(x.Agents) })},
+			{Name: "dry agents", Colour: c[1], Y: col(func(x *FleetWindow) float64 { return float64(x.Dry) })}}),
+	}
+	var text strings.Builder
+	if err := r.Text(&text); err != nil {
+		return err
+	}
+	return chart.Page(w, chart.Document{Title: title, Plots: plots, Text: text.String()})
+}
--- a/limit_test.go
+++ b/limit_test.go
@@ -26,6 +26,7 @@
 
 	resets func(node string, n int) bool // whether the nth answer of a node breaks off
 	slow   func(now time.Duration) float64
+	carry  func(d *crowdDay, from, to int, data []byte) // nil: whole, after a while
 
 	served, inTime, refused, failed int
 	refusedIdle                     int // of those refused, while a node that was up had a free core
@@ -36,7 +37,9 @@
 
 type crowdNode struct {
 	cores, busy, answers int
-	down                 bool
+	down, silent         bool
+	born                 time.Duration   // when it last started, cold; 0: long ago
+	sent                 []time.Duration // when it was sent something
 	waiting              []func()
 }
 
@@ -122,6 +125,10 @@
 			for to := range d.agents {
 				if to != agent && (a.To == to || a.To == aldermux.EveryPeer) {
 					d.told += len(a.Data)
+					if d.carry != nil {
+						d.carry(d, agent, to, a.Data)
+						continue
+					}
 					d.at(d.now+10*time.Millisecond, func() { d.step(to, aldermux.PeerMessage{From: agent, Data: a.Data}) })
 				}
 			}
@@ -161,6 +168,7 @@
 	}
 	attempt, sent, deadline := r.attempts, d.now, r.came+crowdLeft
 	r.attempts++
+	n.sent = append(n.sent, d.now)
 	ended := false
 	outcome := func(res aldermux.Result, standing bool) {
 		if ended {
@@ -181,9 +189,20 @@
 		d.at(d.now+time.Millisecond, func() { outcome(aldermux.ConnectFailed, false) })
 		return
 	}
+	if n.silent { // connections that were open hang, others don't come up
+		if d.rng.IntN(2) == 0 {
+			d.at(min(d.now+150*time.Millisecond, deadline), func() { outcome(aldermux.ConnectFailed, false) })
+		} else {
+			d.at(deadline, func() { outcome(aldermux.TimedOut, false) })
+		}
+		return
+	}
 	d.at(deadline, func() { outcome(aldermux.TimedOut, false) })
 	begin := func() {
 		work := time.Duration(float64(crowdWork) * (0.25 + 0.75*d.rng.ExpFloat64()) * d.slow(d.now))
+		if n.born > 0 {
+			work = time.Duration(float64(work) / coldWarmth(d.now-n.born))
+		}
 		d.at(d.now+work, func() {
 			n.busy--
 			n.answers++
