--- a/api.go
+++ b/balance/api.go
@@ -1,4 +1,4 @@
-// Package aldermux decides, for one client-side balancer, where each
+// Package balance decides, for one client-side balancer, where each
 // request goes, when it is tried again, and when it is
 // refused. It performs no I/O: the embedding agent owns the clock, the timers
 // and the connections, passes on what happened as events, and carries out the
@@ -8,7 +8,7 @@
 // own monotonic clock, whose zero is of no matter; they must not run backwards.
 // Its memory is bounded by the requests and attempts that are open, the timers
 // that are pending and the backends that are listed.
-package aldermux
+package balance
 
 import "time"
 
--- a/aldermux.go
+++ b/balance/balance.go
@@ -1,4 +1,4 @@
-package aldermux
+package balance
 
 // This is the decision module: every choice a balancer makes is in this file.
 // Its interface (settings, events, actions) is in api.go. Reading order:
--- a/aldermux_test.go
+++ b/balance/balance_test.go
@@ -1,4 +1,4 @@
-package aldermux_test
+package balance_test
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"time"
 	"unicode/utf8"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 const ms = time.Millisecond
@@ -24,15 +24,15 @@
 	keyedCell
 )
 
-func settings() aldermux.Settings {
-	class := func(e aldermux.Effect, g aldermux.Group) aldermux.Class {
-		return aldermux.Class{Aim: 400 * ms, Deadline: 2000 * ms, Worth: 1, Effect: e, Group: g, Window: 300 * ms}
+func settings() balance.Settings {
+	class := func(e balance.Effect, g balance.Group) balance.Class {
+		return balance.Class{Aim: 400 * ms, Deadline: 2000 * ms, Worth: 1, Effect: e, Group: g, Window: 300 * ms}
 	}
-	return aldermux.Settings{
+	return balance.Settings{
 		Balancers: 1, MaxAttempts: 4, Tick: 5 * ms,
-		Classes: []aldermux.Class{
-			class(aldermux.Safe, 0), class(aldermux.Unsafe, 0), class(aldermux.Keyed, aldermux.GroupAll),
-			class(aldermux.Keyed, aldermux.GroupZone), class(aldermux.Keyed, aldermux.GroupCell),
+		Classes: []balance.Class{
+			class(balance.Safe, 0), class(balance.Unsafe, 0), class(balance.Keyed, balance.GroupAll),
+			class(balance.Keyed, balance.GroupZone), class(balance.Keyed, balance.GroupCell),
 		},
 		DrainGrace: 500 * ms, AnswerGrace: 20 * ms, ColdShare: 0.2, RampTime: 10 * time.Second,
 		FallMultiple: 2.5, FallWindow: time.Second, AskWithin: 10 * time.Second,
@@ -41,10 +41,10 @@
 }
 
 // backends makes n backends named a, b, c ...; two per zone and cell.
-func backends(n int) []aldermux.Backend {
-	var list []aldermux.Backend
+func backends(n int) []balance.Backend {
+	var list []balance.Backend
 	for i := range n {
-		list = append(list, aldermux.Backend{ID: string(rune('a' + i)), Zone: i / 2, Cell: i / 2})
+		list = append(list, balance.Backend{ID: string(rune('a' + i)), Zone: i / 2, Cell: i / 2})
 	}
 	return list
 }
@@ -52,33 +52,33 @@
 // rig drives one balancer and keeps what it does.
 type rig struct {
 	t       *testing.T
-	b       *aldermux.Balancer
+	b       *balance.Balancer
 	now     time.Duration
 	sent    map[string][]string // backends of each request's attempts
-	timers  []aldermux.TimerFired
+	timers  []balance.TimerFired
 	due     []time.Duration
-	actions []aldermux.Action // of the last step
+	actions []balance.Action // of the last step
 }
 
-func newRig(t *testing.T, s aldermux.Settings, seed uint64, list []aldermux.Backend) *rig {
+func newRig(t *testing.T, s balance.Settings, seed uint64, list []balance.Backend) *rig {
 	t.Helper()
-	b, err := aldermux.New(s, seed)
+	b, err := balance.New(s, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := &rig{t: t, b: b, now: time.Hour, sent: map[string][]string{}}
-	r.step(aldermux.List{Kind: aldermux.ListCached, Backends: list})
+	r.step(balance.List{Kind: balance.ListCached, Backends: list})
 	return r
 }
 
-func (r *rig) step(events ...aldermux.Event) []aldermux.Action {
+func (r *rig) step(events ...balance.Event) []balance.Action {
 	r.actions = r.b.Step(r.now, events)
 	for _, a := range r.actions {
 		switch a := a.(type) {
-		case aldermux.Send:
+		case balance.Send:
 			r.sent[a.Request] = append(r.sent[a.Request], a.Backend)
-		case aldermux.SetTimer:
-			r.timers = append(r.timers, aldermux.TimerFired{Token: a.Token})
+		case balance.SetTimer:
+			r.timers = append(r.timers, balance.TimerFired{Token: a.Token})
 			r.due = append(r.due, r.now+a.After)
 		}
 	}
@@ -86,8 +86,8 @@
 }
 
 // advance moves the clock and fires the timers on the way; it returns all actions.
-func (r *rig) advance(d time.Duration) []aldermux.Action {
-	var all []aldermux.Action
+func (r *rig) advance(d time.Duration) []balance.Action {
+	var all []balance.Action
 	end := r.now + d
 	for {
 		next := -1
@@ -109,19 +109,19 @@
 	return all
 }
 
-func (r *rig) request(id string, class int) []aldermux.Action {
-	return r.step(aldermux.Request{ID: id, Class: class, Left: 2000 * ms})
+func (r *rig) request(id string, class int) []balance.Action {
+	return r.step(balance.Request{ID: id, Class: class, Left: 2000 * ms})
 }
 
 // outcome ends the latest attempt of a request.
-func (r *rig) outcome(id string, res aldermux.Result, latency time.Duration) []aldermux.Action {
+func (r *rig) outcome(id string, res balance.Result, latency time.Duration) []balance.Action {
 	r.t.Helper()
 	n := len(r.sent[id]) - 1
 	if n < 0 {
 		r.t.Fatalf("%s: nothing was sent", id)
 	}
-	return r.step(aldermux.Outcome{Request: id, Attempt: n, Backend: r.sent[id][n], Result: res,
-		Latency: latency, Done: res == aldermux.OK})
+	return r.step(balance.Outcome{Request: id, Attempt: n, Backend: r.sent[id][n], Result: res,
+		Latency: latency, Done: res == balance.OK})
 }
 
 // serve sends n requests one after the other and answers each at once.
@@ -132,22 +132,22 @@
 		id := fmt.Sprintf("serve-%d", len(r.sent))
 		r.request(id, class)
 		r.now += latency
-		r.outcome(id, aldermux.OK, latency)
+		r.outcome(id, balance.OK, latency)
 		counts[r.sent[id][0]]++
 	}
 	return counts
 }
 
 // final names the final answer for a request among the actions, or "".
-func final(id string, actions []aldermux.Action) string {
+func final(id string, actions []balance.Action) string {
 	found := ""
 	for _, a := range actions {
 		switch a := a.(type) {
-		case aldermux.Refuse:
+		case balance.Refuse:
 			if a.Request == id {
 				found += "refuse"
 			}
-		case aldermux.Fail:
+		case balance.Fail:
 			if a.Request == id {
 				found += "fail"
 			}
@@ -159,33 +159,33 @@
 func TestNewRejectsSettings(t *testing.T) {
 	tests := []struct {
 		name string
-		edit func(*aldermux.Settings)
+		edit func(*balance.Settings)
 		want string
 	}{
-		{"no classes", func(s *aldermux.Settings) { s.Classes = nil }, "Classes: none"},
-		{"no balancers", func(s *aldermux.Settings) { s.Balancers = 0 }, "Balancers: 0"},
-		{"own number outside the count", func(s *aldermux.Settings) { s.Self = 1 }, "Self: 1"},
-		{"negative number", func(s *aldermux.Settings) { s.Self = -1 }, "Self: -1"},
-		{"attempt limit below zero", func(s *aldermux.Settings) { s.MaxAttempts = -2 }, "MaxAttempts: -2"},
-		{"drain grace below zero", func(s *aldermux.Settings) { s.DrainGrace = -ms }, "DrainGrace: -0.001"},
-		{"cold share above one", func(s *aldermux.Settings) { s.ColdShare = 1.5 }, "ColdShare: 1.5"},
-		{"unknown effect", func(s *aldermux.Settings) { s.Classes[2].Effect = 9 }, "Classes[2].Effect: 9"},
-		{"unknown group", func(s *aldermux.Settings) { s.Classes[1].Group = 7 }, "Classes[1].Group: 7"},
-		{"no aim", func(s *aldermux.Settings) { s.Classes[0].Aim = 0 }, "Classes[0].Aim: 0s"},
-		{"tenant below zero", func(s *aldermux.Settings) { s.Tenants = []aldermux.Tenant{{PerSecond: -1}} }, "Tenants[0].PerSecond: -1"},
-		{"worth that is no number", func(s *aldermux.Settings) { s.Classes[1].Worth = math.NaN() }, "Classes[1].Worth: NaN"},
-		{"endless goal", func(s *aldermux.Settings) { s.GoalTenant = math.Inf(1) }, "GoalTenant: +Inf"},
-		{"price below zero", func(s *aldermux.Settings) { s.Prices.Waste = -1 }, "Prices.Waste: -1"},
-		{"unknown report source", func(s *aldermux.Settings) { s.Reports = 9 }, "Reports: 9"},
-		{"unknown weights", func(s *aldermux.Settings) { s.Weights = 9 }, "Weights: 9"},
-		{"no deadline", func(s *aldermux.Settings) { s.Classes[0].Deadline = 0 }, "Classes[0].Deadline: 0s"},
-		{"window below zero", func(s *aldermux.Settings) { s.Classes[3].Window = -ms }, "Classes[3].Window: -0.001"},
+		{"no classes", func(s *balance.Settings) { s.Classes = nil }, "Classes: none"},
+		{"no balancers", func(s *balance.Settings) { s.Balancers = 0 }, "Balancers: 0"},
+		{"own number outside the count", func(s *balance.Settings) { s.Self = 1 }, "Self: 1"},
+		{"negative number", func(s *balance.Settings) { s.Self = -1 }, "Self: -1"},
+		{"attempt limit below zero", func(s *balance.Settings) { s.MaxAttempts = -2 }, "MaxAttempts: -2"},
+		{"drain grace below zero", func(s *balance.Settings) { s.DrainGrace = -ms }, "DrainGrace: -0.001"},
+		{"cold share above one", func(s *balance.Settings) { s.ColdShare = 1.5 }, "ColdShare: 1.5"},
+		{"unknown effect", func(s *balance.Settings) { s.Classes[2].Effect = 9 }, "Classes[2].Effect: 9"},
+		{"unknown group", func(s *balance.Settings) { s.Classes[1].Group = 7 }, "Classes[1].Group: 7"},
+		{"no aim", func(s *balance.Settings) { s.Classes[0].Aim = 0 }, "Classes[0].Aim: 0s"},
+		{"tenant below zero", func(s *balance.Settings) { s.Tenants = []balance.Tenant{{PerSecond: -1}} }, "Tenants[0].PerSecond: -1"},
+		{"worth that is no number", func(s *balance.Settings) { s.Classes[1].Worth = math.NaN() }, "Classes[1].Worth: NaN"},
+		{"endless goal", func(s *balance.Settings) { s.GoalTenant = math.Inf(1) }, "GoalTenant: +Inf"},
+		{"price below zero", func(s *balance.Settings) { s.Prices.Waste = -1 }, "Prices.Waste: -1"},
+		{"unknown report source", func(s *balance.Settings) { s.Reports = 9 }, "Reports: 9"},
+		{"unknown weights", func(s *balance.Settings) { s.Weights = 9 }, "Weights: 9"},
+		{"no deadline", func(s *balance.Settings) { s.Classes[0].Deadline = 0 }, "Classes[0].Deadline: 0s"},
+		{"window below zero", func(s *balance.Settings) { s.Classes[3].Window = -ms }, "Classes[3].Window: -0.001"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := settings()
 			tt.edit(&s)
-			if _, err := aldermux.New(s, 1); err == nil || !strings.Contains(err.Error(), tt.want) {
+			if _, err := balance.New(s, 1); err == nil || !strings.Contains(err.Error(), tt.want) {
 				t.Errorf("error %v, want one with %q", err, tt.want)
 			}
 		})
@@ -195,7 +195,7 @@
 // The module is read and signed within an hour: it may not outgrow that.
 func TestModuleSize(t *testing.T) {
 	lines := 0
-	for _, file := range []string{"aldermux.go", "share.go"} { // the policy files
+	for _, file := range []string{"balance.go", "share.go", "keys.go"} { // the policy files
 		text, err := os.ReadFile(file)
 		if err != nil {
 			t.Fatal(err)
@@ -219,28 +219,28 @@
 	const retry = "retry"
 	tests := []struct {
 		class  int
-		result aldermux.Result
+		result balance.Result
 		want   string
 	}{
-		{safe, aldermux.Errored, retry},
-		{safe, aldermux.TimedOut, retry},
-		{safe, aldermux.Reset, retry},
-		{safe, aldermux.Full, retry},
-		{safe, aldermux.ConnectFailed, retry},
-		{safe, aldermux.NotSent, "refuse"},
-		{unsafe, aldermux.Errored, "fail"},
-		{unsafe, aldermux.TimedOut, "fail"},
-		{unsafe, aldermux.Reset, "fail"},
-		{unsafe, aldermux.Cancelled, "fail"},
-		{unsafe, aldermux.Full, retry},
-		{unsafe, aldermux.ConnectFailed, retry},
-		{unsafe, aldermux.NotSent, "refuse"},
-		{keyedAll, aldermux.Errored, retry},
-		{keyedAll, aldermux.Full, retry},
-		{keyedZone, aldermux.Errored, retry},
-		{keyedZone, aldermux.ConnectFailed, retry},
-		{keyedCell, aldermux.TimedOut, retry},
-		{keyedCell, aldermux.Reset, retry},
+		{safe, balance.Errored, retry},
+		{safe, balance.TimedOut, retry},
+		{safe, balance.Reset, retry},
+		{safe, balance.Full, retry},
+		{safe, balance.ConnectFailed, retry},
+		{safe, balance.NotSent, "refuse"},
+		{unsafe, balance.Errored, "fail"},
+		{unsafe, balance.TimedOut, "fail"},
+		{unsafe, balance.Reset, "fail"},
+		{unsafe, balance.Cancelled, "fail"},
+		{unsafe, balance.Full, retry},
+		{unsafe, balance.ConnectFailed, retry},
+		{unsafe, balance.NotSent, "refuse"},
+		{keyedAll, balance.Errored, retry},
+		{keyedAll, balance.Full, retry},
+		{keyedZone, balance.Errored, retry},
+		{keyedZone, balance.ConnectFailed, retry},
+		{keyedCell, balance.TimedOut, retry},
+		{keyedCell, balance.Reset, retry},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("class %d result %d", tt.class, tt.result), func(t *testing.T) {
@@ -271,7 +271,7 @@
 			r := newRig(t, settings(), seed, backends(6))
 			r.request("q", class)
 			r.now += 5 * ms
-			r.outcome("q", aldermux.Errored, 5*ms)
+			r.outcome("q", balance.Errored, 5*ms)
 			r.advance(200 * ms)
 			if s := r.sent["q"]; len(s) != 2 || zone[s[0]] != zone[s[1]] {
 				t.Errorf("seed %d class %d: attempts %v leave the group", seed, class, s)
@@ -282,7 +282,7 @@
 		r := newRig(t, settings(), 1, backends(6))
 		r.request("q", keyedAll)
 		r.now += 300 * ms
-		acts := r.outcome("q", aldermux.Errored, 300*ms)
+		acts := r.outcome("q", balance.Errored, 300*ms)
 		if final("q", acts) != "fail" {
 			t.Errorf("after the window: %v, want a failure", acts)
 		}
@@ -291,7 +291,7 @@
 		r := newRig(t, settings(), 1, backends(6))
 		r.request("q", keyedZone)
 		r.now += 400 * ms
-		r.outcome("q", aldermux.ConnectFailed, 400*ms)
+		r.outcome("q", balance.ConnectFailed, 400*ms)
 		r.advance(200 * ms)
 		if len(r.sent["q"]) != 2 {
 			t.Errorf("attempts %v: one that never ran should not bind the request", r.sent["q"])
@@ -304,13 +304,13 @@
 	s.MaxAttempts = 3
 	r := newRig(t, s, 3, backends(6))
 	r.request("q", safe)
-	var all []aldermux.Action
+	var all []balance.Action
 	for range 6 {
 		if final("q", all) != "" {
 			break
 		}
 		r.now += ms
-		all = append(all, r.outcome("q", aldermux.Errored, ms)...)
+		all = append(all, r.outcome("q", balance.Errored, ms)...)
 		all = append(all, r.advance(150*ms)...)
 	}
 	if len(r.sent["q"]) != 3 || final("q", all) != "fail" {
@@ -325,7 +325,7 @@
 	s.MaxAttempts = 2
 	// spend fails n requests and returns how many were retried. The retry is
 	// served, unless it must not refill the bucket.
-	spend := func(r *rig, n int, res aldermux.Result) (retried int) {
+	spend := func(r *rig, n int, res balance.Result) (retried int) {
 		for range n {
 			id := fmt.Sprintf("spend-%d", len(r.sent))
 			r.request(id, safe)
@@ -338,7 +338,7 @@
 			if len(r.sent[id]) == 2 {
 				retried++
 				r.now += ms
-				r.outcome(id, aldermux.Errored, ms)
+				r.outcome(id, balance.Errored, ms)
 			}
 			r.advance(30 * time.Second) // lets ejections pass
 		}
@@ -346,16 +346,16 @@
 	}
 	tests := []struct {
 		name  string
-		res   aldermux.Result
+		res   balance.Result
 		serve int // between emptying and trying again
 		first int
 		then  int
 	}{
-		{"errors cost 5", aldermux.Errored, 4, 20, 0},
-		{"five served bring one back", aldermux.Errored, 5, 20, 1},
-		{"time-outs cost 10", aldermux.TimedOut, 9, 10, 0},
-		{"ten served bring one back after a time-out", aldermux.TimedOut, 10, 10, 1},
-		{"the cap holds", aldermux.Errored, 500, 20, 20},
+		{"errors cost 5", balance.Errored, 4, 20, 0},
+		{"five served bring one back", balance.Errored, 5, 20, 1},
+		{"time-outs cost 10", balance.TimedOut, 9, 10, 0},
+		{"ten served bring one back after a time-out", balance.TimedOut, 10, 10, 1},
+		{"the cap holds", balance.Errored, 500, 20, 20},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -384,7 +384,7 @@
 		r := newRig(t, s, seed, backends(8))
 		r.request("q", safe)
 		for n := range 6 {
-			r.outcome("q", aldermux.Full, 0)
+			r.outcome("q", balance.Full, 0)
 			failed := r.now
 			for len(r.sent["q"]) == n+1 && len(r.due) > 0 {
 				r.advance(ms / 4)
@@ -412,7 +412,7 @@
 	r := newRig(t, settings(), 1, backends(4))
 	r.request("q", safe)
 	r.now += 2000 * ms
-	if acts := r.outcome("q", aldermux.TimedOut, 2000*ms); final("q", acts) != "fail" {
+	if acts := r.outcome("q", balance.TimedOut, 2000*ms); final("q", acts) != "fail" {
 		t.Errorf("at the deadline: %v, want the final answer at once", acts)
 	}
 }
@@ -461,7 +461,7 @@
 		for i := range 8 {
 			r.request(fmt.Sprint("q", i), safe)
 		}
-		r.step(aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{{ID: "new"}}})
+		r.step(balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{{ID: "new"}}})
 		rush := 0
 		for i := range 4 {
 			id := fmt.Sprint("n", i)
@@ -497,7 +497,7 @@
 				}
 			}
 			r.now += lat
-			r.outcome(id, aldermux.OK, lat)
+			r.outcome(id, balance.OK, lat)
 		}
 		if late > 40 {
 			t.Errorf("a backend four times slower still got %d of 300", late)
@@ -512,9 +512,9 @@
 	for i := range 300 {
 		id := fmt.Sprint("q", i)
 		r.request(id, unsafe)
-		res, lat := aldermux.OK, 30*ms
+		res, lat := balance.OK, 30*ms
 		if r.sent[id][0] == "a" {
-			res, lat = aldermux.Errored, ms
+			res, lat = balance.Errored, ms
 			bad++
 		}
 		r.now += lat
@@ -533,12 +533,12 @@
 // Errors and resets that come from all backends alike eject none, nor make one count as restarted;
 // more of them than come from the others do.
 func TestEvenErrorsEjectNobody(t *testing.T) {
-	for _, res := range []aldermux.Result{aldermux.Errored, aldermux.Reset} {
+	for _, res := range []balance.Result{balance.Errored, balance.Reset} {
 		evenErrors(t, res)
 	}
 }
 
-func evenErrors(t *testing.T, res aldermux.Result) {
+func evenErrors(t *testing.T, res balance.Result) {
 	s := settings()
 	s.MaxAttempts = 1
 	r := newRig(t, s, 3, backends(4))
@@ -566,7 +566,7 @@
 				failed[b] = r.now
 				r.outcome(id, res, 20*ms)
 			} else {
-				r.outcome(id, aldermux.OK, 20*ms)
+				r.outcome(id, balance.OK, 20*ms)
 			}
 		}
 		return used
@@ -596,10 +596,10 @@
 		r.request(id, 0)
 		r.now += 20 * ms
 		if r.sent[id][0] == "a" {
-			r.outcome(id, aldermux.Errored, 20*ms)
+			r.outcome(id, balance.Errored, 20*ms)
 			break
 		}
-		r.outcome(id, aldermux.OK, 20*ms)
+		r.outcome(id, balance.OK, 20*ms)
 	}
 	r.advance(5 * time.Second)
 	if counts := r.serve(200, 0, 30*ms); counts["a"] == 0 {
@@ -619,22 +619,22 @@
 			t.Fatalf("request %d was not sent", i)
 		}
 		r.now += ms
-		r.outcome(id, aldermux.Errored, ms)
+		r.outcome(id, balance.Errored, ms)
 	}
 }
 
 func TestDrainAndGone(t *testing.T) {
-	for _, state := range []aldermux.BackendState{aldermux.Draining, aldermux.Gone} {
+	for _, state := range []balance.BackendState{balance.Draining, balance.Gone} {
 		r := newRig(t, settings(), 1, backends(3))
-		r.step(aldermux.List{Kind: aldermux.ListDelta,
-			Backends: []aldermux.Backend{{ID: "a", State: state}}})
+		r.step(balance.List{Kind: balance.ListDelta,
+			Backends: []balance.Backend{{ID: "a", State: state}}})
 		if n := r.serve(100, safe, 20*ms)["a"]; n > 0 {
 			t.Errorf("state %d: %d requests went there", state, n)
 		}
 	}
 	t.Run("missing from a full list", func(t *testing.T) {
 		r := newRig(t, settings(), 1, backends(3))
-		r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(3)[1:]})
+		r.step(balance.List{Kind: balance.ListFull, Backends: backends(3)[1:]})
 		if n := r.serve(100, safe, 20*ms)["a"]; n > 0 {
 			t.Errorf("%d requests went there", n)
 		}
@@ -645,9 +645,9 @@
 			r.request("q", safe)
 			other := map[string]string{"a": "b", "b": "a"}[r.sent["q"][0]]
 			r.now += ms
-			r.outcome("q", aldermux.Errored, ms)
-			r.step(aldermux.List{Kind: aldermux.ListDelta,
-				Backends: []aldermux.Backend{{ID: other, State: aldermux.Draining}}})
+			r.outcome("q", balance.Errored, ms)
+			r.step(balance.List{Kind: balance.ListDelta,
+				Backends: []balance.Backend{{ID: other, State: balance.Draining}}})
 			r.advance(time.Second)
 			for _, b := range r.sent["q"][1:] {
 				if b == other {
@@ -659,10 +659,10 @@
 	t.Run("back with the same id", func(t *testing.T) {
 		r := newRig(t, settings(), 1, backends(2))
 		r.serve(50, safe, 20*ms)
-		r.step(aldermux.List{Kind: aldermux.ListDelta,
-			Backends: []aldermux.Backend{{ID: "a", State: aldermux.Gone}}})
-		r.step(aldermux.List{Kind: aldermux.ListDelta,
-			Backends: []aldermux.Backend{{ID: "a", Started: r.now}}})
+		r.step(balance.List{Kind: balance.ListDelta,
+			Backends: []balance.Backend{{ID: "a", State: balance.Gone}}})
+		r.step(balance.List{Kind: balance.ListDelta,
+			Backends: []balance.Backend{{ID: "a", Started: r.now}}})
 		r.serve(400, safe, 20*ms)
 		r.advance(10 * time.Second)
 		if n := r.serve(200, safe, 20*ms)["a"]; n < 50 {
@@ -698,8 +698,8 @@
 	counts := map[string]float64{}
 	answer := func(id string, latency time.Duration) {
 		counts[r.sent[id][0]]++
-		for _, a := range r.outcome(id, aldermux.OK, latency) {
-			if a, ok := a.(aldermux.Send); ok {
+		for _, a := range r.outcome(id, balance.OK, latency) {
+			if a, ok := a.(balance.Send); ok {
 				out = append(out, a.Request)
 			}
 		}
@@ -733,7 +733,7 @@
 	}
 	drive(400)
 	list[0].Started = r.now
-	r.step(aldermux.List{Kind: aldermux.ListDelta, Backends: list[:1]})
+	r.step(balance.List{Kind: balance.ListDelta, Backends: list[:1]})
 	clear(counts)
 	drive(400) // two seconds: warmth 0.2 to 0.36, 0.28 in the mean
 	warm := (counts["b"] + counts["c"] + counts["d"] + counts["e"]) / 4
@@ -748,15 +748,15 @@
 	list := backends(3)
 	r := newRig(t, settings(), 9, list)
 	send := func(id string, work time.Duration) {
-		r.step(aldermux.Request{ID: id, Class: safe, Left: 2000 * ms, Work: work})
+		r.step(balance.Request{ID: id, Class: safe, Left: 2000 * ms, Work: work})
 		r.now += 20 * ms
-		r.outcome(id, aldermux.OK, 20*ms)
+		r.outcome(id, balance.OK, 20*ms)
 	}
 	for i := range 100 {
 		send(fmt.Sprint("w", i), 20*ms)
 	}
-	r.step(aldermux.List{Kind: aldermux.ListDelta,
-		Backends: []aldermux.Backend{{ID: "cold", Started: r.now}}})
+	r.step(balance.List{Kind: balance.ListDelta,
+		Backends: []balance.Backend{{ID: "cold", Started: r.now}}})
 	got := 0
 	for i := range 100 {
 		send(fmt.Sprint("l", i), 20*ms)
@@ -783,10 +783,10 @@
 		r.request(id, safe)
 		r.now += 20 * ms
 		if r.sent[id][0] == "a" {
-			r.outcome(id, aldermux.ConnectFailed, 20*ms)
+			r.outcome(id, balance.ConnectFailed, 20*ms)
 			break
 		}
-		r.outcome(id, aldermux.OK, 20*ms)
+		r.outcome(id, balance.OK, 20*ms)
 	}
 	r.advance(2 * time.Second)
 	seen := 0
@@ -794,7 +794,7 @@
 		id := fmt.Sprint("r", i)
 		r.request(id, safe)
 		r.now += 20 * ms
-		r.outcome(id, aldermux.OK, 20*ms)
+		r.outcome(id, balance.OK, 20*ms)
 		if r.sent[id][0] == "a" {
 			seen++
 		}
@@ -818,7 +818,7 @@
 		r := newRig(t, settings(), 1, nil)
 		r.request("q", safe)
 		r.now += 50 * ms
-		r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(2)})
+		r.step(balance.List{Kind: balance.ListFull, Backends: backends(2)})
 		if len(r.sent["q"]) != 1 {
 			t.Error("the waiting request was not sent")
 		}
@@ -847,7 +847,7 @@
 			for i := range 50 {
 				r.request(fmt.Sprint(i), safe) // held, for nothing: there is no backend
 				for _, a := range r.advance(time.Second) {
-					if a, ok := a.(aldermux.Refuse); ok {
+					if a, ok := a.(balance.Refuse); ok {
 						seen[a.RetryAfter] = true
 						if a.RetryAfter < tt.low || a.RetryAfter > tt.high {
 							t.Errorf("come back after %v", a.RetryAfter)
@@ -870,10 +870,10 @@
 		id := fmt.Sprint("s", i)
 		r.request(id, safe)
 		r.now += 350 * ms
-		r.outcome(id, aldermux.OK, 350*ms)
+		r.outcome(id, balance.OK, 350*ms)
 	}
 	out := 0
-	var all []aldermux.Action
+	var all []balance.Action
 	for i := range 20 {
 		id := fmt.Sprint("q", i)
 		all = append(all, r.request(id, safe)...)
@@ -883,7 +883,7 @@
 	if want := 5 * 2 / 2; out < want || out > want+1 {
 		t.Errorf("%d in flight, want this agent's share of 5 per backend: %d, and one saved up at the most", out, want)
 	}
-	repeat := r.step(aldermux.Request{ID: "again", Class: safe, Left: 2000 * ms, Repeat: true})
+	repeat := r.step(balance.Request{ID: "again", Class: safe, Left: 2000 * ms, Repeat: true})
 	if final("again", repeat) != "" {
 		t.Errorf("a client's repeat: %v, want it held while waiting may help", repeat)
 	}
@@ -917,7 +917,7 @@
 // Incident ia38185: the limit follows the list down.
 func TestLimitFollowsTheList(t *testing.T) {
 	r := newRig(t, settings(), 1, backends(10))
-	r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(2)})
+	r.step(balance.List{Kind: balance.ListFull, Backends: backends(2)})
 	n := 0
 	for i := range 100 {
 		id := fmt.Sprint("q", i)
@@ -941,9 +941,9 @@
 		r.now += ms
 		if b := r.sent[id][0]; b < "g" { // a to f
 			dead[b] = true
-			r.outcome(id, aldermux.ConnectFailed, ms)
+			r.outcome(id, balance.ConnectFailed, ms)
 		} else {
-			r.outcome(id, aldermux.OK, ms)
+			r.outcome(id, balance.OK, ms)
 		}
 	}
 	r.advance(50 * ms)
@@ -980,11 +980,11 @@
 	r.now += 20 * ms
 	for i := range 18 {
 		if id := fmt.Sprint("h", i); len(r.sent[id]) == 1 && r.sent[id][0] != "a" {
-			r.outcome(id, aldermux.OK, 20*ms)
+			r.outcome(id, balance.OK, 20*ms)
 		}
 	}
 	r.now += 100 * ms
-	r.outcome(hung[0], aldermux.TimedOut, 120*ms)
+	r.outcome(hung[0], balance.TimedOut, 120*ms)
 	n := 0
 	for i := range 40 {
 		id := fmt.Sprint("q", i)
@@ -1024,11 +1024,11 @@
 				}
 				answered = true
 			}
-			r.outcome(id, aldermux.OK, 20*ms)
+			r.outcome(id, balance.OK, 20*ms)
 		}
 		r.now += 60 * ms
 		for _, id := range hang {
-			r.outcome(id, aldermux.TimedOut, 80*ms)
+			r.outcome(id, balance.TimedOut, 80*ms)
 		}
 		r.now += 20 * ms
 	}
@@ -1046,7 +1046,7 @@
 	for i := 4; i < 20; i++ {
 		grown[i].Started = r.now
 	}
-	r.step(aldermux.List{Kind: aldermux.ListFull, Backends: grown})
+	r.step(balance.List{Kind: balance.ListFull, Backends: grown})
 	warm := map[string]int{}
 	for i := range 300 {
 		id := fmt.Sprint("q", i)
@@ -1085,7 +1085,7 @@
 		if len(queue) > 75 {
 			if len(r.sent[queue[0]]) > 0 {
 				// answers in runs, so that twenty in a row can all be slow
-				r.outcome(queue[0], aldermux.OK, seq[(i/25)%10]*ms)
+				r.outcome(queue[0], balance.OK, seq[(i/25)%10]*ms)
 			}
 			queue = queue[1:]
 		}
@@ -1121,9 +1121,9 @@
 		s.Balancers = balancers
 		r := newRig(t, s, 1, backends(20))
 		var out []string // in flight, oldest first
-		sends := func(actions []aldermux.Action) {
+		sends := func(actions []balance.Action) {
 			for _, a := range actions {
-				if a, ok := a.(aldermux.Send); ok {
+				if a, ok := a.(balance.Send); ok {
 					out = append(out, a.Request)
 				}
 			}
@@ -1132,7 +1132,7 @@
 			sends(r.request(fmt.Sprint("q", i), safe))
 		}
 		for i := range 4 * len(out) { // four rounds of fast answers
-			sends(r.outcome(out[0], aldermux.OK, 20*ms))
+			sends(r.outcome(out[0], balance.OK, 20*ms))
 			out = out[1:]
 			sends(r.request(fmt.Sprint("more", i), safe))
 		}
@@ -1147,8 +1147,8 @@
 // does not wait for room, where a first try does.
 func TestPatienceTellsLateTries(t *testing.T) {
 	r := newRig(t, settings(), 1, backends(1))
-	submit := func(id string, left time.Duration) []aldermux.Action {
-		return r.step(aldermux.Request{ID: id, Class: safe, Left: left})
+	submit := func(id string, left time.Duration) []balance.Action {
+		return r.step(balance.Request{ID: id, Class: safe, Left: left})
 	}
 	for i := range 20 { // the usual patience, give or take
 		submit(fmt.Sprint("f", i), 900*ms+time.Duration(i%3)*ms)
@@ -1164,9 +1164,9 @@
 func TestSubscribe(t *testing.T) {
 	s := settings()
 	s.Subscribe = true
-	asks := func(acts []aldermux.Action) (n int) {
+	asks := func(acts []balance.Action) (n int) {
 		for _, a := range acts {
-			if _, ok := a.(aldermux.Subscribe); ok {
+			if _, ok := a.(balance.Subscribe); ok {
 				n++
 			}
 		}
@@ -1180,12 +1180,12 @@
 			t.Fatalf("asked %d times at the start, want once", n)
 		}
 		for range 8 { // every failure is followed by one more try, in time
-			r.step(aldermux.List{Kind: aldermux.ListFailed})
+			r.step(balance.List{Kind: balance.ListFailed})
 			if n := asks(r.advance(s.AskWithin / 2)); n != 1 {
 				t.Fatalf("asked %d times after a failure, want once", n)
 			}
 		}
-		r.step(aldermux.List{Kind: aldermux.ListFull, Backends: backends(2)})
+		r.step(balance.List{Kind: balance.ListFull, Backends: backends(2)})
 		if n := asks(r.advance(time.Minute)); n != 0 {
 			t.Errorf("asked %d times while subscribed", n)
 		}
@@ -1194,7 +1194,7 @@
 		t.Errorf("10 agents ask after only %d different waits", len(delays))
 	}
 	r := newRig(t, settings(), 1, backends(2))
-	if n := asks(append(r.step(aldermux.List{Kind: aldermux.ListFailed}), r.advance(time.Minute)...)); n != 0 {
+	if n := asks(append(r.step(balance.List{Kind: balance.ListFailed}), r.advance(time.Minute)...)); n != 0 {
 		t.Error("asked although the list comes unasked")
 	}
 }
@@ -1204,21 +1204,21 @@
 	r := newRig(t, settings(), 1, backends(2))
 	r.request("done", safe)
 	r.now += 10 * ms
-	r.outcome("done", aldermux.OK, 10*ms)
+	r.outcome("done", balance.OK, 10*ms)
 	r.request("open", unsafe)
-	stray := []aldermux.Event{
-		aldermux.Outcome{Request: "never", Result: aldermux.Errored},
-		aldermux.Outcome{Request: "done", Result: aldermux.Errored},
-		aldermux.Outcome{Request: "open", Attempt: 7, Result: aldermux.Errored},
-		aldermux.Outcome{Request: "open", Attempt: -1, Result: aldermux.Errored},
-		aldermux.TimerFired{Token: 99}, aldermux.TimerFired{Token: 0}, aldermux.TimerFired{Token: -5},
-		aldermux.Abandoned{Request: "never"}, aldermux.Abandoned{Request: "done"},
-		aldermux.StreamStarted{Request: "never"},
-		aldermux.ProbeResult{Backend: "zz"},
-		aldermux.PeerMessage{From: 44, Data: []byte{1}},
-		aldermux.Request{ID: "bad", Class: 17, Left: time.Second},
-		aldermux.Request{ID: "bad", Class: -1, Left: time.Second},
-		aldermux.Request{ID: "open", Class: safe, Left: time.Second},
+	stray := []balance.Event{
+		balance.Outcome{Request: "never", Result: balance.Errored},
+		balance.Outcome{Request: "done", Result: balance.Errored},
+		balance.Outcome{Request: "open", Attempt: 7, Result: balance.Errored},
+		balance.Outcome{Request: "open", Attempt: -1, Result: balance.Errored},
+		balance.TimerFired{Token: 99}, balance.TimerFired{Token: 0}, balance.TimerFired{Token: -5},
+		balance.Abandoned{Request: "never"}, balance.Abandoned{Request: "done"},
+		balance.StreamStarted{Request: "never"},
+		balance.ProbeResult{Backend: "zz"},
+		balance.PeerMessage{From: 44, Data: []byte{1}},
+		balance.Request{ID: "bad", Class: 17, Left: time.Second},
+		balance.Request{ID: "bad", Class: -1, Left: time.Second},
+		balance.Request{ID: "open", Class: safe, Left: time.Second},
 	}
 	for _, e := range stray {
 		if acts := r.step(e); len(acts) != 0 {
@@ -1226,10 +1226,10 @@
 		}
 	}
 	r.now += 10 * ms
-	if acts := r.outcome("open", aldermux.Errored, 10*ms); final("open", acts) != "fail" {
+	if acts := r.outcome("open", balance.Errored, 10*ms); final("open", acts) != "fail" {
 		t.Errorf("the open request: %v, want its one failure", acts)
 	}
-	if acts := r.outcome("open", aldermux.Errored, 10*ms); len(acts) != 0 {
+	if acts := r.outcome("open", balance.Errored, 10*ms); len(acts) != 0 {
 		t.Errorf("a repeated outcome: %v, want no action", acts)
 	}
 }
@@ -1238,9 +1238,9 @@
 func TestAbandoned(t *testing.T) {
 	r := newRig(t, settings(), 1, backends(2))
 	r.request("q", safe)
-	r.step(aldermux.Abandoned{Request: "q"})
+	r.step(balance.Abandoned{Request: "q"})
 	r.now += 10 * ms
-	acts := r.outcome("q", aldermux.Errored, 10*ms)
+	acts := r.outcome("q", balance.Errored, 10*ms)
 	acts = append(acts, r.advance(3*time.Second)...)
 	if len(acts) != 0 {
 		t.Errorf("after the client left: %v", acts)
@@ -1251,9 +1251,9 @@
 func TestStream(t *testing.T) {
 	r := newRig(t, settings(), 1, backends(2))
 	r.request("q", safe)
-	r.step(aldermux.StreamStarted{Request: "q"})
+	r.step(balance.StreamStarted{Request: "q"})
 	r.now += 10 * ms
-	acts := r.step(aldermux.Outcome{Request: "q", Backend: r.sent["q"][0], Result: aldermux.Reset, Done: true})
+	acts := r.step(balance.Outcome{Request: "q", Backend: r.sent["q"][0], Result: balance.Reset, Done: true})
 	acts = append(acts, r.advance(3*time.Second)...)
 	if len(acts) != 0 || len(r.sent["q"]) != 1 {
 		t.Errorf("after a broken stream: %v", acts)
@@ -1269,7 +1269,7 @@
 			log = append(log, fmt.Sprint(r.request(id, i%5)))
 			r.now += 3 * ms
 			if i%3 != 0 && len(r.sent[id]) > 0 {
-				log = append(log, fmt.Sprint(r.outcome(id, aldermux.Result(i%6), 3*ms)))
+				log = append(log, fmt.Sprint(r.outcome(id, balance.Result(i%6), 3*ms)))
 			}
 			log = append(log, fmt.Sprint(r.advance(2*ms)))
 		}
@@ -1290,10 +1290,10 @@
 	for i := range 3 {
 		r.request(fmt.Sprint("q", i), unsafe)
 	}
-	r.step(aldermux.List{Backends: []aldermux.Backend{{ID: "a", State: aldermux.Draining}}})
+	r.step(balance.List{Backends: []balance.Backend{{ID: "a", State: balance.Draining}}})
 	r.request("held", unsafe)
 	for i := range 3 {
-		r.outcome(fmt.Sprint("q", i), aldermux.OK, ms) // the mean falls
+		r.outcome(fmt.Sprint("q", i), balance.OK, ms) // the mean falls
 	}
 	if got := final("held", r.advance(2000*ms)); got != "refuse" {
 		t.Errorf("the held request ended %q within its deadline, want refuse", got)
@@ -1303,9 +1303,9 @@
 // The grown deployments: a quiet agent in a large fleet meets most backends for the first time,
 // so what their kind has shown must count.
 func TestKindStandsInForUnknownBackend(t *testing.T) {
-	var list []aldermux.Backend
+	var list []balance.Backend
 	for i := range 200 {
-		list = append(list, aldermux.Backend{ID: fmt.Sprint("s", i), Kind: i % 2})
+		list = append(list, balance.Backend{ID: fmt.Sprint("s", i), Kind: i % 2})
 	}
 	s := settings()
 	s.Balancers = 500
@@ -1325,7 +1325,7 @@
 				}
 			}
 			r.now += latency
-			r.outcome(id, aldermux.OK, latency)
+			r.outcome(id, balance.OK, latency)
 		}
 	}
 	if slow > 45 { // of 300
@@ -1388,12 +1388,12 @@
 			for i := range 60 {
 				id := fmt.Sprint("q", i)
 				if r.request(id, safe); len(r.sent[id]) == 0 {
-					r.step(aldermux.Abandoned{Request: id})
+					r.step(balance.Abandoned{Request: id})
 				}
 				r.advance(tt.latency)
 				if len(r.sent[id]) > 0 {
 					sent++
-					r.outcome(id, aldermux.OK, tt.latency)
+					r.outcome(id, balance.OK, tt.latency)
 				}
 				r.advance(250*ms - tt.latency)
 			}
@@ -1407,8 +1407,8 @@
 // Incidents i5108da, if78252: nothing comes back between a quiet agent's attempts, so that each of
 // its time-outs looks like that of a dead backend; they must lower its limit all the same.
 func TestQuietAgentHeedsTimeOuts(t *testing.T) {
-	sent := map[aldermux.Result]int{}
-	for _, res := range []aldermux.Result{aldermux.OK, aldermux.TimedOut} {
+	sent := map[balance.Result]int{}
+	for _, res := range []balance.Result{balance.OK, balance.TimedOut} {
 		s := settings()
 		s.Balancers = 60
 		r := newRig(t, s, 1, backends(20))
@@ -1417,7 +1417,7 @@
 			if r.request(id, unsafe); len(r.sent[id]) > 0 {
 				sent[res]++
 			} else {
-				r.step(aldermux.Abandoned{Request: id})
+				r.step(balance.Abandoned{Request: id})
 			}
 			r.advance(400 * ms)
 			if len(r.sent[id]) > 0 {
@@ -1425,7 +1425,7 @@
 			}
 		}
 	}
-	if ok, out := sent[aldermux.OK], sent[aldermux.TimedOut]; out > ok*5/4 {
+	if ok, out := sent[balance.OK], sent[balance.TimedOut]; out > ok*5/4 {
 		t.Errorf("%d of 80 sent with late answers, %d with time-outs", ok, out)
 	}
 }
@@ -1433,8 +1433,8 @@
 // Incident ie3262b: agents that see only their own few attempts crowd some backends while others
 // idle. A report of what others hold there steers the pick, and fades; where none comes nothing does.
 func TestReportsSteerThePick(t *testing.T) {
-	report := func(held float64) aldermux.Load {
-		return aldermux.Load{Valid: held >= 0, Outstanding: held, Queue: -1, Utilization: -1, Service: -1,
+	report := func(held float64) balance.Load {
+		return balance.Load{Valid: held >= 0, Outstanding: held, Queue: -1, Utilization: -1, Service: -1,
 			Throughput: -1, ErrorsPerSec: -1}
 	}
 	for _, tt := range []struct {
@@ -1450,7 +1450,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRig(t, settings(), 2, backends(4))
-			serve := func(n int, load func(string) aldermux.Load) (at int) {
+			serve := func(n int, load func(string) balance.Load) (at int) {
 				for range n {
 					id := fmt.Sprint("q", len(r.sent))
 					r.request(id, safe)
@@ -1458,15 +1458,15 @@
 						at++
 					}
 					r.now += 20 * ms
-					r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: 20 * ms, Done: true, Load: load(r.sent[id][0])})
+					r.step(balance.Outcome{Request: id, Backend: r.sent[id][0], Latency: 20 * ms, Done: true, Load: load(r.sent[id][0])})
 				}
 				return at
 			}
-			serve(80, func(id string) aldermux.Load { return report(tt.held(id)) })
+			serve(80, func(id string) balance.Load { return report(tt.held(id)) })
 			r.now += tt.later
-			fresh := func(id string) aldermux.Load { return report(tt.held(id)) }
+			fresh := func(id string) balance.Load { return report(tt.held(id)) }
 			if tt.later > 0 {
-				fresh = func(string) aldermux.Load { return report(-1) }
+				fresh = func(string) balance.Load { return report(-1) }
 			}
 			if a := serve(400, fresh); !tt.want(a) {
 				t.Errorf("%d of 400 attempts went to a", a)
@@ -1492,8 +1492,8 @@
 			id := fmt.Sprint("s", i)
 			r.request(id, safe)
 			r.now += 350 * ms
-			r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: 350 * ms, Done: true,
-				Load: aldermux.Load{Valid: true, Outstanding: tt.held, Queue: tt.waiting}})
+			r.step(balance.Outcome{Request: id, Backend: r.sent[id][0], Latency: 350 * ms, Done: true,
+				Load: balance.Load{Valid: true, Outstanding: tt.held, Queue: tt.waiting}})
 		}
 		out := 0
 		for i := range 80 {
@@ -1510,8 +1510,8 @@
 // Lost answers (brno-forecast big-2): where answers bring reports, a time-out of a quiet agent says
 // nothing of crowds and must not cut its limit; without reports it must (see the test above).
 func TestLostAnswersAreNoCrowd(t *testing.T) {
-	sent := map[aldermux.ReportSource]int{}
-	for _, reports := range []aldermux.ReportSource{aldermux.ReportsOff, aldermux.ReportsInline} {
+	sent := map[balance.ReportSource]int{}
+	for _, reports := range []balance.ReportSource{balance.ReportsOff, balance.ReportsInline} {
 		s := settings()
 		s.Balancers, s.Reports = 200, reports
 		r := newRig(t, s, 1, backends(20))
@@ -1520,18 +1520,18 @@
 			if r.request(id, unsafe); len(r.sent[id]) > 0 {
 				sent[reports]++
 			} else {
-				r.step(aldermux.Abandoned{Request: id})
+				r.step(balance.Abandoned{Request: id})
 			}
 			r.advance(80 * ms)
 			if len(r.sent[id]) > 0 && i%2 == 0 {
 				r.advance(320 * ms)
-				r.outcome(id, aldermux.TimedOut, 400*ms)
+				r.outcome(id, balance.TimedOut, 400*ms)
 			} else if len(r.sent[id]) > 0 {
-				r.outcome(id, aldermux.OK, 80*ms)
+				r.outcome(id, balance.OK, 80*ms)
 			}
 		}
 	}
-	if crowd, lost := sent[aldermux.ReportsOff], sent[aldermux.ReportsInline]; lost < crowd*5/4 {
+	if crowd, lost := sent[balance.ReportsOff], sent[balance.ReportsInline]; lost < crowd*5/4 {
 		t.Errorf("%d of 200 sent where reports come, %d where none do", lost, crowd)
 	}
 }
@@ -1576,11 +1576,11 @@
 // Incident i42971b, brno-forecast big-2: the room of a quiet agent is not held by lost answers.
 func TestOverdueAttemptsUseNoRoom(t *testing.T) {
 	for _, tt := range []struct {
-		reports aldermux.ReportSource
+		reports balance.ReportSource
 		want    func(sent int) bool
 	}{
-		{aldermux.ReportsInline, func(n int) bool { return n >= 9 }},
-		{aldermux.ReportsOff, func(n int) bool { return n < 6 }},
+		{balance.ReportsInline, func(n int) bool { return n >= 9 }},
+		{balance.ReportsOff, func(n int) bool { return n < 6 }},
 	} {
 		s := settings()
 		s.Balancers, s.Reports = 200, tt.reports
@@ -1611,7 +1611,7 @@
 		r.advance(50 * ms)
 		if len(r.sent[id]) > 0 {
 			sent++
-			r.outcome(id, aldermux.OK, 50*ms)
+			r.outcome(id, balance.OK, 50*ms)
 		}
 	}
 	if sent < 5 || sent > 40 {
@@ -1632,8 +1632,8 @@
 			at++
 		}
 		r.now += 20 * ms
-		r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: 20 * ms, Done: true,
-			Load: aldermux.Load{Valid: true, Outstanding: held, Queue: -1}})
+		r.step(balance.Outcome{Request: id, Backend: r.sent[id][0], Latency: 20 * ms, Done: true,
+			Load: balance.Load{Valid: true, Outstanding: held, Queue: -1}})
 	}
 	if at > 180 {
 		t.Errorf("%d of 400 attempts went to the backend with old reports, want about a quarter", at)
@@ -1642,8 +1642,8 @@
 
 // Incident ibd8710: what has timed out is still at work, so that a quiet agent's room stays used.
 func TestTimeOutsUseRoomForLonger(t *testing.T) {
-	next := map[aldermux.Result]int{}
-	for _, res := range []aldermux.Result{aldermux.OK, aldermux.TimedOut} {
+	next := map[balance.Result]int{}
+	for _, res := range []balance.Result{balance.OK, balance.TimedOut} {
 		s := settings()
 		s.Balancers = 60
 		r := newRig(t, s, 1, backends(20))
@@ -1657,11 +1657,11 @@
 				break
 			}
 			next[res]++
-			r.outcome(id, aldermux.OK, 100*ms)
+			r.outcome(id, balance.OK, 100*ms)
 		}
 	}
-	if next[aldermux.TimedOut] >= next[aldermux.OK] {
-		t.Errorf("%d attempts went out after a time-out, %d after an answer as late", next[aldermux.TimedOut], next[aldermux.OK])
+	if next[balance.TimedOut] >= next[balance.OK] {
+		t.Errorf("%d attempts went out after a time-out, %d after an answer as late", next[balance.TimedOut], next[balance.OK])
 	}
 }
 
@@ -1680,10 +1680,10 @@
 				continue
 			}
 			if r.sent[id][0] == "a" {
-				r.outcome(id, aldermux.Errored, 10*ms)
+				r.outcome(id, balance.Errored, 10*ms)
 				break
 			}
-			r.outcome(id, aldermux.OK, 10*ms)
+			r.outcome(id, balance.OK, 10*ms)
 		}
 		from := r.now
 		for i := 0; i < 20000; i++ {
@@ -1693,7 +1693,7 @@
 			if len(r.sent[id]) > 0 && r.sent[id][0] == "a" {
 				return r.now - from
 			} else if len(r.sent[id]) > 0 {
-				r.outcome(id, aldermux.OK, 10*ms)
+				r.outcome(id, balance.OK, 10*ms)
 			}
 		}
 		return time.Hour
@@ -1706,7 +1706,7 @@
 // The small twins of kohad-tallinn choked at a mean delay of 0.55 of the aim: only where fresh
 // reports keep crowds apart may the limit let latency rise that far.
 func TestAimedDelayNeedsFreshReports(t *testing.T) {
-	inFlight := func(load aldermux.Load) (n int) {
+	inFlight := func(load balance.Load) (n int) {
 		r := newRig(t, settings(), 1, backends(4))
 		for i := range 300 {
 			id := fmt.Sprint("s", i)
@@ -1716,7 +1716,7 @@
 				latency = 180 * ms // 0.45 of the aim
 			}
 			r.now += latency
-			r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Latency: latency, Done: true, Load: load})
+			r.step(balance.Outcome{Request: id, Backend: r.sent[id][0], Latency: latency, Done: true, Load: load})
 		}
 		for i := range 60 {
 			id := fmt.Sprint("q", i)
@@ -1725,8 +1725,8 @@
 		}
 		return n
 	}
-	fresh := inFlight(aldermux.Load{Valid: true, Outstanding: 5, Queue: -1})
-	none := inFlight(aldermux.Load{Outstanding: -1, Queue: -1})
+	fresh := inFlight(balance.Load{Valid: true, Outstanding: 5, Queue: -1})
+	none := inFlight(balance.Load{Outstanding: -1, Queue: -1})
 	if none != 4*4 || fresh < 6*4 {
 		t.Errorf("%d in flight without reports, want the floor of 16; %d with fresh ones, want 24 or more", none, fresh)
 	}
@@ -1744,14 +1744,14 @@
 		for n := 0; n < len(r.sent[id]); n++ {
 			if b := r.sent[id][n]; b == "a" && class == unsafe {
 				turned++
-				r.step(aldermux.Outcome{Request: id, Attempt: n, Backend: b, Result: aldermux.Full, Latency: 10 * ms,
-					Load: aldermux.Load{Outstanding: -1, Queue: -1}})
+				r.step(balance.Outcome{Request: id, Attempt: n, Backend: b, Result: balance.Full, Latency: 10 * ms,
+					Load: balance.Load{Outstanding: -1, Queue: -1}})
 				break
 			} else if b == "a" {
 				others++
 			}
-			r.step(aldermux.Outcome{Request: id, Attempt: n, Backend: r.sent[id][n], Result: aldermux.OK, Latency: 10 * ms, Done: true,
-				Load: aldermux.Load{Outstanding: -1, Queue: -1}})
+			r.step(balance.Outcome{Request: id, Attempt: n, Backend: r.sent[id][n], Result: balance.OK, Latency: 10 * ms, Done: true,
+				Load: balance.Load{Outstanding: -1, Queue: -1}})
 		}
 	}
 	if turned > 45 || others < 40 { // an even part is 75 of each
@@ -1761,8 +1761,8 @@
 
 // brno-forecast's small twin of big-2: a busy agent that loses answers keeps its limit too.
 func TestBusyAgentKeepsItsLimitAmongLostAnswers(t *testing.T) {
-	inFlight := map[aldermux.ReportSource]int{}
-	for _, reports := range []aldermux.ReportSource{aldermux.ReportsOff, aldermux.ReportsInline} {
+	inFlight := map[balance.ReportSource]int{}
+	for _, reports := range []balance.ReportSource{balance.ReportsOff, balance.ReportsInline} {
 		s := settings()
 		s.Reports = reports
 		r := newRig(t, s, 1, backends(4))
@@ -1772,10 +1772,10 @@
 			r.request(served, unsafe)
 			r.now += 50 * ms
 			if len(r.sent[served]) > 0 {
-				r.outcome(served, aldermux.OK, 50*ms)
+				r.outcome(served, balance.OK, 50*ms)
 			}
 			if i >= 8 && len(r.sent[fmt.Sprint("lost", i-8)]) > 0 {
-				r.outcome(fmt.Sprint("lost", i-8), aldermux.TimedOut, 400*ms)
+				r.outcome(fmt.Sprint("lost", i-8), balance.TimedOut, 400*ms)
 			}
 		}
 		for i := range 60 {
@@ -1784,7 +1784,7 @@
 			inFlight[reports] += len(r.sent[id])
 		}
 	}
-	if crowd, lost := inFlight[aldermux.ReportsOff], inFlight[aldermux.ReportsInline]; lost < crowd*3/2 {
+	if crowd, lost := inFlight[balance.ReportsOff], inFlight[balance.ReportsInline]; lost < crowd*3/2 {
 		t.Errorf("%d more in flight where reports come, %d where none do", lost, crowd)
 	}
 }
--- a/bench_test.go
+++ b/balance/bench_test.go
@@ -1,4 +1,4 @@
-package aldermux_test
+package balance_test
 
 import (
 	"fmt"
@@ -6,18 +6,18 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // BenchmarkStep plays a request, its outcome and now and then an error and a
 // retry. State must not grow with the requests played: see the heap metric.
 func BenchmarkStep(b *testing.B) {
-	lb, err := aldermux.New(settings(), 1)
+	lb, err := balance.New(settings(), 1)
 	if err != nil {
 		b.Fatal(err)
 	}
 	now := time.Hour
-	lb.Step(now, []aldermux.Event{aldermux.List{Kind: aldermux.ListFull, Backends: backends(14)}})
+	lb.Step(now, []balance.Event{balance.List{Kind: balance.ListFull, Backends: backends(14)}})
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -32,25 +32,25 @@
 }
 
 // playOne plays request i to its end.
-func playOne(lb *aldermux.Balancer, now *time.Duration, i int) {
+func playOne(lb *balance.Balancer, now *time.Duration, i int) {
 	id := fmt.Sprint("q", i)
-	events := []aldermux.Event{aldermux.Request{ID: id, Class: safe, Left: time.Second}}
+	events := []balance.Event{balance.Request{ID: id, Class: safe, Left: time.Second}}
 	for n := 0; len(events) > 0; {
 		acts := lb.Step(*now, events)
 		events = nil
 		for _, a := range acts {
 			switch a := a.(type) {
-			case aldermux.Send:
+			case balance.Send:
 				*now += 2 * ms
-				o := aldermux.Outcome{Request: id, Attempt: n, Backend: a.Backend, Latency: 2 * ms, Done: true}
+				o := balance.Outcome{Request: id, Attempt: n, Backend: a.Backend, Latency: 2 * ms, Done: true}
 				if n == 0 && i%50 == 0 {
-					o.Result, o.Done = aldermux.Errored, false
+					o.Result, o.Done = balance.Errored, false
 				}
 				n++
 				events = append(events, o)
-			case aldermux.SetTimer:
+			case balance.SetTimer:
 				*now += a.After
-				events = append(events, aldermux.TimerFired{Token: a.Token})
+				events = append(events, balance.TimerFired{Token: a.Token})
 			}
 		}
 	}
@@ -58,12 +58,12 @@
 
 // Memory and allocations per request stay bounded over a long run.
 func TestStateIsBounded(t *testing.T) {
-	lb, err := aldermux.New(settings(), 1)
+	lb, err := balance.New(settings(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	now := time.Hour
-	lb.Step(now, []aldermux.Event{aldermux.List{Kind: aldermux.ListFull, Backends: backends(14)}})
+	lb.Step(now, []balance.Event{balance.List{Kind: balance.ListFull, Backends: backends(14)}})
 	heap := func(from, to int) uint64 {
 		for i := from; i < to; i++ {
 			playOne(lb, &now, i)
@@ -87,19 +87,19 @@
 
 // A fleet that is replaced whole, time and again, leaves nothing behind.
 func TestChurnIsBounded(t *testing.T) {
-	lb, err := aldermux.New(settings(), 1)
+	lb, err := balance.New(settings(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	now := time.Hour
 	heap := func(from, to int) uint64 {
 		for i := from; i < to; i++ {
-			var list []aldermux.Backend
+			var list []balance.Backend
 			for n := range 50 {
-				list = append(list, aldermux.Backend{ID: fmt.Sprint("b", i, "-", n), Zone: n % 3})
+				list = append(list, balance.Backend{ID: fmt.Sprint("b", i, "-", n), Zone: n % 3})
 			}
 			now += time.Second
-			lb.Step(now, []aldermux.Event{aldermux.List{Kind: aldermux.ListFull, Backends: list}})
+			lb.Step(now, []balance.Event{balance.List{Kind: balance.ListFull, Backends: list}})
 			playOne(lb, &now, i)
 		}
 		runtime.GC()
--- a/example_test.go
+++ b/balance/example_test.go
@@ -1,20 +1,20 @@
-package aldermux_test
+package balance_test
 
 import (
 	"fmt"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // One balancer through a first attempt, a failure, a retry and an answer. The
 // agent owns the clock, the timers and the connections.
 func Example() {
-	b, err := aldermux.New(aldermux.Settings{
+	b, err := balance.New(balance.Settings{
 		Balancers:   1,
 		MaxAttempts: 3,
-		Classes: []aldermux.Class{
-			{Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: 1, Effect: aldermux.Safe},
+		Classes: []balance.Class{
+			{Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: 1, Effect: balance.Safe},
 		},
 	}, 42)
 	if err != nil {
@@ -24,35 +24,35 @@
 	now := time.Duration(0)
 	var backend string
 	var timer int64
-	step := func(events ...aldermux.Event) {
+	step := func(events ...balance.Event) {
 		for _, action := range b.Step(now, events) {
 			switch a := action.(type) {
-			case aldermux.Send: // start the attempt; pass its Outcome on later
+			case balance.Send: // start the attempt; pass its Outcome on later
 				fmt.Println("send", a.Request)
 				backend = a.Backend
-			case aldermux.SetTimer: // pass TimerFired on when it is due
+			case balance.SetTimer: // pass TimerFired on when it is due
 				fmt.Println("set a timer")
 				timer = a.Token
-			case aldermux.Refuse:
+			case balance.Refuse:
 				fmt.Println("refuse", a.Request)
-			case aldermux.Fail:
+			case balance.Fail:
 				fmt.Println("fail", a.Request)
 			}
 		}
 	}
-	step(aldermux.List{Kind: aldermux.ListFull, Backends: []aldermux.Backend{{ID: "10.0.0.1:80"}, {ID: "10.0.0.2:80"}}})
-	step(aldermux.Request{ID: "r1", Class: 0, Left: time.Second})
+	step(balance.List{Kind: balance.ListFull, Backends: []balance.Backend{{ID: "10.0.0.1:80"}, {ID: "10.0.0.2:80"}}})
+	step(balance.Request{ID: "r1", Class: 0, Left: time.Second})
 
 	first := backend
 	now += 3 * time.Millisecond
-	step(aldermux.Outcome{Request: "r1", Attempt: 0, Backend: backend, Result: aldermux.Errored, Latency: 3 * time.Millisecond})
+	step(balance.Outcome{Request: "r1", Attempt: 0, Backend: backend, Result: balance.Errored, Latency: 3 * time.Millisecond})
 
 	now += 7 * time.Millisecond
-	step(aldermux.TimerFired{Token: timer})
+	step(balance.TimerFired{Token: timer})
 	fmt.Println("on another backend:", backend != first)
 
 	now += 20 * time.Millisecond
-	step(aldermux.Outcome{Request: "r1", Attempt: 1, Backend: backend, Latency: 20 * time.Millisecond, Done: true})
+	step(balance.Outcome{Request: "r1", Attempt: 1, Backend: backend, Latency: 20 * time.Millisecond, Done: true})
 	// Output:
 	// send r1
 	// set a timer
--- a/fleet_cases_test.go
+++ b/balance/fleet_cases_test.go
@@ -1,4 +1,4 @@
-package aldermux_test
+package balance_test
 
 import (
 	"fmt"
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // relist tells every agent of one change of the list, each a little later than the other, as lists arrive.
-func (d *crowdDay) relist(within time.Duration, change ...aldermux.Backend) {
+func (d *crowdDay) relist(within time.Duration, change ...balance.Backend) {
 	for i := range d.agents {
 		d.at(d.now+time.Duration(d.rng.Float64()*float64(within)), func() {
-			d.step(i, aldermux.List{Kind: aldermux.ListDelta, Backends: change})
+			d.step(i, balance.List{Kind: balance.ListDelta, Backends: change})
 		})
 	}
 }
@@ -24,9 +24,9 @@
 }
 
 // start has a node run from now on, cold, under a new id or its old one.
-func (d *crowdDay) start(id string) aldermux.Backend {
+func (d *crowdDay) start(id string) balance.Backend {
 	d.nodes[id] = &crowdNode{cores: 4, born: d.now}
-	return aldermux.Backend{ID: id, Weight: 1, Started: d.now}
+	return balance.Backend{ID: id, Weight: 1, Started: d.now}
 }
 
 // heaviest is the largest share of the work that pushes a cold node over which all agents together sent it
@@ -60,7 +60,7 @@
 				d.relist(time.Second, d.start(fmt.Sprint("new", i)))
 			})
 			d.at(began+1500*time.Millisecond+time.Duration(i)*100*time.Millisecond, func() {
-				d.relist(time.Second, aldermux.Backend{ID: fmt.Sprint("b", i), State: aldermux.Draining})
+				d.relist(time.Second, balance.Backend{ID: fmt.Sprint("b", i), State: balance.Draining})
 			})
 		}
 		d.skewed(0.55*d.capacity(), 6*time.Second)
@@ -148,7 +148,7 @@
 // without a word.
 func TestPeersNeverHarm(t *testing.T) {
 	type hear = func(d *crowdDay, from, to int, data []byte)
-	later := func(d *crowdDay, wait time.Duration, to int, e aldermux.PeerMessage) {
+	later := func(d *crowdDay, wait time.Duration, to int, e balance.PeerMessage) {
 		d.at(d.now+wait, func() { d.step(to, e) })
 	}
 	play := func(carry hear) (refused float64) {
@@ -164,27 +164,27 @@
 	without := play(func(*crowdDay, int, int, []byte) {})
 	for name, carry := range map[string]hear{
 		"whole": func(d *crowdDay, from, to int, data []byte) {
-			later(d, 10*time.Millisecond, to, aldermux.PeerMessage{From: from, Data: data})
+			later(d, 10*time.Millisecond, to, balance.PeerMessage{From: from, Data: data})
 		},
 		"twice": func(d *crowdDay, from, to int, data []byte) {
-			later(d, 10*time.Millisecond, to, aldermux.PeerMessage{From: from, Data: data})
-			later(d, 15*time.Millisecond, to, aldermux.PeerMessage{From: from, Data: data})
+			later(d, 10*time.Millisecond, to, balance.PeerMessage{From: from, Data: data})
+			later(d, 15*time.Millisecond, to, balance.PeerMessage{From: from, Data: data})
 		},
 		"late by seconds": func(d *crowdDay, from, to int, data []byte) {
-			later(d, 2*time.Second, to, aldermux.PeerMessage{From: from, Data: data})
+			later(d, 2*time.Second, to, balance.PeerMessage{From: from, Data: data})
 		},
 		"cut": func(d *crowdDay, from, to int, data []byte) {
-			later(d, 10*time.Millisecond, to, aldermux.PeerMessage{From: from, Data: data[:d.rng.IntN(len(data))]})
+			later(d, 10*time.Millisecond, to, balance.PeerMessage{From: from, Data: data[:d.rng.IntN(len(data))]})
 		},
 		"garbage": func(d *crowdDay, from, to int, data []byte) {
 			junk := make([]byte, d.rng.IntN(257))
 			for i := range junk {
 				junk[i] = byte(d.rng.Uint32())
 			}
-			later(d, 10*time.Millisecond, to, aldermux.PeerMessage{From: from, Data: junk})
+			later(d, 10*time.Millisecond, to, balance.PeerMessage{From: from, Data: junk})
 		},
 		"from nobody": func(d *crowdDay, from, to int, data []byte) {
-			later(d, 10*time.Millisecond, to, aldermux.PeerMessage{From: from - 1000*(from%2) + 80, Data: data})
+			later(d, 10*time.Millisecond, to, balance.PeerMessage{From: from - 1000*(from%2) + 80, Data: data})
 		},
 	} {
 		if refused := play(carry); refused > without+0.02 {
--- a/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,11 +1,11 @@
-package aldermux_test
+package balance_test
 
 import (
 	"math"
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // skewed has requests come at a rate for a time, to agents that differ in traffic by far.
@@ -68,12 +68,12 @@
 	has      map[int]time.Duration // when an agent got its list
 }
 
-func (a *asking) step(agent int, e aldermux.Event) {
-	for _, act := range a.agents[agent].Step(a.now, []aldermux.Event{e}) {
+func (a *asking) step(agent int, e balance.Event) {
+	for _, act := range a.agents[agent].Step(a.now, []balance.Event{e}) {
 		switch act := act.(type) {
-		case aldermux.SetTimer:
-			a.at(a.now+act.After, func() { a.step(agent, aldermux.TimerFired{Token: act.Token}) })
-		case aldermux.Subscribe:
+		case balance.SetTimer:
+			a.at(a.now+act.After, func() { a.step(agent, balance.TimerFired{Token: act.Token}) })
+		case balance.Subscribe:
 			a.call(agent)
 		}
 	}
@@ -83,19 +83,19 @@
 	a.calls = append(a.calls, a.now)
 	each := time.Duration(float64(time.Second) / a.perS)
 	if a.free-a.now > time.Duration(a.most)*each {
-		a.at(a.now+10*time.Millisecond, func() { a.step(agent, aldermux.List{Kind: aldermux.ListFailed}) })
+		a.at(a.now+10*time.Millisecond, func() { a.step(agent, balance.List{Kind: balance.ListFailed}) })
 		return
 	}
 	a.free = max(a.free, a.now) + each
 	if a.free-a.now > a.patience {
-		a.at(a.now+a.patience, func() { a.step(agent, aldermux.List{Kind: aldermux.ListFailed}) })
+		a.at(a.now+a.patience, func() { a.step(agent, balance.List{Kind: balance.ListFailed}) })
 		return
 	}
 	a.at(a.free, func() {
 		if _, known := a.has[agent]; !known {
 			a.has[agent] = a.now
 		}
-		a.step(agent, aldermux.List{Kind: aldermux.ListDelta})
+		a.step(agent, balance.List{Kind: balance.ListDelta})
 	})
 }
 
@@ -108,12 +108,12 @@
 		for i := range started {
 			s := settings()
 			s.Balancers, s.Self, s.Subscribe, s.AskWithin = fleet, i, true, 10*time.Second
-			b, err := aldermux.New(s, seed*1000+uint64(i))
+			b, err := balance.New(s, seed*1000+uint64(i))
 			if err != nil {
 				t.Fatal(err)
 			}
 			a.agents = append(a.agents, b)
-			a.at(a.now+time.Duration(a.rng.IntN(1000))*time.Millisecond, func() { a.step(i, aldermux.List{Kind: aldermux.ListCached}) })
+			a.at(a.now+time.Duration(a.rng.IntN(1000))*time.Millisecond, func() { a.step(i, balance.List{Kind: balance.ListCached}) })
 		}
 		began := a.now
 		a.run(a.now + 12*time.Second)
--- a/hash.go
+++ b/balance/hash.go
@@ -1,4 +1,4 @@
-package aldermux
+package balance
 
 // hashed is a text as a number that is the same at every agent, and never 0.
 func hashed(text string) uint64 {
--- a/keys_test.go
+++ b/balance/keys_test.go
@@ -1,22 +1,22 @@
-package aldermux_test
+package balance_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // askKeys asks a balancer for many keys, one request at a time, and returns the backends of each key.
 // A backend that has met a key takes two fifths as long for it.
-func askKeys(t *testing.T, s aldermux.Settings, seed uint64, rounds, keys int) map[string]map[string]int {
+func askKeys(t *testing.T, s balance.Settings, seed uint64, rounds, keys int) map[string]map[string]int {
 	t.Helper()
 	r := newRig(t, s, seed, backends(8))
 	got := map[string]map[string]int{}
 	for i := range rounds * keys {
 		id, key := fmt.Sprint("q", i), fmt.Sprint("k", i%keys)
-		r.step(aldermux.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
+		r.step(balance.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
 		if len(r.sent[id]) != 1 {
 			t.Fatalf("request %d of an idle site was sent %d times", i, len(r.sent[id]))
 		}
@@ -29,7 +29,7 @@
 			latency = 2 * ms
 		}
 		r.now += latency
-		r.step(aldermux.Outcome{Request: id, Backend: to, Result: aldermux.OK, Latency: latency, Done: true})
+		r.step(balance.Outcome{Request: id, Backend: to, Result: balance.OK, Latency: latency, Done: true})
 		r.now += ms
 	}
 	return got
@@ -83,7 +83,7 @@
 	out := map[string]int{}
 	for i := range 16 {
 		id := fmt.Sprint("q", i)
-		r.step(aldermux.Request{ID: id, Class: safe, Key: "one", Left: 2000 * ms})
+		r.step(balance.Request{ID: id, Class: safe, Key: "one", Left: 2000 * ms})
 		for _, to := range r.sent[id] {
 			out[to]++
 		}
@@ -105,10 +105,10 @@
 	r := newRig(t, s, 5, backends(2))
 	ask := func(i int, key string) string {
 		id := fmt.Sprint("q", i)
-		r.step(aldermux.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
+		r.step(balance.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
 		to := r.sent[id][0]
 		r.now += 2 * ms
-		r.step(aldermux.Outcome{Request: id, Backend: to, Result: aldermux.OK, Latency: 2 * ms, Done: true})
+		r.step(balance.Outcome{Request: id, Backend: to, Result: balance.OK, Latency: 2 * ms, Done: true})
 		return to
 	}
 	first := ask(0, "first")
@@ -136,7 +136,7 @@
 		s.WarmKeys = warm
 		r := newRig(t, s, 1, backends(1))
 		ask := func(id, key string) {
-			r.step(aldermux.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
+			r.step(balance.Request{ID: id, Class: safe, Key: key, Left: 2000 * ms})
 			r.now += ms
 		}
 		for i := range 50 {
@@ -149,9 +149,9 @@
 		ask("new", "new")
 		first := ""
 		for i := 0; i < 5 && first == ""; i++ {
-			for _, a := range r.step(aldermux.Outcome{Request: fmt.Sprint("q", i), Backend: "a",
-				Result: aldermux.OK, Latency: 20 * ms, Done: true}) {
-				if a, ok := a.(aldermux.Send); ok && first == "" {
+			for _, a := range r.step(balance.Outcome{Request: fmt.Sprint("q", i), Backend: "a",
+				Result: balance.OK, Latency: 20 * ms, Done: true}) {
+				if a, ok := a.(balance.Send); ok && first == "" {
 					first = a.Request
 				}
 			}
--- a/limit_test.go
+++ b/balance/limit_test.go
@@ -1,4 +1,4 @@
-package aldermux_test
+package balance_test
 
 import (
 	"container/heap"
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // crowdDay is a small site in simulated time: nodes of a few cores each that serve in turn, one or
@@ -21,7 +21,7 @@
 	queue  crowdQueue
 	seq    int
 	nodes  map[string]*crowdNode
-	agents []*aldermux.Balancer
+	agents []*balance.Balancer
 	open   map[string]*crowdRequest
 
 	resets func(node string, n int) bool // whether the nth answer of a node breaks off
@@ -79,22 +79,22 @@
 func newCrowdDay(t testing.TB, seed uint64, agents, nodes int) *crowdDay {
 	d := &crowdDay{now: time.Hour, rng: rand.New(rand.NewPCG(seed, 0)), nodes: map[string]*crowdNode{}, open: map[string]*crowdRequest{},
 		resets: func(string, int) bool { return false }, slow: func(time.Duration) float64 { return 1 }}
-	var list []aldermux.Backend
+	var list []balance.Backend
 	for i := range nodes {
 		id := fmt.Sprintf("b%d", i)
 		d.nodes[id] = &crowdNode{cores: 4}
-		list = append(list, aldermux.Backend{ID: id, Weight: 1})
+		list = append(list, balance.Backend{ID: id, Weight: 1})
 	}
 	for i := range agents {
-		s := aldermux.Settings{Balancers: agents, Self: i, Peers: true, MaxAttempts: 5, RetryAfter: true, MaxRetryAfter: time.Second, ConnectTimeout: 150 * time.Millisecond,
-			Classes:    []aldermux.Class{{Aim: crowdAim, Deadline: crowdLeft, Worth: 1, LateWorth: .25, Effect: aldermux.Safe}},
+		s := balance.Settings{Balancers: agents, Self: i, Peers: true, MaxAttempts: 5, RetryAfter: true, MaxRetryAfter: time.Second, ConnectTimeout: 150 * time.Millisecond,
+			Classes:    []balance.Class{{Aim: crowdAim, Deadline: crowdLeft, Worth: 1, LateWorth: .25, Effect: balance.Safe}},
 			DrainGrace: 500 * time.Millisecond, ColdShare: .3, RampTime: 4 * time.Second, FallMultiple: 3, FallWindow: 1500 * time.Millisecond}
-		b, err := aldermux.New(s, seed+uint64(i))
+		b, err := balance.New(s, seed+uint64(i))
 		if err != nil {
 			t.Fatal(err)
 		}
 		d.agents = append(d.agents, b)
-		d.step(i, aldermux.List{Kind: aldermux.ListFull, Backends: list})
+		d.step(i, balance.List{Kind: balance.ListFull, Backends: list})
 	}
 	return d
 }
@@ -114,25 +114,25 @@
 	d.now = max(d.now, until)
 }
 
-func (d *crowdDay) step(agent int, e aldermux.Event) {
-	for _, a := range d.agents[agent].Step(d.now, []aldermux.Event{e}) {
+func (d *crowdDay) step(agent int, e balance.Event) {
+	for _, a := range d.agents[agent].Step(d.now, []balance.Event{e}) {
 		switch a := a.(type) {
-		case aldermux.Send:
+		case balance.Send:
 			d.send(agent, a)
-		case aldermux.SetTimer:
-			d.at(d.now+a.After, func() { d.step(agent, aldermux.TimerFired{Token: a.Token}) })
-		case aldermux.TellPeer:
+		case balance.SetTimer:
+			d.at(d.now+a.After, func() { d.step(agent, balance.TimerFired{Token: a.Token}) })
+		case balance.TellPeer:
 			for to := range d.agents {
-				if to != agent && (a.To == to || a.To == aldermux.EveryPeer) {
+				if to != agent && (a.To == to || a.To == balance.EveryPeer) {
 					d.told += len(a.Data)
 					if d.carry != nil {
 						d.carry(d, agent, to, a.Data)
 						continue
 					}
-					d.at(d.now+10*time.Millisecond, func() { d.step(to, aldermux.PeerMessage{From: agent, Data: a.Data}) })
+					d.at(d.now+10*time.Millisecond, func() { d.step(to, balance.PeerMessage{From: agent, Data: a.Data}) })
 				}
 			}
-		case aldermux.Refuse:
+		case balance.Refuse:
 			d.end(a.Request, &d.refused)
 			for _, n := range d.nodes {
 				if !n.down && n.busy < n.cores {
@@ -140,7 +140,7 @@
 					break
 				}
 			}
-		case aldermux.Fail:
+		case balance.Fail:
 			d.end(a.Request, &d.failed)
 		}
 	}
@@ -158,10 +158,10 @@
 	d.seq++
 	id := fmt.Sprint("q", d.seq)
 	d.open[id] = &crowdRequest{agent: agent, came: d.now}
-	d.step(agent, aldermux.Request{ID: id, Left: crowdLeft})
+	d.step(agent, balance.Request{ID: id, Left: crowdLeft})
 }
 
-func (d *crowdDay) send(agent int, a aldermux.Send) {
+func (d *crowdDay) send(agent int, a balance.Send) {
 	r, n := d.open[a.Request], d.nodes[a.Backend]
 	if r == nil {
 		panic("a send after the end")
@@ -170,34 +170,34 @@
 	r.attempts++
 	n.sent = append(n.sent, d.now)
 	ended := false
-	outcome := func(res aldermux.Result, standing bool) {
+	outcome := func(res balance.Result, standing bool) {
 		if ended {
 			return
 		}
 		ended = true
-		if res == aldermux.OK && d.open[a.Request] != nil {
+		if res == balance.OK && d.open[a.Request] != nil {
 			if d.now-r.came <= crowdAim {
 				d.inTime++
 			}
 			d.servedAt = append(d.servedAt, d.now)
 			d.end(a.Request, &d.served)
 		}
-		d.step(agent, aldermux.Outcome{Request: a.Request, Attempt: attempt, Backend: a.Backend, Result: res, Latency: d.now - sent,
-			Done: d.open[a.Request] == nil, Standing: standing, Load: aldermux.Load{Outstanding: -1, Queue: -1}})
+		d.step(agent, balance.Outcome{Request: a.Request, Attempt: attempt, Backend: a.Backend, Result: res, Latency: d.now - sent,
+			Done: d.open[a.Request] == nil, Standing: standing, Load: balance.Load{Outstanding: -1, Queue: -1}})
 	}
 	if n.down {
-		d.at(d.now+time.Millisecond, func() { outcome(aldermux.ConnectFailed, false) })
+		d.at(d.now+time.Millisecond, func() { outcome(balance.ConnectFailed, false) })
 		return
 	}
 	if n.silent { // connections that were open hang, others don't come up
 		if d.rng.IntN(2) == 0 {
-			d.at(min(d.now+150*time.Millisecond, deadline), func() { outcome(aldermux.ConnectFailed, false) })
+			d.at(min(d.now+150*time.Millisecond, deadline), func() { outcome(balance.ConnectFailed, false) })
 		} else {
-			d.at(deadline, func() { outcome(aldermux.TimedOut, false) })
+			d.at(deadline, func() { outcome(balance.TimedOut, false) })
 		}
 		return
 	}
-	d.at(deadline, func() { outcome(aldermux.TimedOut, false) })
+	d.at(deadline, func() { outcome(balance.TimedOut, false) })
 	begin := func() {
 		work := time.Duration(float64(crowdWork) * (0.25 + 0.75*d.rng.ExpFloat64()) * d.slow(d.now))
 		if n.born > 0 {
@@ -214,9 +214,9 @@
 				next()
 			}
 			if broke {
-				outcome(aldermux.Reset, true)
+				outcome(balance.Reset, true)
 			} else {
-				outcome(aldermux.OK, false)
+				outcome(balance.OK, false)
 			}
 		})
 	}
@@ -293,7 +293,7 @@
 	begin := d.now + 5*time.Second
 	d.resets = func(_ string, n int) bool { return d.now > begin && n%10 == 0 }
 	cold := 0
-	d.agents[0].Explain(func(n aldermux.Note) {
+	d.agents[0].Explain(func(n balance.Note) {
 		for _, b := range n.Backends {
 			if b.Warmth < 1 || b.Down {
 				cold++
@@ -371,7 +371,7 @@
 		d.resets = func(_ string, n int) bool { return n%8 == 0 }
 		for _, b := range d.agents {
 			if explain {
-				b.Explain(func(aldermux.Note) {})
+				b.Explain(func(balance.Note) {})
 			}
 		}
 		d.arrive(1.3*d.capacity(), 4*time.Second, 0.7)
@@ -393,7 +393,7 @@
 		d := newCrowdDay(t, rapid.Uint64().Draw(rt, "seed"), agents, nodes)
 		d.resets = func(_ string, n int) bool { return n%broken == 0 }
 		for _, b := range d.agents {
-			b.Explain(func(n aldermux.Note) {
+			b.Explain(func(n balance.Note) {
 				if n.PerBackend < 4*(1-1e-9) {
 					rt.Fatalf("limit of %v a backend, the floor is 4", n.PerBackend)
 				}
@@ -427,13 +427,13 @@
 			ids := make([]string, 4*n)
 			for j := range ids {
 				ids[j] = fmt.Sprint("s", latency, i, "-", j)
-				r.step(aldermux.Request{ID: ids[j], Class: safe, Left: 2000 * ms, Work: works[j%len(works)]})
+				r.step(balance.Request{ID: ids[j], Class: safe, Left: 2000 * ms, Work: works[j%len(works)]})
 			}
 			r.now += latency
 			for _, id := range ids {
 				if len(r.sent[id]) > 0 {
-					r.step(aldermux.Outcome{Request: id, Backend: r.sent[id][0], Result: aldermux.OK,
-						Latency: latency, Done: true, Load: aldermux.Load{Outstanding: -1, Queue: -1}})
+					r.step(balance.Outcome{Request: id, Backend: r.sent[id][0], Result: balance.OK,
+						Latency: latency, Done: true, Load: balance.Load{Outstanding: -1, Queue: -1}})
 				}
 			}
 		}
@@ -441,11 +441,11 @@
 	serve(40, 20*ms)
 	serve(8, 390*ms) // of an aim of 400 ms
 	for i := range 100 {
-		r.step(aldermux.Request{ID: fmt.Sprint("q", i), Class: safe, Left: 2000 * ms, Work: 40 * ms})
+		r.step(balance.Request{ID: fmt.Sprint("q", i), Class: safe, Left: 2000 * ms, Work: 40 * ms})
 	}
 	refused := 0
 	for _, a := range r.advance(400 * ms) {
-		if a, ok := a.(aldermux.Refuse); ok {
+		if a, ok := a.(balance.Refuse); ok {
 			refused++
 			if a.RetryAfter > 600*ms { // one and a half times the latency seen
 				t.Fatalf("told to come back after %v, where answers take 390ms", a.RetryAfter)
--- a/notes.go
+++ b/balance/notes.go
@@ -1,4 +1,4 @@
-package aldermux
+package balance
 
 import "time"
 
--- a/order_test.go
+++ b/balance/order_test.go
@@ -1,4 +1,4 @@
-package aldermux_test
+package balance_test
 
 import (
 	"encoding/binary"
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // auditor checks the four rules from events and actions alone. It models no
 // backend: it only remembers what the balancer was told and what it did.
 type auditor struct {
-	s        aldermux.Settings
+	s        balance.Settings
 	now      time.Duration
 	requests map[string]*audited
 	backends map[string]*auditedBackend
@@ -22,7 +22,7 @@
 }
 
 type audited struct {
-	class    aldermux.Class
+	class    balance.Class
 	deadline time.Duration
 	sends    []auditedSend
 	ended    bool
@@ -38,13 +38,13 @@
 }
 
 type auditedBackend struct {
-	aldermux.Backend
+	balance.Backend
 	offAt   time.Duration // when it was told to drain or to be gone
 	started time.Duration // when it was told to have started; 0: warm
 	sends   []time.Duration
 }
 
-func newAuditor(s aldermux.Settings) *auditor {
+func newAuditor(s balance.Settings) *auditor {
 	return &auditor{s: s, requests: map[string]*audited{}, backends: map[string]*auditedBackend{}}
 }
 
@@ -52,13 +52,13 @@
 	a.faults = append(a.faults, fmt.Sprintf("at %v: ", a.now)+fmt.Sprintf(format, args...))
 }
 
-func (a *auditor) event(e aldermux.Event) {
+func (a *auditor) event(e balance.Event) {
 	switch e := e.(type) {
-	case aldermux.Request:
+	case balance.Request:
 		if e.Class >= 0 && e.Class < len(a.s.Classes) && a.requests[e.ID] == nil {
 			a.requests[e.ID] = &audited{class: a.s.Classes[e.Class], deadline: a.now + e.Left}
 		}
-	case aldermux.Outcome:
+	case balance.Outcome:
 		r := a.requests[e.Request]
 		if r == nil || e.Attempt < 0 || e.Attempt >= len(r.sends) || !r.sends[e.Attempt].out {
 			return
@@ -66,16 +66,16 @@
 		r.sends[e.Attempt].out = false
 		r.sends[e.Attempt].risky = !e.Result.NeverRan()
 		r.ended = r.ended || e.Done
-	case aldermux.StreamStarted:
+	case balance.StreamStarted:
 		if r := a.requests[e.Request]; r != nil {
 			r.stream = true
 		}
-	case aldermux.Abandoned:
+	case balance.Abandoned:
 		if r := a.requests[e.Request]; r != nil && !r.ended {
 			r.ended, r.left = true, a.now
 		}
-	case aldermux.List:
-		if e.Kind == aldermux.ListFailed {
+	case balance.List:
+		if e.Kind == balance.ListFailed {
 			return
 		}
 		listed := map[string]bool{}
@@ -89,48 +89,48 @@
 			if n.Started > b.Started {
 				b.started, b.sends = n.Started, nil
 			}
-			if n.State == aldermux.Up {
+			if n.State == balance.Up {
 				b.offAt = 0
-			} else if b.Backend.State == aldermux.Up || b.offAt == 0 {
+			} else if b.Backend.State == balance.Up || b.offAt == 0 {
 				b.offAt = a.now
 			}
 			b.Backend = n
 		}
-		if e.Kind != aldermux.ListDelta {
+		if e.Kind != balance.ListDelta {
 			for id, b := range a.backends {
 				if !listed[id] && b.offAt == 0 {
 					b.offAt = a.now
-					b.State = aldermux.Gone
+					b.State = balance.Gone
 				}
 			}
 		}
 	}
 }
 
-func (a *auditor) action(act aldermux.Action) {
+func (a *auditor) action(act balance.Action) {
 	switch act := act.(type) {
-	case aldermux.Send:
+	case balance.Send:
 		a.send(act)
-	case aldermux.Refuse:
+	case balance.Refuse:
 		r := a.final(act.Request)
 		if r == nil {
 			return
 		}
 		for _, s := range r.sends {
-			free := r.class.Effect == aldermux.Safe ||
-				r.class.Effect == aldermux.Keyed && r.class.Group == aldermux.GroupAll
+			free := r.class.Effect == balance.Safe ||
+				r.class.Effect == balance.Keyed && r.class.Group == balance.GroupAll
 			if (s.risky || s.out) && !free {
 				a.fault("%s refused though an attempt may have run", act.Request)
 			}
 		}
-	case aldermux.Fail:
+	case balance.Fail:
 		a.final(act.Request)
-	case aldermux.SetTimer:
+	case balance.SetTimer:
 		if act.After < 0 {
 			a.fault("a timer in the past: %v", act.After)
 		}
-	case aldermux.TellPeer:
-		if !a.s.Peers || len(act.Data) > 256 || act.To < aldermux.EveryPeer || act.To >= a.s.Balancers || act.To == a.s.Self {
+	case balance.TellPeer:
+		if !a.s.Peers || len(act.Data) > 256 || act.To < balance.EveryPeer || act.To >= a.s.Balancers || act.To == a.s.Self {
 			a.fault("%d bytes to peer %d", len(act.Data), act.To)
 		}
 	}
@@ -151,7 +151,7 @@
 	return r
 }
 
-func (a *auditor) send(act aldermux.Send) {
+func (a *auditor) send(act balance.Send) {
 	r, b := a.requests[act.Request], a.backends[act.Backend]
 	if r == nil || b == nil {
 		a.fault("send of %q to %q, one of which was never told", act.Request, act.Backend)
@@ -179,12 +179,12 @@
 	if anchor != nil {
 		from := a.backends[anchor.backend]
 		switch {
-		case r.class.Effect == aldermux.Unsafe:
+		case r.class.Effect == balance.Unsafe:
 			a.fault("%s is unsafe and may have run, sent again", act.Request)
-		case r.class.Effect == aldermux.Keyed && a.now-anchor.at > r.class.Window:
+		case r.class.Effect == balance.Keyed && a.now-anchor.at > r.class.Window:
 			a.fault("%s sent again after its window", act.Request)
-		case r.class.Effect == aldermux.Keyed && r.class.Group == aldermux.GroupZone && from.Zone != b.Zone,
-			r.class.Effect == aldermux.Keyed && r.class.Group == aldermux.GroupCell && from.Cell != b.Cell:
+		case r.class.Effect == balance.Keyed && r.class.Group == balance.GroupZone && from.Zone != b.Zone,
+			r.class.Effect == balance.Keyed && r.class.Group == balance.GroupCell && from.Cell != b.Cell:
 			a.fault("%s sent again outside its group", act.Request)
 		}
 	}
@@ -214,7 +214,7 @@
 	for _, o := range a.backends {
 		if o != b && (o.started == 0 || a.now-o.started >= a.s.RampTime) {
 			most = max(most, count(o, 3*span))
-			warm = warm || o.State == aldermux.Up
+			warm = warm || o.State == balance.Up
 		}
 	}
 	if !warm { // nothing to measure by: one core that takes a quarter of the aim for a request
@@ -256,7 +256,7 @@
 	for i := range s.Classes {
 		s.Classes[i].Window = time.Duration(rng.IntN(100)) * ms
 	}
-	b, err := aldermux.New(s, seed)
+	b, err := balance.New(s, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -267,17 +267,17 @@
 		token int64
 	}
 	var timers []timer
-	var open []aldermux.Outcome // attempts that are out
+	var open []balance.Outcome // attempts that are out
 	due := map[string]time.Duration{}
 	pool := backends(8)
 	next := 0
 	for range steps {
 		a.now += time.Duration(rng.IntN(30)) * ms / 4
-		var events []aldermux.Event
+		var events []balance.Event
 		keep := timers[:0]
 		for _, tm := range timers {
 			if tm.at <= a.now {
-				events = append(events, aldermux.TimerFired{Token: tm.token})
+				events = append(events, balance.TimerFired{Token: tm.token})
 			} else {
 				keep = append(keep, tm)
 			}
@@ -288,7 +288,7 @@
 			id := fmt.Sprint("q", next)
 			left := time.Duration(1+rng.IntN(1500)) * ms
 			due[id] = a.now + left
-			events = append(events, aldermux.Request{ID: id, Class: rng.IntN(len(s.Classes)), Left: left,
+			events = append(events, balance.Request{ID: id, Class: rng.IntN(len(s.Classes)), Left: left,
 				Work: time.Duration(rng.IntN(3)*rng.IntN(200)) * ms, Repeat: rng.IntN(5) == 0})
 		}
 		// Every attempt ends by its request's time; some early, with any result.
@@ -296,15 +296,15 @@
 		for _, o := range open {
 			switch {
 			case due[o.Request] <= a.now:
-				o.Result = aldermux.TimedOut
+				o.Result = balance.TimedOut
 			case rng.IntN(8) == 0:
-				o.Result = aldermux.Result(rng.IntN(8))
+				o.Result = balance.Result(rng.IntN(8))
 			default:
 				rest = append(rest, o)
 				continue
 			}
 			o.Latency = time.Duration(rng.IntN(900)) * ms
-			o.Done = o.Result == aldermux.OK || a.requests[o.Request].ended
+			o.Done = o.Result == balance.OK || a.requests[o.Request].ended
 			events = append(events, o)
 			if rng.IntN(10) == 0 {
 				events = append(events, o) // told twice
@@ -314,30 +314,30 @@
 		switch rng.IntN(25) {
 		case 0:
 			n := &pool[rng.IntN(len(pool))]
-			n.State = aldermux.BackendState(rng.IntN(3))
+			n.State = balance.BackendState(rng.IntN(3))
 			if rng.IntN(2) == 0 {
-				n.State, n.Started = aldermux.Up, a.now
+				n.State, n.Started = balance.Up, a.now
 			}
-			events = append(events, aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{*n}})
+			events = append(events, balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{*n}})
 		case 1:
-			var full []aldermux.Backend // up to none at all
+			var full []balance.Backend // up to none at all
 			for _, n := range pool[:rng.IntN(len(pool)+1)] {
-				n.State = aldermux.Up
+				n.State = balance.Up
 				full = append(full, n)
 			}
-			events = append(events, aldermux.List{Kind: aldermux.ListKind(1 + rng.IntN(2)), Backends: full})
+			events = append(events, balance.List{Kind: balance.ListKind(1 + rng.IntN(2)), Backends: full})
 		case 2:
-			events = append(events, aldermux.List{Kind: aldermux.ListFailed})
+			events = append(events, balance.List{Kind: balance.ListFailed})
 		case 3:
 			if next > 0 {
-				events = append(events, aldermux.Abandoned{Request: fmt.Sprint("q", 1+rng.IntN(next))})
+				events = append(events, balance.Abandoned{Request: fmt.Sprint("q", 1+rng.IntN(next))})
 			}
 		case 4:
-			events = append(events, aldermux.TimerFired{Token: rng.Int64N(1 << 20)},
-				aldermux.Outcome{Request: fmt.Sprint("q", rng.IntN(next+2)), Attempt: rng.IntN(2)*99 - 1},
-				aldermux.ProbeResult{Backend: "x"}, aldermux.PeerMessage{From: 70})
+			events = append(events, balance.TimerFired{Token: rng.Int64N(1 << 20)},
+				balance.Outcome{Request: fmt.Sprint("q", rng.IntN(next+2)), Attempt: rng.IntN(2)*99 - 1},
+				balance.ProbeResult{Backend: "x"}, balance.PeerMessage{From: 70})
 		case 5:
-			events = append(events, aldermux.PeerMessage{From: rng.IntN(12) - 1,
+			events = append(events, balance.PeerMessage{From: rng.IntN(12) - 1,
 				Data: binary.BigEndian.AppendUint64(nil, rng.Uint64())[:rng.IntN(9)]})
 		}
 		rng.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
@@ -347,10 +347,10 @@
 		for _, act := range b.Step(a.now, events) {
 			a.action(act)
 			switch act := act.(type) {
-			case aldermux.SetTimer:
+			case balance.SetTimer:
 				timers = append(timers, timer{a.now + act.After, act.Token})
-			case aldermux.Send:
-				open = append(open, aldermux.Outcome{Request: act.Request, Backend: act.Backend,
+			case balance.Send:
+				open = append(open, balance.Outcome{Request: act.Request, Backend: act.Backend,
 					Attempt: len(a.requests[act.Request].sends) - 1})
 			}
 		}
@@ -379,17 +379,17 @@
 
 // Each check of the auditor must be able to fail: these recorded actions are bad.
 func TestAuditorRejects(t *testing.T) {
-	send := func(b string) aldermux.Action { return aldermux.Send{Request: "q", Backend: b} }
-	ended := func(n int, res aldermux.Result) aldermux.Event {
-		return aldermux.Outcome{Request: "q", Attempt: n, Result: res, Done: res == aldermux.OK}
+	send := func(b string) balance.Action { return balance.Send{Request: "q", Backend: b} }
+	ended := func(n int, res balance.Result) balance.Event {
+		return balance.Outcome{Request: "q", Attempt: n, Result: res, Done: res == balance.OK}
 	}
-	refuse, fail := aldermux.Refuse{Request: "q"}, aldermux.Fail{Request: "q"}
-	off := aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{{ID: "a", State: aldermux.Draining}}}
-	empty := aldermux.List{Kind: aldermux.ListFull}
-	cold := aldermux.List{Kind: aldermux.ListDelta, Backends: []aldermux.Backend{{ID: "a", Started: time.Hour}}}
-	sendAs := func(id, b string) aldermux.Action { return aldermux.Send{Request: id, Backend: b} }
-	another := aldermux.Event(aldermux.Request{ID: "p", Class: safe, Left: 2000 * ms})
-	allCold := aldermux.List{Kind: aldermux.ListFull, Backends: []aldermux.Backend{{ID: "a", Started: time.Hour}}}
+	refuse, fail := balance.Refuse{Request: "q"}, balance.Fail{Request: "q"}
+	off := balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{{ID: "a", State: balance.Draining}}}
+	empty := balance.List{Kind: balance.ListFull}
+	cold := balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{{ID: "a", Started: time.Hour}}}
+	sendAs := func(id, b string) balance.Action { return balance.Send{Request: id, Backend: b} }
+	another := balance.Event(balance.Request{ID: "p", Class: safe, Left: 2000 * ms})
+	allCold := balance.List{Kind: balance.ListFull, Backends: []balance.Backend{{ID: "a", Started: time.Hour}}}
 	tests := []struct {
 		name  string
 		class int
@@ -398,42 +398,42 @@
 	}{
 		{"no answer", safe, []any{2021 * ms}, "got no answer in time"},
 		{"two answers", safe, []any{fail, fail}, "answered twice"},
-		{"answer after being served", safe, []any{send("a"), ended(0, aldermux.OK), refuse}, "answered twice"},
+		{"answer after being served", safe, []any{send("a"), ended(0, balance.OK), refuse}, "answered twice"},
 		{"late answer", safe, []any{2020*ms + 1, fail}, "answered late"},
 		{"send after the answer", safe, []any{fail, send("a")}, "sent after its end"},
 		{"unknown backend", safe, []any{send("zz")}, "never told"},
-		{"past the limit", safe, []any{send("a"), ended(0, aldermux.Errored), send("b"), ended(1, aldermux.Errored),
-			send("a"), ended(2, aldermux.Errored), send("b"), ended(3, aldermux.Errored), send("a")}, "past the attempt limit"},
+		{"past the limit", safe, []any{send("a"), ended(0, balance.Errored), send("b"), ended(1, balance.Errored),
+			send("a"), ended(2, balance.Errored), send("b"), ended(3, balance.Errored), send("a")}, "past the attempt limit"},
 		{"second copy", safe, []any{send("a"), send("b")}, "two attempts out"},
-		{"unsafe repeated", unsafe, []any{send("a"), ended(0, aldermux.TimedOut), send("b")}, "is unsafe"},
-		{"unsafe refused", unsafe, []any{send("a"), ended(0, aldermux.Reset), refuse}, "refused though"},
+		{"unsafe repeated", unsafe, []any{send("a"), ended(0, balance.TimedOut), send("b")}, "is unsafe"},
+		{"unsafe refused", unsafe, []any{send("a"), ended(0, balance.Reset), refuse}, "refused though"},
 		{"unsafe refused while out", unsafe, []any{send("a"), refuse}, "refused though"},
-		{"zone refused", keyedZone, []any{send("a"), ended(0, aldermux.Errored), refuse}, "refused though"},
-		{"outside the zone", keyedZone, []any{send("a"), ended(0, aldermux.Errored), send("c")}, "outside its group"},
-		{"outside the cell", keyedCell, []any{send("a"), ended(0, aldermux.Errored), send("d")}, "outside its group"},
-		{"after the window", keyedAll, []any{send("a"), 301 * ms, ended(0, aldermux.Errored), send("b")}, "after its window"},
+		{"zone refused", keyedZone, []any{send("a"), ended(0, balance.Errored), refuse}, "refused though"},
+		{"outside the zone", keyedZone, []any{send("a"), ended(0, balance.Errored), send("c")}, "outside its group"},
+		{"outside the cell", keyedCell, []any{send("a"), ended(0, balance.Errored), send("d")}, "outside its group"},
+		{"after the window", keyedAll, []any{send("a"), 301 * ms, ended(0, balance.Errored), send("b")}, "after its window"},
 		{"drained", safe, []any{off, 501 * ms, send("a")}, "drain or be gone"},
 		{"gone from the list", safe, []any{empty, 501 * ms, send("b")}, "drain or be gone"},
-		{"all cold", safe, []any{allCold, send("a"), ended(0, aldermux.Full), send("a"), ended(1, aldermux.Full),
-			send("a"), ended(2, aldermux.Full), send("a"), another, sendAs("p", "a"), sendAs("p", "a"), sendAs("p", "a"), sendAs("p", "a")}, "is cold"},
-		{"cold", safe, []any{cold, send("a"), ended(0, aldermux.Full), send("a"), ended(1, aldermux.Full),
+		{"all cold", safe, []any{allCold, send("a"), ended(0, balance.Full), send("a"), ended(1, balance.Full),
+			send("a"), ended(2, balance.Full), send("a"), another, sendAs("p", "a"), sendAs("p", "a"), sendAs("p", "a"), sendAs("p", "a")}, "is cold"},
+		{"cold", safe, []any{cold, send("a"), ended(0, balance.Full), send("a"), ended(1, balance.Full),
 			send("a")}, "is cold"},
-		{"message where none is allowed", safe, []any{aldermux.TellPeer{Data: []byte{1}}}, "bytes to peer"},
-		{"timer in the past", safe, []any{aldermux.SetTimer{After: -1}}, "timer in the past"},
+		{"message where none is allowed", safe, []any{balance.TellPeer{Data: []byte{1}}}, "bytes to peer"},
+		{"timer in the past", safe, []any{balance.SetTimer{After: -1}}, "timer in the past"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			a := newAuditor(settings())
 			a.now = time.Hour
-			a.event(aldermux.List{Kind: aldermux.ListFull, Backends: backends(4)})
-			a.event(aldermux.Request{ID: "q", Class: tt.class, Left: 2000 * ms})
+			a.event(balance.List{Kind: balance.ListFull, Backends: backends(4)})
+			a.event(balance.Request{ID: "q", Class: tt.class, Left: 2000 * ms})
 			for _, p := range tt.play {
 				switch p := p.(type) {
 				case time.Duration:
 					a.now += p
-				case aldermux.Event:
+				case balance.Event:
 					a.event(p)
-				case aldermux.Action:
+				case balance.Action:
 					a.action(p)
 				}
 			}
--- a/settings.go
+++ b/balance/settings.go
@@ -1,4 +1,4 @@
-package aldermux
+package balance
 
 import (
 	"fmt"
@@ -90,5 +90,5 @@
 }
 
 func bad(field string, v any) error {
-	return fmt.Errorf("aldermux: settings: %s: %v makes no sense", field, v)
+	return fmt.Errorf("balance: settings: %s: %v makes no sense", field, v)
 }
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,4 +1,4 @@
-// Command benchlink plays aldermux balancers on the bench's wire: batches of
+// Command benchlink plays balancers on the bench's wire: batches of
 // events on standard input, one reply per batch on standard output.
 package main
 
@@ -10,8 +10,8 @@
 	"runtime/debug"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/wire"
+	"lemonrail/balance"
+	"lemonrail/internal/wire"
 )
 
 func main() {
@@ -22,9 +22,9 @@
 	}
 }
 
-// stepper is what an instance does; in service a *aldermux.Balancer.
+// stepper is what an instance does; in service a *balance.Balancer.
 type stepper interface {
-	Step(now time.Duration, events []aldermux.Event) []aldermux.Action
+	Step(now time.Duration, events []balance.Event) []balance.Action
 }
 
 // run answers batches until the input ends.
@@ -52,7 +52,7 @@
 // stop within the batch ends the step before it.
 func answer(batch *wire.Batch, instances map[int]stepper, w *wire.Writer) error {
 	var order []int
-	pending := map[int][]aldermux.Event{}
+	pending := map[int][]balance.Event{}
 	flush := func(agent int) error {
 		events := pending[agent]
 		if len(events) == 0 {
@@ -76,7 +76,7 @@
 			if err := flush(e.Agent); err != nil {
 				return err
 			}
-			b, err := aldermux.New(e.Open.Settings, e.Open.Seed)
+			b, err := balance.New(e.Open.Settings, e.Open.Seed)
 			if err != nil {
 				return fmt.Errorf("line %d: OpenInstance: %w", e.Line, err)
 			}
@@ -99,7 +99,7 @@
 }
 
 // step turns a panic of the decision code into its text.
-func step(b stepper, now time.Duration, events []aldermux.Event) (acts []aldermux.Action, fault string) {
+func step(b stepper, now time.Duration, events []balance.Event) (acts []balance.Action, fault string) {
 	defer func() {
 		if p := recover(); p != nil {
 			fault = fmt.Sprint("panic: ", p)
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/wire"
+	"lemonrail/balance"
+	"lemonrail/internal/wire"
 )
 
 const open = `{"msg":"OpenInstance","Agent":3,"RandomSeed":5,"Facts":{"Balancers":1,"Me":0,"TickMs":5,` +
@@ -78,8 +78,8 @@
 func TestPanicIsBroken(t *testing.T) {
 	var out bytes.Buffer
 	w := wire.NewWriter(&out)
-	b := &wire.Batch{Events: []wire.Event{{Agent: 2, Event: aldermux.Request{ID: "x"}}}}
-	broken := map[int]stepper{2: stepFunc(func(time.Duration, []aldermux.Event) []aldermux.Action { panic("no such thing") })}
+	b := &wire.Batch{Events: []wire.Event{{Agent: 2, Event: balance.Request{ID: "x"}}}}
+	broken := map[int]stepper{2: stepFunc(func(time.Duration, []balance.Event) []balance.Action { panic("no such thing") })}
 	if err := answer(b, broken, w); err != nil {
 		t.Fatal(err)
 	}
@@ -92,6 +92,6 @@
 	}
 }
 
-type stepFunc func(time.Duration, []aldermux.Event) []aldermux.Action
+type stepFunc func(time.Duration, []balance.Event) []balance.Action
 
-func (f stepFunc) Step(now time.Duration, e []aldermux.Event) []aldermux.Action { return f(now, e) }
+func (f stepFunc) Step(now time.Duration, e []balance.Event) []balance.Action { return f(now, e) }
--- a/cmd/lemonctl/fleet.go
+++ b/cmd/lemonctl/fleet.go
@@ -6,7 +6,7 @@
 	"os"
 	"path/filepath"
 
-	"aldermux/internal/explain"
+	"lemonrail/internal/explain"
 )
 
 type fleetLogCmd struct {
--- a/cmd/lemonctl/limits.go
+++ b/cmd/lemonctl/limits.go
@@ -7,7 +7,7 @@
 	"io"
 	"os"
 
-	"aldermux/internal/explain"
+	"lemonrail/internal/explain"
 )
 
 type limitsCmd struct {
--- a/cmd/lemonctl/limits_test.go
+++ b/cmd/lemonctl/limits_test.go
@@ -46,7 +46,7 @@
 func TestOverheadComparesThreeWays(t *testing.T) {
 	dir := t.TempDir()
 	for _, name := range []string{"lemonrail", "lemonctl"} {
-		if raw, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "aldermux/cmd/"+name).CombinedOutput(); err != nil {
+		if raw, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "lemonrail/cmd/"+name).CombinedOutput(); err != nil {
 			t.Fatalf("%v: %s", err, raw)
 		}
 	}
--- a/cmd/lemonctl/load.go
+++ b/cmd/lemonctl/load.go
@@ -10,7 +10,7 @@
 	"os"
 	"time"
 
-	"aldermux/internal/load"
+	"lemonrail/internal/load"
 )
 
 // sourceFlags say what is read and how.
--- a/cmd/lemonctl/overhead.go
+++ b/cmd/lemonctl/overhead.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"aldermux/internal/overhead"
+	"lemonrail/internal/overhead"
 )
 
 type overheadCmd struct {
--- a/cmd/lemonctl/site.go
+++ b/cmd/lemonctl/site.go
@@ -10,10 +10,10 @@
 	"path/filepath"
 	"time"
 
-	"aldermux/internal/ledger"
-	"aldermux/internal/load"
-	"aldermux/internal/standin"
-	"aldermux/internal/trial"
+	"lemonrail/internal/ledger"
+	"lemonrail/internal/load"
+	"lemonrail/internal/standin"
+	"lemonrail/internal/trial"
 )
 
 // The site and the log that try uses where none is named.
--- a/cmd/lemonctl/trial.go
+++ b/cmd/lemonctl/trial.go
@@ -9,8 +9,8 @@
 	"os"
 	"strings"
 
-	"aldermux/internal/chart"
-	"aldermux/internal/trial"
+	"lemonrail/internal/chart"
+	"lemonrail/internal/trial"
 )
 
 type trialListCmd struct{}
--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -14,8 +14,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"aldermux/internal/agent"
-	"aldermux/internal/explain"
+	"lemonrail/internal/agent"
+	"lemonrail/internal/explain"
 )
 
 func main() {
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"aldermux/internal/peek"
+	"lemonrail/internal/peek"
 )
 
 const (
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,4 +1,4 @@
-// Package agent runs one aldermux balancer on real sockets. It turns what happens on them into
+// Package agent runs one balancer on real sockets. It turns what happens on them into
 // the balancer's events and carries out the balancer's actions; it decides nothing itself.
 package agent
 
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/admission"
-	"aldermux/internal/explain"
+	"lemonrail/balance"
+	"lemonrail/internal/admission"
+	"lemonrail/internal/explain"
 )
 
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
@@ -31,7 +31,7 @@
 // RunOn is Run with a listener that is there already; it closes it.
 func RunOn(ctx context.Context, ln net.Listener, cfg *Config, hup <-chan os.Signal, log *slog.Logger) error {
 	defer ln.Close()
-	bal, err := aldermux.New(cfg.Settings, cfg.Seed)
+	bal, err := balance.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return err
 	}
@@ -66,7 +66,7 @@
 	l := newLoop(bal, &cfg.Settings, log)
 	l.peers = peers
 	l.up = newUpstream(&cfg.Settings, socks, cfg.MemoryMB<<20, log)
-	l.disc = newDiscovery(inner, cfg, func(list aldermux.List, addrs map[string]string) {
+	l.disc = newDiscovery(inner, cfg, func(list balance.List, addrs map[string]string) {
 		l.post(func() { l.listed(list, addrs) })
 	}, log)
 
@@ -93,12 +93,12 @@
 		}
 	})
 	parts.Go(func() { l.up.run(inner) })
-	l.disc.tell(cfg.Known, aldermux.ListCached)
+	l.disc.tell(cfg.Known, balance.ListCached)
 	parts.Go(l.disc.run)
 	parts.Go(func() { follow(inner, hup, cfg.path, l.disc.move, log) })
 	if peers != nil {
 		parts.Go(func() {
-			peers.run(inner, func(m aldermux.PeerMessage) { l.post(func() { l.event(m) }) })
+			peers.run(inner, func(m balance.PeerMessage) { l.post(func() { l.event(m) }) })
 		})
 	}
 	parts.Go(func() {
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // raw sends bytes on a connection of its own and returns what comes until it is closed.
@@ -79,7 +79,7 @@
 	if resp, _, err := ask(newClient(t), base, "last"); err != nil || resp.StatusCode != http.StatusOK {
 		t.Errorf("got %v, %v", resp, err)
 	}
-	if e := next[aldermux.Request](t, bal); e.ID != "last" {
+	if e := next[balance.Request](t, bal); e.ID != "last" {
 		t.Errorf("the module was told of %+v", e)
 	}
 }
@@ -133,7 +133,7 @@
 	base, _, _ := running(t, cfg, bal)
 	busy := dial(t, base)
 	io.WriteString(busy, "GET /read HTTP/1.1\r\nHost: x\r\n"+good+"\r\n")
-	next[aldermux.Request](t, bal)
+	next[balance.Request](t, bal)
 	begun := time.Now()
 	var silent []net.Conn
 	for range 5 {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -9,9 +9,9 @@
 	"strconv"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/explain"
-	"aldermux/internal/wire"
+	"lemonrail/balance"
+	"lemonrail/internal/explain"
+	"lemonrail/internal/wire"
 )
 
 // Config is what the platform tells an agent.
@@ -27,7 +27,7 @@
 	Peers      []netip.AddrPort // by the agents' numbers
 	PeersAll   netip.AddrPort
 
-	Settings aldermux.Settings
+	Settings balance.Settings
 	Names    wire.Names
 	Known    hostList
 
@@ -94,7 +94,7 @@
 	if cfg.Settings, cfg.Names, err = wire.ParseSettings(f.Settings); err != nil {
 		return nil, err
 	}
-	if _, err := aldermux.New(cfg.Settings, cfg.Seed); err != nil {
+	if _, err := balance.New(cfg.Settings, cfg.Seed); err != nil {
 		return nil, err
 	}
 	cfg.stay, cfg.linger, cfg.answerBy = planStop(&cfg.Settings)
@@ -116,12 +116,12 @@
 
 // planStop divides the time that a planned stop leaves. Clients go on using the connections that they
 // have for as long as these stay open, and have no other agent: what is closed early is not served.
-func planStop(s *aldermux.Settings) (stay, linger, answerBy time.Duration) {
+func planStop(s *balance.Settings) (stay, linger, answerBy time.Duration) {
 	answerBy = min(longestDeadline(s), killDeadline) + killAfter - killMargin
 	return time.Duration(stayShare * float64(answerBy)), min(lingering, answerBy), answerBy
 }
 
-func longestDeadline(s *aldermux.Settings) (most time.Duration) {
+func longestDeadline(s *balance.Settings) (most time.Duration) {
 	for _, c := range s.Classes {
 		most = max(most, c.Deadline)
 	}
--- a/internal/agent/crowd_test.go
+++ b/internal/agent/crowd_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // crowd plays clients against an agent, hostile and usual ones, and notes what becomes of them.
@@ -313,12 +313,12 @@
 	defer close(release)
 	c := dial(t, base)
 	io.WriteString(c, crowdRead("d1"))
-	next[aldermux.Request](t, bal)
+	next[balance.Request](t, bal)
 	c.(*net.TCPConn).CloseWrite()
 	if got := rest(t, c); !strings.HasPrefix(got, "HTTP/1.1 502") || strings.Count(got, "HTTP/1.1") != 1 {
 		t.Errorf("got %q", got)
 	}
-	next[aldermux.Abandoned](t, bal)
+	next[balance.Abandoned](t, bal)
 }
 
 // More clients that ask once and keep their connection for good than there is room for: usual
@@ -343,9 +343,9 @@
 }
 
 // stepFunc is a decider that answers event by event.
-type stepFunc func(aldermux.Event) []aldermux.Action
+type stepFunc func(balance.Event) []balance.Action
 
-func (f stepFunc) Step(_ time.Duration, events []aldermux.Event) (actions []aldermux.Action) {
+func (f stepFunc) Step(_ time.Duration, events []balance.Event) (actions []balance.Action) {
 	for _, e := range events {
 		actions = append(actions, f(e)...)
 	}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -18,8 +18,8 @@
 	"sync"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/wire"
+	"lemonrail/balance"
+	"lemonrail/internal/wire"
 )
 
 const (
@@ -49,8 +49,8 @@
 }
 
 // backend translates an entry by the settings' names.
-func (h host) backend(names wire.Names) (aldermux.Backend, error) {
-	b := aldermux.Backend{ID: h.Host, State: aldermux.Gone, Cell: h.Block, Weight: h.Share,
+func (h host) backend(names wire.Names) (balance.Backend, error) {
+	b := balance.Backend{ID: h.Host, State: balance.Gone, Cell: h.Block, Weight: h.Share,
 		Zone: slices.Index(names.Zones, h.Site), Kind: slices.Index(names.Kinds, h.Class),
 		Started: wire.Duration(h.BornMs)}
 	switch {
@@ -68,9 +68,9 @@
 	}
 	switch h.Health {
 	case "ready":
-		b.State = aldermux.Up
+		b.State = balance.Up
 	case "draining":
-		b.State = aldermux.Draining
+		b.State = balance.Draining
 	default:
 		return b, fmt.Errorf("unknown health %q", h.Health)
 	}
@@ -81,7 +81,7 @@
 type discovery struct {
 	ask   bool // the module asks; else a watch stays open by itself
 	names wire.Names
-	told  func(list aldermux.List, addrs map[string]string)
+	told  func(list balance.List, addrs map[string]string)
 	log   *slog.Logger
 	http  *http.Client
 	ctx   context.Context // ends all calls
@@ -99,7 +99,7 @@
 	stop context.CancelFunc // ends the watch that was asked for; nil: none; the loop's own
 }
 
-func newDiscovery(ctx context.Context, cfg *Config, told func(aldermux.List, map[string]string), log *slog.Logger) *discovery {
+func newDiscovery(ctx context.Context, cfg *Config, told func(balance.List, map[string]string), log *slog.Logger) *discovery {
 	return &discovery{base: listURL(cfg.Discovery), wake: make(chan struct{}, 1), ask: cfg.Settings.Subscribe,
 		names: cfg.Names, told: told, log: log, ctx: ctx, seq: cfg.Known.Seq, silence: silence,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
@@ -136,8 +136,8 @@
 
 // tell passes on a list. Guards against an entry that makes no sense: it counts as gone, since
 // a backend that can't be understood can't be used, and must not live on as it was before.
-func (d *discovery) tell(l hostList, kind aldermux.ListKind) {
-	list := aldermux.List{Kind: kind, Version: l.Seq}
+func (d *discovery) tell(l hostList, kind balance.ListKind) {
+	list := balance.List{Kind: kind, Version: l.Seq}
 	addrs := map[string]string{}
 	for _, h := range l.Hosts {
 		b, err := h.backend(d.names)
@@ -156,7 +156,7 @@
 	}
 	d.log.Warn("discovery", "err", err)
 	if d.ask {
-		d.told(aldermux.List{Kind: aldermux.ListFailed}, nil)
+		d.told(balance.List{Kind: balance.ListFailed}, nil)
 	}
 }
 
@@ -247,9 +247,9 @@
 	} else {
 		d.seq, d.fresh = l.Seq, false
 	}
-	kind := aldermux.ListDelta
+	kind := balance.ListDelta
 	if l.Whole {
-		kind = aldermux.ListFull
+		kind = balance.ListFull
 	}
 	d.tell(l, kind)
 	return nil
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // roster is a scripted discovery: each call is handed to the test.
@@ -60,7 +60,7 @@
 }
 
 type told struct {
-	list  aldermux.List
+	list  balance.List
 	addrs map[string]string
 }
 
@@ -71,7 +71,7 @@
 	cfg.Settings.Subscribe = ask
 	ctx, cancel := context.WithCancel(context.Background())
 	lists := make(chan told, 10)
-	d := newDiscovery(ctx, cfg, func(l aldermux.List, addrs map[string]string) { lists <- told{l, addrs} }, quiet)
+	d := newDiscovery(ctx, cfg, func(l balance.List, addrs map[string]string) { lists <- told{l, addrs} }, quiet)
 	t.Cleanup(cancel)
 	return d, lists
 }
@@ -86,19 +86,19 @@
 	}
 	c.lines <- roll(42, false, entry("h1", "b", "m2", "draining"), entry("h2", "nowhere", "m1", "ready"), entry("h3", "", "", "gone"))
 	got := await(t, lists)
-	want := []aldermux.Backend{
-		{ID: "h1", State: aldermux.Draining, Zone: 1, Cell: 3, Kind: 1, Weight: 1, Started: 1500 * time.Millisecond},
+	want := []balance.Backend{
+		{ID: "h1", State: balance.Draining, Zone: 1, Cell: 3, Kind: 1, Weight: 1, Started: 1500 * time.Millisecond},
 		// an entry that makes no sense can't be used, nor live on as it was
-		{ID: "h2", State: aldermux.Gone, Zone: -1, Cell: 3, Weight: 1, Started: 1500 * time.Millisecond},
-		{ID: "h3", State: aldermux.Gone, Zone: -1, Cell: 3, Kind: -1, Weight: 1, Started: 1500 * time.Millisecond},
+		{ID: "h2", State: balance.Gone, Zone: -1, Cell: 3, Weight: 1, Started: 1500 * time.Millisecond},
+		{ID: "h3", State: balance.Gone, Zone: -1, Cell: 3, Kind: -1, Weight: 1, Started: 1500 * time.Millisecond},
 	}
-	if got.list.Kind != aldermux.ListDelta || got.list.Version != 42 || fmt.Sprint(got.list.Backends) != fmt.Sprint(want) ||
+	if got.list.Kind != balance.ListDelta || got.list.Version != 42 || fmt.Sprint(got.list.Backends) != fmt.Sprint(want) ||
 		got.addrs["h1"] != "127.0.0.1:9000" {
 		t.Errorf("got %+v", got)
 	}
 	c.lines <- ""
 	c.lines <- roll(43, true, entry("h1", "a", "m1", "ready"))
-	if got := await(t, lists); got.list.Kind != aldermux.ListFull || got.list.Backends[0].State != aldermux.Up {
+	if got := await(t, lists); got.list.Kind != balance.ListFull || got.list.Backends[0].State != balance.Up {
 		t.Errorf("got %+v", got)
 	}
 	close(c.lines) // discovery goes down
@@ -124,7 +124,7 @@
 	d.subscribe()
 	c := await(t, r.calls)
 	c.lines <- roll(42, false)
-	if got := await(t, lists); got.list.Kind != aldermux.ListDelta || got.list.Version != 42 {
+	if got := await(t, lists); got.list.Kind != balance.ListDelta || got.list.Version != 42 {
 		t.Errorf("got %+v", got)
 	}
 	d.fetch()
@@ -134,18 +134,18 @@
 	}
 	f.lines <- roll(44, true, entry("h1", "a", "m1", "ready"))
 	close(f.lines)
-	if got := await(t, lists); got.list.Kind != aldermux.ListFull {
+	if got := await(t, lists); got.list.Kind != balance.ListFull {
 		t.Errorf("got %+v", got)
 	}
 	d.fetch()
 	f = await(t, r.calls)
 	f.lines <- roll(43, true) // overtaken on its way: it would undo what 44 told
 	close(f.lines)
-	if got := await(t, lists); got.list.Kind != aldermux.ListDelta || len(got.list.Backends) != 0 {
+	if got := await(t, lists); got.list.Kind != balance.ListDelta || len(got.list.Backends) != 0 {
 		t.Errorf("got %+v", got)
 	}
 	close(c.lines) // the subscription breaks: the module is told, and asks again when it likes
-	if got := await(t, lists); got.list.Kind != aldermux.ListFailed {
+	if got := await(t, lists); got.list.Kind != balance.ListFailed {
 		t.Errorf("got %+v", got)
 	}
 	d.subscribe()
@@ -153,7 +153,7 @@
 	d.unsubscribe()
 	d.fetch()
 	close(await(t, r.calls).lines) // no list: this call failed, the end of the watch was wanted
-	if got := await(t, lists); got.list.Kind != aldermux.ListFailed {
+	if got := await(t, lists); got.list.Kind != balance.ListFailed {
 		t.Errorf("got %+v", got)
 	}
 	if len(lists) > 0 {
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/standin"
+	"lemonrail/balance"
+	"lemonrail/internal/standin"
 )
 
 // patience bounds every wait of a test; none is expected to last nearly so long.
@@ -122,7 +122,7 @@
 	t.Helper()
 	if bal == nil {
 		var err error
-		if bal, err = aldermux.New(cfg.Settings, cfg.Seed); err != nil {
+		if bal, err = balance.New(cfg.Settings, cfg.Seed); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -177,15 +177,15 @@
 
 // scripted is a decider that does what a test says and shows what it was told.
 type scripted struct {
-	seen chan aldermux.Event
-	step func(aldermux.Event) []aldermux.Action
+	seen chan balance.Event
+	step func(balance.Event) []balance.Action
 }
 
-func newScripted(step func(aldermux.Event) []aldermux.Action) *scripted {
-	return &scripted{seen: make(chan aldermux.Event, 100), step: step}
+func newScripted(step func(balance.Event) []balance.Action) *scripted {
+	return &scripted{seen: make(chan balance.Event, 100), step: step}
 }
 
-func (s *scripted) Step(_ time.Duration, events []aldermux.Event) (actions []aldermux.Action) {
+func (s *scripted) Step(_ time.Duration, events []balance.Event) (actions []balance.Action) {
 	for _, e := range events {
 		actions = append(actions, s.step(e)...)
 		s.seen <- e
@@ -194,7 +194,7 @@
 }
 
 // next returns the next event of a type.
-func next[E aldermux.Event](t testing.TB, s *scripted) E {
+func next[E balance.Event](t testing.TB, s *scripted) E {
 	t.Helper()
 	for {
 		if e, ok := await(t, s.seen).(E); ok {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -9,13 +9,13 @@
 	"runtime/debug"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/wire"
+	"lemonrail/balance"
+	"lemonrail/internal/wire"
 )
 
-// decider is what the loop asks for decisions; in service an *aldermux.Balancer.
+// decider is what the loop asks for decisions; in service an *balance.Balancer.
 type decider interface {
-	Step(now time.Duration, events []aldermux.Event) []aldermux.Action
+	Step(now time.Duration, events []balance.Event) []balance.Action
 }
 
 // clock counts from the Unix epoch, so that start times in lists convert and 0 stays long
@@ -30,7 +30,7 @@
 
 // call is a client's request in hand. The loop owns what is below reply.
 type call struct {
-	event    aldermux.Request // but for Left
+	event    balance.Request // but for Left
 	out      outgoing
 	deadline time.Time
 	reply    chan answer // holds the one final answer
@@ -66,9 +66,9 @@
 	up    *upstream
 	disc  *discovery
 	peers *peers // nil where agents don't talk
-	s     *aldermux.Settings
+	s     *balance.Settings
 
-	events []aldermux.Event // for the next step
+	events []balance.Event  // for the next step
 	calls  map[string]*call // in hand, or answered with attempts still out
 	past   *past
 	addrs  map[string]string
@@ -97,7 +97,7 @@
 
 const inboxSize = 4096 // what may queue while one step runs; beyond it senders wait
 
-func newLoop(bal decider, s *aldermux.Settings, log *slog.Logger) *loop {
+func newLoop(bal decider, s *balance.Settings, log *slog.Logger) *loop {
 	return &loop{bal: bal, s: s, clock: clock{time.Now()}, log: log,
 		inbox: make(chan func(), inboxSize), dead: make(chan struct{}),
 		calls: map[string]*call{}, past: newPast(), addrs: map[string]string{}}
@@ -150,7 +150,7 @@
 	}
 }
 
-func (l *loop) event(e aldermux.Event) { l.events = append(l.events, e) }
+func (l *loop) event(e balance.Event) { l.events = append(l.events, e) }
 
 // arrived takes a client's request in hand.
 func (l *loop) arrived(c *call) {
@@ -193,7 +193,7 @@
 func (l *loop) left(c *call) {
 	if l.calls[c.event.ID] == c && !c.answered {
 		c.answered = true
-		l.event(aldermux.Abandoned{Request: c.event.ID})
+		l.event(balance.Abandoned{Request: c.event.ID})
 		l.forget(c)
 	}
 }
@@ -220,21 +220,21 @@
 	a := c.attempts[n]
 	a.cancel()
 	c.open--
-	if r.result == aldermux.OK {
+	if r.result == balance.OK {
 		l.answer(c, answer{status: http.StatusOK, header: r.header, body: r.body})
 	}
-	l.event(aldermux.Outcome{Request: c.event.ID, Attempt: n, Backend: backend, Result: r.result,
+	l.event(balance.Outcome{Request: c.event.ID, Attempt: n, Backend: backend, Result: r.result,
 		Latency: time.Since(a.sent), Done: c.answered, Load: r.load, Standing: r.standing})
 	l.forget(c)
 }
 
 // listed takes a list, or the failure to get one, from discovery.
-func (l *loop) listed(list aldermux.List, addrs map[string]string) {
-	if list.Kind == aldermux.ListFull || list.Kind == aldermux.ListCached {
+func (l *loop) listed(list balance.List, addrs map[string]string) {
+	if list.Kind == balance.ListFull || list.Kind == balance.ListCached {
 		clear(l.addrs)
 	}
 	for _, b := range list.Backends {
-		if b.State == aldermux.Gone {
+		if b.State == balance.Gone {
 			delete(l.addrs, b.ID)
 		} else {
 			l.addrs[b.ID] = addrs[b.ID]
@@ -250,7 +250,7 @@
 	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
 		t := heap.Pop(&l.timers).(timer)
 		if t.call == nil {
-			l.event(aldermux.TimerFired{Token: t.token})
+			l.event(balance.TimerFired{Token: t.token})
 		} else if !t.call.answered {
 			id, status := t.call.event.ID, http.StatusBadGateway
 			if l.stopBy.IsZero() {
@@ -259,45 +259,45 @@
 				status = http.StatusServiceUnavailable // nothing was sent: another try does no harm
 			}
 			l.answer(t.call, answer{status: status})
-			l.event(aldermux.Abandoned{Request: id})
+			l.event(balance.Abandoned{Request: id})
 		}
 	}
 }
 
 // do carries out one action.
-func (l *loop) do(a aldermux.Action) {
+func (l *loop) do(a balance.Action) {
 	switch a := a.(type) {
-	case aldermux.Send:
+	case balance.Send:
 		l.send(a)
-	case aldermux.Refuse:
+	case balance.Refuse:
 		if c := l.calls[a.Request]; c != nil {
 			l.answer(c, answer{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter})
 		}
-	case aldermux.Fail:
+	case balance.Fail:
 		if c := l.calls[a.Request]; c != nil {
 			l.answer(c, answer{status: http.StatusBadGateway})
 		}
-	case aldermux.Cancel:
+	case balance.Cancel:
 		if c := l.calls[a.Request]; c != nil && a.Attempt >= 0 && a.Attempt < len(c.attempts) {
 			c.attempts[a.Attempt].cancel()
 		}
-	case aldermux.SetTimer:
+	case balance.SetTimer:
 		l.timers.add(timer{at: time.Now().Add(a.After), token: a.Token})
-	case aldermux.Probe:
+	case balance.Probe:
 		l.probe(a.Backend)
-	case aldermux.TellPeer:
+	case balance.TellPeer:
 		if l.peers != nil {
 			l.peers.tell(a.To, a.Data)
 		}
-	case aldermux.Subscribe:
+	case balance.Subscribe:
 		l.disc.subscribe()
-	case aldermux.Unsubscribe:
+	case balance.Unsubscribe:
 		l.disc.unsubscribe()
-	case aldermux.FetchList:
+	case balance.FetchList:
 		l.disc.fetch()
-	case aldermux.CloseIdle:
+	case balance.CloseIdle:
 		l.up.closeIdle(func(to target) bool { return to.id != a.Backend })
-	case aldermux.Trace:
+	case balance.Trace:
 		l.log.Info("module", "trace", a.Text)
 	default:
 		panic(fmt.Sprintf("no way to carry out %T", a))
@@ -306,10 +306,10 @@
 
 // send starts an attempt on a goroutine of its own, bounded by its time-out and by the
 // client's deadline.
-func (l *loop) send(s aldermux.Send) {
+func (l *loop) send(s balance.Send) {
 	c, addr := l.calls[s.Request], l.addrs[s.Backend]
 	if c == nil {
-		l.event(aldermux.Outcome{Request: s.Request, Backend: s.Backend, Result: aldermux.NotSent,
+		l.event(balance.Outcome{Request: s.Request, Backend: s.Backend, Result: balance.NotSent,
 			Done: true, Load: wire.NoLoad()})
 		return
 	}
@@ -323,7 +323,7 @@
 	c.attempts = append(c.attempts, &attempt{sent: now, cancel: cancel})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
-		l.ended(c, n, s.Backend, response{result: aldermux.NotSent, load: wire.NoLoad()})
+		l.ended(c, n, s.Backend, response{result: balance.NotSent, load: wire.NoLoad()})
 		return
 	}
 	go func() {
@@ -336,13 +336,13 @@
 func (l *loop) probe(backend string) {
 	addr, sent := l.addrs[backend], time.Now()
 	if addr == "" || !l.s.MayProbe {
-		l.event(aldermux.ProbeResult{Backend: backend, Result: aldermux.NotSent, Load: wire.NoLoad()})
+		l.event(balance.ProbeResult{Backend: backend, Result: balance.NotSent, Load: wire.NoLoad()})
 		return
 	}
 	go func() {
-		r := l.up.probe(target{backend, addr}, l.s.Reports != aldermux.ReportsOff)
+		r := l.up.probe(target{backend, addr}, l.s.Reports != balance.ReportsOff)
 		l.post(func() {
-			l.event(aldermux.ProbeResult{Backend: backend, Result: r.result, Latency: time.Since(sent), Load: r.load})
+			l.event(balance.ProbeResult{Backend: backend, Result: r.result, Latency: time.Since(sent), Load: r.load})
 		})
 	}()
 }
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -10,17 +10,17 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // sendAll sends each request to h0, and ends what is not served.
-func sendAll(e aldermux.Event) []aldermux.Action {
+func sendAll(e balance.Event) []balance.Action {
 	switch e := e.(type) {
-	case aldermux.Request:
-		return []aldermux.Action{aldermux.Send{Request: e.ID, Backend: "h0"}}
-	case aldermux.Outcome:
+	case balance.Request:
+		return []balance.Action{balance.Send{Request: e.ID, Backend: "h0"}}
+	case balance.Outcome:
 		if !e.Done {
-			return []aldermux.Action{aldermux.Fail{Request: e.Request}}
+			return []balance.Action{balance.Fail{Request: e.Request}}
 		}
 	}
 	return nil
@@ -29,24 +29,24 @@
 func TestAnswers(t *testing.T) {
 	for _, tt := range []struct {
 		name, backend string
-		action        func(id string) aldermux.Action
+		action        func(id string) balance.Action
 		status        int
 		body, after   string
 	}{
-		{"served", hello, func(id string) aldermux.Action { return aldermux.Send{Request: id, Backend: "h0"} },
+		{"served", hello, func(id string) balance.Action { return balance.Send{Request: id, Backend: "h0"} },
 			http.StatusOK, "hello", ""},
-		{"refused", hello, func(id string) aldermux.Action { return aldermux.Refuse{Request: id} },
+		{"refused", hello, func(id string) balance.Action { return balance.Refuse{Request: id} },
 			http.StatusServiceUnavailable, "Service Unavailable\n", ""},
-		{"refused with advice", hello, func(id string) aldermux.Action {
-			return aldermux.Refuse{Request: id, RetryAfter: 250 * time.Millisecond}
+		{"refused with advice", hello, func(id string) balance.Action {
+			return balance.Refuse{Request: id, RetryAfter: 250 * time.Millisecond}
 		}, http.StatusServiceUnavailable, "Service Unavailable\n", "0.250"},
-		{"failed", hello, func(id string) aldermux.Action { return aldermux.Fail{Request: id} },
+		{"failed", hello, func(id string) balance.Action { return balance.Fail{Request: id} },
 			http.StatusBadGateway, "Bad Gateway\n", ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			bal := newScripted(func(e aldermux.Event) []aldermux.Action {
-				if r, ok := e.(aldermux.Request); ok {
-					return []aldermux.Action{tt.action(r.ID)}
+			bal := newScripted(func(e balance.Event) []balance.Action {
+				if r, ok := e.(balance.Request); ok {
+					return []balance.Action{tt.action(r.ID)}
 				}
 				return nil
 			})
@@ -58,7 +58,7 @@
 			if resp.StatusCode != tt.status || body != tt.body || resp.Header.Get("Retry-After") != tt.after {
 				t.Errorf("got %d %q, Retry-After %q", resp.StatusCode, body, resp.Header.Get("Retry-After"))
 			}
-			e := next[aldermux.Request](t, bal)
+			e := next[balance.Request](t, bal)
 			if e.Key != "7f" || e.Left <= 0 || e.Left > 10*time.Second {
 				t.Errorf("the module was told %+v", e)
 			}
@@ -107,7 +107,7 @@
 			}
 		})
 	}
-	if e := next[aldermux.Request](t, bal); e.ID != "d2" {
+	if e := next[balance.Request](t, bal); e.ID != "d2" {
 		t.Errorf("the module was told of %+v", e)
 	}
 }
@@ -130,13 +130,13 @@
 	req.Header.Set("X-Time-Left", "10000m")
 	client := newClient(t)
 	go client.Do(req)
-	next[aldermux.Request](t, bal)
+	next[balance.Request](t, bal)
 	leave()
-	if e := next[aldermux.Abandoned](t, bal); e.Request != "d1" {
+	if e := next[balance.Abandoned](t, bal); e.Request != "d1" {
 		t.Errorf("got %+v", e)
 	}
 	close(release)
-	if e := next[aldermux.Outcome](t, bal); e.Result != aldermux.OK || !e.Done {
+	if e := next[balance.Outcome](t, bal); e.Result != balance.OK || !e.Done {
 		t.Errorf("got %+v", e)
 	}
 }
@@ -160,7 +160,7 @@
 		}
 		first <- resp.StatusCode
 	}()
-	next[aldermux.Request](t, bal)
+	next[balance.Request](t, bal)
 	if resp, _, err := ask(client, base, "d1"); err != nil || resp.StatusCode != http.StatusBadRequest {
 		t.Errorf("the second got %v, %v", resp, err)
 	}
@@ -172,9 +172,9 @@
 
 // bare is a loop that no goroutine runs: the test says what happens, and when.
 func bare(bal decider) (*loop, *call) {
-	l := newLoop(bal, &aldermux.Settings{AnswerGrace: 20 * time.Millisecond}, quiet)
+	l := newLoop(bal, &balance.Settings{AnswerGrace: 20 * time.Millisecond}, quiet)
 	l.up = newUpstream(l.s, &sockets{}, 0, quiet)
-	c := &call{event: aldermux.Request{ID: "d1"}, deadline: time.Now().Add(time.Hour), reply: make(chan answer, 1),
+	c := &call{event: balance.Request{ID: "d1"}, deadline: time.Now().Add(time.Hour), reply: make(chan answer, 1),
 		out: rendered(http.MethodGet, "/read", http.Header{}, "")}
 	return l, c
 }
@@ -187,7 +187,7 @@
 		l.arrived(c)
 		c.attempts = []*attempt{{sent: time.Now(), cancel: func() {}}}
 		c.open = 1
-		answered := func() { l.ended(c, 0, "h0", response{result: aldermux.OK, body: []byte("hello")}) }
+		answered := func() { l.ended(c, 0, "h0", response{result: balance.OK, body: []byte("hello")}) }
 		overdue := func() { l.due(c.deadline.Add(time.Second)) }
 		want := http.StatusOK
 		if served {
@@ -203,7 +203,7 @@
 		}
 		outcomes := 0
 		for _, e := range l.events {
-			if o, ok := e.(aldermux.Outcome); ok {
+			if o, ok := e.(balance.Outcome); ok {
 				outcomes++
 				if !o.Done {
 					t.Error("the module still owes an answer")
@@ -222,14 +222,14 @@
 	l, c := bare(nil)
 	l.arrived(c)
 	l.events = nil
-	l.do(aldermux.Send{Request: "d1", Backend: "unheard of"})
-	l.do(aldermux.Fail{Request: "d1"})
-	l.do(aldermux.Send{Request: "d1", Backend: "h0"})
+	l.do(balance.Send{Request: "d1", Backend: "unheard of"})
+	l.do(balance.Fail{Request: "d1"})
+	l.do(balance.Send{Request: "d1", Backend: "h0"})
 	if len(l.events) != 2 {
 		t.Fatalf("got %v", l.events)
 	}
 	for i, e := range l.events {
-		if o := e.(aldermux.Outcome); o.Result != aldermux.NotSent || o.Done != (i == 1) {
+		if o := e.(balance.Outcome); o.Result != balance.NotSent || o.Done != (i == 1) {
 			t.Errorf("got %+v", o)
 		}
 	}
@@ -237,7 +237,7 @@
 
 // A module that never answers must not keep a client waiting beyond the deadline.
 func TestOverdueAnswer(t *testing.T) {
-	bal := newScripted(func(aldermux.Event) []aldermux.Action { return nil })
+	bal := newScripted(func(balance.Event) []balance.Action { return nil })
 	base, _, _ := running(t, testConfig(t), bal)
 	req, err := http.NewRequest(http.MethodGet, base+"/read", nil)
 	if err != nil {
@@ -253,42 +253,42 @@
 	if resp.StatusCode != http.StatusBadGateway {
 		t.Errorf("got %d", resp.StatusCode)
 	}
-	next[aldermux.Abandoned](t, bal)
+	next[balance.Abandoned](t, bal)
 }
 
 func TestTimersFireInOrder(t *testing.T) {
-	bal := newScripted(func(e aldermux.Event) []aldermux.Action {
-		if _, ok := e.(aldermux.List); ok {
-			return []aldermux.Action{aldermux.SetTimer{After: 20 * time.Millisecond, Token: 2},
-				aldermux.SetTimer{After: time.Millisecond, Token: 1}, aldermux.Trace{Text: "set"}}
+	bal := newScripted(func(e balance.Event) []balance.Action {
+		if _, ok := e.(balance.List); ok {
+			return []balance.Action{balance.SetTimer{After: 20 * time.Millisecond, Token: 2},
+				balance.SetTimer{After: time.Millisecond, Token: 1}, balance.Trace{Text: "set"}}
 		}
 		return nil
 	})
 	running(t, testConfig(t), bal)
 	for want := int64(1); want <= 2; want++ {
-		if e := next[aldermux.TimerFired](t, bal); e.Token != want {
+		if e := next[balance.TimerFired](t, bal); e.Token != want {
 			t.Errorf("got %d, want %d", e.Token, want)
 		}
 	}
 }
 
 func TestProbeAction(t *testing.T) {
-	bal := newScripted(func(e aldermux.Event) []aldermux.Action {
-		if _, ok := e.(aldermux.List); ok {
-			return []aldermux.Action{aldermux.Probe{Backend: "h0"}}
+	bal := newScripted(func(e balance.Event) []balance.Action {
+		if _, ok := e.(balance.List); ok {
+			return []balance.Action{balance.Probe{Backend: "h0"}}
 		}
 		return nil
 	})
 	running(t, testConfig(t, backend(t, always(hello))), bal)
-	if e := next[aldermux.ProbeResult](t, bal); e.Backend != "h0" || e.Result != aldermux.OK {
+	if e := next[balance.ProbeResult](t, bal); e.Backend != "h0" || e.Result != balance.OK {
 		t.Errorf("got %+v", e)
 	}
 }
 
 // A panic in the module loses no request quietly: the client is told, and the program ends.
 func TestPanicIsVisible(t *testing.T) {
-	bal := newScripted(func(e aldermux.Event) []aldermux.Action {
-		if _, ok := e.(aldermux.Request); ok {
+	bal := newScripted(func(e balance.Event) []balance.Action {
+		if _, ok := e.(balance.Request); ok {
 			panic("out of ideas")
 		}
 		return nil
@@ -339,13 +339,13 @@
 		results <- result{resp, body, err}
 	}
 	go request(newClient(t), "in hand")
-	next[aldermux.Request](t, bal)
+	next[balance.Request](t, bal)
 	stop()
 	for !closing() {
 		time.Sleep(time.Millisecond)
 	}
 	go request(newClient(t), "late")
-	next[aldermux.Request](t, bal)
+	next[balance.Request](t, bal)
 	close(release)
 	for range 2 {
 		r := await(t, results)
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/netip"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 const (
@@ -50,7 +50,7 @@
 }
 
 // run passes what other agents send to heard, until ctx ends.
-func (p *peers) run(ctx context.Context, heard func(aldermux.PeerMessage)) {
+func (p *peers) run(ctx context.Context, heard func(balance.PeerMessage)) {
 	context.AfterFunc(ctx, func() { p.conn.Close() })
 	go func() {
 		for {
@@ -74,14 +74,14 @@
 		if err != nil || !known || number == p.self || n > maxDatagram {
 			continue
 		}
-		heard(aldermux.PeerMessage{From: number, Data: append([]byte(nil), buf[:n]...)})
+		heard(balance.PeerMessage{From: number, Data: append([]byte(nil), buf[:n]...)})
 	}
 }
 
 // tell sends data to one agent or to all. It never waits.
 func (p *peers) tell(to int, data []byte) {
 	addr := p.all
-	if to != aldermux.EveryPeer {
+	if to != balance.EveryPeer {
 		if to < 0 || to >= len(p.addrs) {
 			return
 		}
--- a/internal/agent/peers_test.go
+++ b/internal/agent/peers_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 func udp(t *testing.T) (*net.UDPConn, netip.AddrPort) {
@@ -37,10 +37,10 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	heard := make(chan aldermux.PeerMessage, 10)
+	heard := make(chan balance.PeerMessage, 10)
 	ended := make(chan struct{})
 	go func() {
-		p.run(ctx, func(m aldermux.PeerMessage) { heard <- m })
+		p.run(ctx, func(m balance.PeerMessage) { heard <- m })
 		close(ended)
 	}()
 	self := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
@@ -62,7 +62,7 @@
 	p.tell(1, []byte(longest+"y")) // too long: never sent
 	p.tell(7, []byte("nobody"))
 	p.tell(1, []byte("to one"))
-	p.tell(aldermux.EveryPeer, []byte("to all"))
+	p.tell(balance.EveryPeer, []byte("to all"))
 	if n, from, err := other.ReadFromUDPAddrPort(buf); err != nil || string(buf[:n]) != "to one" || from != self {
 		t.Errorf("got %q from %v, %v", buf[:n], from, err)
 	}
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // A signal moves the watch; a file that is half written when it comes is read again, and what
@@ -65,7 +65,7 @@
 		t.Errorf("told %+v before the new service spoke", await(t, lists))
 	}
 	c.lines <- roll(3, true, entry("h1", "a", "m1", "ready"))
-	if got := await(t, lists); got.list.Kind != aldermux.ListFull || got.list.Version != 3 || len(got.list.Backends) != 1 {
+	if got := await(t, lists); got.list.Kind != balance.ListFull || got.list.Version != 3 || len(got.list.Backends) != 1 {
 		t.Errorf("got %+v", got)
 	}
 	close(c.lines)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/admission"
+	"lemonrail/balance"
+	"lemonrail/internal/admission"
 )
 
 // Headers of the protocol.
@@ -155,7 +155,7 @@
 	}
 	want := http.MethodPost
 	effect := s.cfg.Settings.Classes[class].Effect
-	if effect == aldermux.Safe {
+	if effect == balance.Safe {
 		want = http.MethodGet
 	}
 	if r.Method != want {
@@ -166,7 +166,7 @@
 	if id == "" || len(id) > maxID {
 		return nil, http.StatusBadRequest, errors.New(headerID + ": missing or too long")
 	}
-	if effect == aldermux.Keyed && r.Header.Get(headerEffect) == "" {
+	if effect == balance.Keyed && r.Header.Get(headerEffect) == "" {
 		return nil, http.StatusBadRequest, errors.New(headerEffect + ": missing")
 	}
 	left, err := parseTimeLeft(r.Header.Get(headerTimeLeft))
@@ -203,7 +203,7 @@
 		return nil, http.StatusBadRequest, err
 	}
 	return &call{
-		event: aldermux.Request{ID: id, Class: class, Tenant: tenant, Key: query.Get("key"),
+		event: balance.Request{ID: id, Class: class, Tenant: tenant, Key: query.Get("key"),
 			Work: work, Repeat: r.Header.Get(headerRepeat) == "1"},
 		out:      out,
 		deadline: arrived.Add(left),
--- a/internal/agent/standing_test.go
+++ b/internal/agent/standing_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"testing"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // A connection that breaks beside one that stands is no end of the process; one that breaks with all
@@ -45,14 +45,14 @@
 			var two sync.WaitGroup
 			for range 2 {
 				two.Go(func() {
-					if r := attemptOf(t, u, addr, read); r.result != aldermux.OK {
+					if r := attemptOf(t, u, addr, read); r.result != balance.OK {
 						t.Errorf("got %v", r.result)
 					}
 				})
 			}
 			two.Wait()
 			r := attemptOf(t, u, addr, read)
-			if r.result != aldermux.Reset || r.standing == all {
+			if r.result != balance.Reset || r.standing == all {
 				t.Errorf("got %v, standing %v", r.result, r.standing)
 			}
 		})
@@ -73,7 +73,7 @@
 		receive(r)
 	})
 	r := attemptOf(t, u, addr, read)
-	if r.result != aldermux.OK || string(r.body) != strings.Repeat(part, parts) {
+	if r.result != balance.OK || string(r.body) != strings.Repeat(part, parts) {
 		t.Errorf("got %v with %d bytes, want %d", r.result, len(r.body), parts*len(part))
 	}
 }
@@ -81,7 +81,7 @@
 // What one answer may take follows the memory.
 func TestLongestAnswerFollowsMemory(t *testing.T) {
 	for memory, want := range map[int64]int64{0: mostReply, 4 << 20: maxBody, 32 << 20: 256 << 10, 192 << 20: mostReply} {
-		if u := newUpstream(&aldermux.Settings{}, &sockets{}, memory, quiet); u.maxReply != want {
+		if u := newUpstream(&balance.Settings{}, &sockets{}, memory, quiet); u.maxReply != want {
 			t.Errorf("%d bytes of memory: %d, want %d", memory, u.maxReply, want)
 		}
 	}
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 func TestPlanStop(t *testing.T) {
@@ -18,7 +18,7 @@
 		{8 * time.Second, 2760 * time.Millisecond, 3450 * time.Millisecond}, // counted as 3 s
 		{60 * time.Millisecond, 408 * time.Millisecond, 510 * time.Millisecond},
 	} {
-		s := aldermux.Settings{Classes: []aldermux.Class{{Deadline: time.Millisecond}, {Deadline: c.deadline}}}
+		s := balance.Settings{Classes: []balance.Class{{Deadline: time.Millisecond}, {Deadline: c.deadline}}}
 		stay, linger, answerBy := planStop(&s)
 		if stay != c.stay || answerBy != c.answerBy || linger != min(lingering, answerBy) {
 			t.Errorf("longest deadline %v: stays %v, lingers %v, answers by %v; want %v, %v", c.deadline, stay, linger, answerBy, c.stay, c.answerBy)
@@ -73,8 +73,8 @@
 		receive(r)
 	}))
 	cfg.answerBy = 300 * time.Millisecond
-	bal := newScripted(func(e aldermux.Event) []aldermux.Action {
-		if r, ok := e.(aldermux.Request); ok && r.ID == "sent" {
+	bal := newScripted(func(e balance.Event) []balance.Action {
+		if r, ok := e.(balance.Request); ok && r.ID == "sent" {
 			return sendAll(e)
 		}
 		return nil
@@ -90,7 +90,7 @@
 			}
 			got <- resp.StatusCode
 		}()
-		next[aldermux.Request](t, bal)
+		next[balance.Request](t, bal)
 	}
 	stop()
 	a, b := await(t, got), await(t, got)
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -17,9 +17,9 @@
 	"syscall"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/peek"
-	"aldermux/internal/wire"
+	"lemonrail/balance"
+	"lemonrail/internal/peek"
+	"lemonrail/internal/wire"
 )
 
 const (
@@ -80,8 +80,8 @@
 
 // response is how an attempt ended.
 type response struct {
-	result aldermux.Result
-	load   aldermux.Load
+	result balance.Result
+	load   balance.Load
 	header http.Header // with OK
 	body   []byte      // with OK
 
@@ -115,7 +115,7 @@
 	most  int64     // bytes of an answer's body
 }
 
-func newUpstream(s *aldermux.Settings, socks *sockets, memory int64, log *slog.Logger) *upstream {
+func newUpstream(s *balance.Settings, socks *sockets, memory int64, log *slog.Logger) *upstream {
 	idle := time.Duration(idleShare * float64(s.IdleClose))
 	if idle == 0 {
 		idle = maxIdleTime
@@ -131,7 +131,7 @@
 // exchange makes one attempt: one request on one connection, written once.
 func (u *upstream) exchange(ctx context.Context, to target, out outgoing) response {
 	r, broke := u.once(ctx, to, out)
-	if broke && (r.result == aldermux.Reset || r.result == aldermux.ConnectFailed) {
+	if broke && (r.result == balance.Reset || r.result == balance.ConnectFailed) {
 		r.standing = u.stands(ctx, to)
 	}
 	return r
@@ -143,7 +143,7 @@
 	if c := u.take(to); c != nil {
 		// Guards against blame for a kept connection that has gone stale: what could not be written
 		// to it is no attempt yet, and goes out on a new one.
-		if r := u.use(ctx, c, to, out); r.result != aldermux.ConnectFailed {
+		if r := u.use(ctx, c, to, out); r.result != balance.ConnectFailed {
 			return r, true
 		}
 	}
@@ -208,20 +208,20 @@
 
 // dialResult tells what a dial that failed says. Guards against blame for the wrong one: want of
 // sockets and a client's deadline that cuts a dial short say nothing of the backend.
-func dialResult(ctx context.Context, err error) aldermux.Result {
+func dialResult(ctx context.Context, err error) balance.Result {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return aldermux.Cancelled
+		return balance.Cancelled
 	}
 	for _, own := range []error{errOutOfSockets, context.DeadlineExceeded, syscall.EMFILE, syscall.ENFILE,
 		syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, own) {
-			return aldermux.NotSent
+			return balance.NotSent
 		}
 	}
 	if ctx.Err() != nil && !errors.Is(err, errNoConnection) {
-		return aldermux.NotSent
+		return balance.NotSent
 	}
-	return aldermux.ConnectFailed
+	return balance.ConnectFailed
 }
 
 // errSpoilt is an answer that can't be read, or not to its end. The backend is there, and has
@@ -241,19 +241,19 @@
 		if ctx.Err() != nil {
 			return response{result: dialResult(ctx, err)}, false
 		}
-		return response{result: aldermux.ConnectFailed}, false
+		return response{result: balance.ConnectFailed}, false
 	}
 	resp, body, err := c.answer(ctx, out.method)
 	switch {
 	case err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
-		return response{result: aldermux.Cancelled}, false
+		return response{result: balance.Cancelled}, false
 	case ctx.Err() != nil:
-		return response{result: aldermux.TimedOut}, false
+		return response{result: balance.TimedOut}, false
 	case errors.Is(err, errSpoilt):
-		return response{result: aldermux.Errored}, false
+		return response{result: balance.Errored}, false
 	default:
-		return response{result: aldermux.Reset}, false
+		return response{result: balance.Reset}, false
 	}
 	r = response{result: result(resp), header: resp.Header, body: body}
 	if report := resp.Header[headerLoad]; len(report) == 1 {
@@ -375,16 +375,16 @@
 }
 
 // result reads the outcome of an attempt off an answer.
-func result(resp *http.Response) aldermux.Result {
+func result(resp *http.Response) balance.Result {
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return aldermux.OK
+		return balance.OK
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get(headerNotRun) == "1" {
-			return aldermux.Full
+			return balance.Full
 		}
 	}
-	return aldermux.Errored
+	return balance.Errored
 }
 
 // probe asks a backend how it is.
@@ -397,10 +397,10 @@
 	}
 	out, err := render(http.MethodGet, path, to.addr, http.Header{}, nil)
 	if err != nil {
-		return response{result: aldermux.NotSent, load: wire.NoLoad()}
+		return response{result: balance.NotSent, load: wire.NoLoad()}
 	}
 	r := u.exchange(ctx, to, out)
-	if r.result == aldermux.OK && reports && !r.load.Valid {
+	if r.result == balance.OK && reports && !r.load.Valid {
 		r.load, _ = wire.ParseLoad(r.body)
 	}
 	return r
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -14,11 +14,11 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 func newTestUpstream(t *testing.T) *upstream {
-	u := newUpstream(&aldermux.Settings{ConnectTimeout: patience, IdleClose: time.Minute}, &sockets{}, 0, quiet)
+	u := newUpstream(&balance.Settings{ConnectTimeout: patience, IdleClose: time.Minute}, &sockets{}, 0, quiet)
 	t.Cleanup(func() {
 		for u.evict() {
 		}
@@ -60,28 +60,28 @@
 	long := strings.Repeat("x", mostReply+1)
 	for _, tt := range []struct {
 		name, answer string // then the connection ends
-		want         aldermux.Result
+		want         balance.Result
 	}{
-		{"served", hello, aldermux.OK},
-		{"served after a 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + hello, aldermux.OK},
-		{"an error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", aldermux.Errored},
-		{"turned away", "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", aldermux.Full},
-		{"turned away as over", "HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", aldermux.Full},
-		{"503 that may have run", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", aldermux.Errored},
-		{"500 can't say that it never ran", "HTTP/1.1 500 Oops\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", aldermux.Errored},
-		{"no 200", "HTTP/1.1 204 No Content\r\n\r\n", aldermux.Errored},
-		{"no answer", "", aldermux.Reset},
-		{"half a head", "HTTP/1.1 200 OK\r\nContent-", aldermux.Errored},
-		{"a short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", aldermux.Errored},
-		{"a short chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", aldermux.Errored},
-		{"noise", "hello, world\r\n\r\n", aldermux.Errored},
-		{"too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), aldermux.Errored},
-		{"no length", "HTTP/1.1 200 OK\r\n\r\nhello", aldermux.Errored},
-		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\ncontent-length: 5\r\n\r\nhello", aldermux.Errored},
-		{"a length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", aldermux.Errored},
-		{"a negative length", "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello", aldermux.Errored},
-		{"a head that is too long", "HTTP/1.1 200 OK\r\nX-Pad: " + strings.Repeat("x", maxHead), aldermux.Errored},
-		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", aldermux.OK},
+		{"served", hello, balance.OK},
+		{"served after a 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + hello, balance.OK},
+		{"an error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", balance.Errored},
+		{"turned away", "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balance.Full},
+		{"turned away as over", "HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balance.Full},
+		{"503 that may have run", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", balance.Errored},
+		{"500 can't say that it never ran", "HTTP/1.1 500 Oops\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balance.Errored},
+		{"no 200", "HTTP/1.1 204 No Content\r\n\r\n", balance.Errored},
+		{"no answer", "", balance.Reset},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-", balance.Errored},
+		{"a short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", balance.Errored},
+		{"a short chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", balance.Errored},
+		{"noise", "hello, world\r\n\r\n", balance.Errored},
+		{"too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), balance.Errored},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nhello", balance.Errored},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\ncontent-length: 5\r\n\r\nhello", balance.Errored},
+		{"a length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", balance.Errored},
+		{"a negative length", "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello", balance.Errored},
+		{"a head that is too long", "HTTP/1.1 200 OK\r\nX-Pad: " + strings.Repeat("x", maxHead), balance.Errored},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", balance.OK},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			u := newTestUpstream(t)
@@ -93,7 +93,7 @@
 			if r.result != tt.want {
 				t.Errorf("got %v, want %v", r.result, tt.want)
 			}
-			if r.result == aldermux.OK && string(r.body) != "hello" {
+			if r.result == balance.OK && string(r.body) != "hello" {
 				t.Errorf("body %q", r.body)
 			}
 			if r.load.Valid || r.load.Queue >= 0 {
@@ -104,7 +104,7 @@
 }
 
 func TestRefusedConnectionNeverRan(t *testing.T) {
-	if r := attemptOf(t, newTestUpstream(t), deadAddr(t), read); r.result != aldermux.ConnectFailed {
+	if r := attemptOf(t, newTestUpstream(t), deadAddr(t), read); r.result != balance.ConnectFailed {
 		t.Errorf("got %v", r.result)
 	}
 }
@@ -121,7 +121,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second) // enough to connect in
 	defer cancel()
-	if r := u.exchange(ctx, at(addr), read); r.result != aldermux.TimedOut {
+	if r := u.exchange(ctx, at(addr), read); r.result != balance.TimedOut {
 		t.Errorf("got %v", r.result)
 	}
 	await(t, over) // giving up closed the connection
@@ -137,7 +137,7 @@
 		io.Copy(io.Discard, r)
 		close(over)
 	})
-	if r := u.exchange(ctx, at(addr), read); r.result != aldermux.Cancelled {
+	if r := u.exchange(ctx, at(addr), read); r.result != balance.Cancelled {
 		t.Errorf("got %v", r.result)
 	}
 	await(t, over)
@@ -223,7 +223,7 @@
 		}
 	}
 	r := attemptOf(t, u, addr, read)
-	if r.result != aldermux.OK || conns.Load() != 2 || requests.Load() != 2 {
+	if r.result != balance.OK || conns.Load() != 2 || requests.Load() != 2 {
 		t.Errorf("got %v, %d connections, %d requests", r.result, conns.Load(), requests.Load())
 	}
 }
@@ -247,7 +247,7 @@
 	if err := u.idle[at(addr)][0].Conn.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	if r := attemptOf(t, u, addr, read); r.result != aldermux.OK {
+	if r := attemptOf(t, u, addr, read); r.result != balance.OK {
 		t.Errorf("got %v", r.result)
 	}
 }
@@ -259,7 +259,7 @@
 		receive(r)
 		requests.Add(1)
 	})
-	if r := attemptOf(t, u, addr, read); r.result != aldermux.Reset || requests.Load() != 1 {
+	if r := attemptOf(t, u, addr, read); r.result != balance.Reset || requests.Load() != 1 {
 		t.Errorf("got %v after %d requests", r.result, requests.Load())
 	}
 }
@@ -291,13 +291,13 @@
 	one, _, _, _ := counting(t)
 	two, _, _, _ := counting(t)
 	for _, addr := range []string{one, two, one} {
-		if r := attemptOf(t, u, addr, read); r.result != aldermux.OK {
+		if r := attemptOf(t, u, addr, read); r.result != balance.OK {
 			t.Errorf("got %v", r.result)
 		}
 	}
 	u.sockets.open.Add(1) // a client's; nothing idle is left after the next
 	u.evict()
-	if r := attemptOf(t, u, two, read); r.result != aldermux.NotSent { // no fault of the backend's
+	if r := attemptOf(t, u, two, read); r.result != balance.NotSent { // no fault of the backend's
 		t.Errorf("got %v with no socket to be had", r.result)
 	}
 	u.sockets.open.Add(-1)
@@ -307,7 +307,7 @@
 	u := newTestUpstream(t)
 	addr := backend(t, always(hello+hello))
 	for range 2 {
-		if r := attemptOf(t, u, addr, read); r.result != aldermux.OK {
+		if r := attemptOf(t, u, addr, read); r.result != balance.OK {
 			t.Fatalf("got %v", r.result)
 		}
 	}
@@ -316,7 +316,7 @@
 func TestProbe(t *testing.T) {
 	u := newTestUpstream(t)
 	addr := backend(t, always("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"backlog\":3}"))
-	if r := u.probe(at(addr), true); r.result != aldermux.OK || r.load.Queue != 3 {
+	if r := u.probe(at(addr), true); r.result != balance.OK || r.load.Queue != 3 {
 		t.Errorf("got %+v", r)
 	}
 }
@@ -333,7 +333,7 @@
 			io.Copy(io.Discard, r) // until the agent gives up
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		if r := u.exchange(ctx, at(addr), read); r.result != aldermux.Errored || ctx.Err() != nil {
+		if r := u.exchange(ctx, at(addr), read); r.result != balance.Errored || ctx.Err() != nil {
 			t.Errorf("%q: got %v, %v", answer, r.result, ctx.Err())
 		}
 		cancel()
@@ -359,7 +359,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	for want := 1; want <= 3; want++ { // without a rest between
-		if r := u.exchange(ctx, at(addr), read); r.result != aldermux.OK || string(r.body) != fmt.Sprint(want) {
+		if r := u.exchange(ctx, at(addr), read); r.result != balance.OK || string(r.body) != fmt.Sprint(want) {
 			t.Errorf("got %v %q, want %d", r.result, r.body, want)
 		}
 	}
@@ -378,7 +378,7 @@
 	attemptOf(t, u, addr, read)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if r := u.exchange(ctx, target{"h1", addr}, read); r.result != aldermux.OK || conns.Load() != 3 {
+	if r := u.exchange(ctx, target{"h1", addr}, read); r.result != balance.OK || conns.Load() != 3 {
 		t.Errorf("got %v, %d connections", r.result, conns.Load())
 	}
 }
@@ -388,11 +388,11 @@
 func TestBlameForDials(t *testing.T) {
 	over, cancel := context.WithDeadline(context.Background(), longAgo)
 	defer cancel()
-	if r := newTestUpstream(t).exchange(over, at(deadAddr(t)), read); r.result != aldermux.NotSent {
+	if r := newTestUpstream(t).exchange(over, at(deadAddr(t)), read); r.result != balance.NotSent {
 		t.Errorf("got %v", r.result)
 	}
-	for err, want := range map[error]aldermux.Result{errOutOfSockets: aldermux.NotSent, syscall.EMFILE: aldermux.NotSent,
-		syscall.EADDRNOTAVAIL: aldermux.NotSent, syscall.ECONNREFUSED: aldermux.ConnectFailed} {
+	for err, want := range map[error]balance.Result{errOutOfSockets: balance.NotSent, syscall.EMFILE: balance.NotSent,
+		syscall.EADDRNOTAVAIL: balance.NotSent, syscall.ECONNREFUSED: balance.ConnectFailed} {
 		if got := dialResult(context.Background(), fmt.Errorf("dial: %w", err)); got != want {
 			t.Errorf("%v: got %v", err, got)
 		}
@@ -405,10 +405,10 @@
 	for _, tt := range []struct {
 		name          string
 		connect, left time.Duration
-		want          aldermux.Result
+		want          balance.Result
 	}{
-		{"the backend is silent", 1, time.Hour, aldermux.ConnectFailed},
-		{"the client's time runs out", time.Hour, 1, aldermux.NotSent},
+		{"the backend is silent", 1, time.Hour, balance.ConnectFailed},
+		{"the client's time runs out", time.Hour, 1, balance.NotSent},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			u := newTestUpstream(t)
--- a/internal/diameter/dictionary.go
+++ b/internal/diameter/dictionary.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"aldermux/internal/strict"
+	"lemonrail/internal/strict"
 )
 
 // Result-Codes, RFC 6733 section 7.1 and RFC 8506 section 9.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -19,8 +19,8 @@
 	"sync/atomic"
 	"time"
 
-	"aldermux"
-	"aldermux/internal/strict"
+	"lemonrail/balance"
+	"lemonrail/internal/strict"
 )
 
 // Config is a file such as deploy/explain.toml.
@@ -94,7 +94,7 @@
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-func record(agent string, classes []string, n *aldermux.Note) Record {
+func record(agent string, classes []string, n *balance.Note) Record {
 	r := Record{Agent: agent, At: millis(n.At), Kind: n.Kind.String(), Request: n.Request, Why: n.Why.String(),
 		Waited: millis(n.Waited), Left: millis(n.Left), Aim: millis(n.Aim), Repeat: n.Repeat, Attempts: n.Attempts,
 		PerBackend: n.PerBackend, Part: n.Part, Fraction: n.Fraction, InFlight: n.InFlight, Stuck: n.Stuck, Overdue: n.Overdue, Held: n.Held, Up: n.Up,
@@ -115,7 +115,7 @@
 type Writer struct {
 	agent   string
 	classes []string
-	notes   chan aldermux.Note
+	notes   chan balance.Note
 	skipped atomic.Uint64
 	out     io.Writer
 	file    *os.File // nil: standard error
@@ -130,7 +130,7 @@
 	if c.File == "" {
 		return nil, nil
 	}
-	w := &Writer{agent: agent, classes: classes, notes: make(chan aldermux.Note, queue), done: make(chan struct{}),
+	w := &Writer{agent: agent, classes: classes, notes: make(chan balance.Note, queue), done: make(chan struct{}),
 		out: os.Stderr, path: c.File, most: int64(c.MaxMB) << 20}
 	if w.most == 0 {
 		w.most = defaultMB << 20
@@ -145,7 +145,7 @@
 }
 
 // Tell takes a note. It belongs to the goroutine that runs the module.
-func (w *Writer) Tell(n aldermux.Note) {
+func (w *Writer) Tell(n balance.Note) {
 	select {
 	case w.notes <- n:
 	default:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -12,7 +12,7 @@
 
 	"go.uber.org/goleak"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -54,8 +54,8 @@
 		for len(w.notes) == queue { // the test tells faster than a disk writes
 			time.Sleep(time.Millisecond)
 		}
-		w.Tell(aldermux.Note{At: time.Duration(i) * time.Millisecond, Kind: aldermux.NoteRefused, Why: aldermux.TooLate, Request: fmt.Sprint(i),
-			Waited: 3 * time.Millisecond, Part: 4.5, Backends: []aldermux.BackendNote{{ID: "a", Warmth: 1}}})
+		w.Tell(balance.Note{At: time.Duration(i) * time.Millisecond, Kind: balance.NoteRefused, Why: balance.TooLate, Request: fmt.Sprint(i),
+			Waited: 3 * time.Millisecond, Part: 4.5, Backends: []balance.BackendNote{{ID: "a", Warmth: 1}}})
 	}
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
@@ -92,9 +92,9 @@
 
 // The loop never waits for the disk: what finds the queue full is counted.
 func TestFullQueueCountsWhatItSkips(t *testing.T) {
-	w := &Writer{notes: make(chan aldermux.Note, 2)}
+	w := &Writer{notes: make(chan balance.Note, 2)}
 	for range 5 {
-		w.Tell(aldermux.Note{})
+		w.Tell(balance.Note{})
 	}
 	if n := w.skipped.Load(); n != 3 || len(w.notes) != 2 {
 		t.Errorf("%d skipped, %d queued", n, len(w.notes))
@@ -110,7 +110,7 @@
 	}
 	w.file.Close()
 	for range 10 {
-		w.Tell(aldermux.Note{})
+		w.Tell(balance.Note{})
 	}
 	if err := w.Close(); err == nil {
 		t.Error("no word of what was lost")
--- a/internal/explain/fleet.go
+++ b/internal/explain/fleet.go
@@ -15,7 +15,7 @@
 	"text/tabwriter"
 	"time"
 
-	"aldermux/internal/chart"
+	"lemonrail/internal/chart"
 )
 
 // Fleet adds up what all agents of a fleet noted and logged, by time and by backend: what one agent does
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -10,7 +10,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"aldermux/internal/chart"
+	"lemonrail/internal/chart"
 )
 
 // Window is how an agent stood over a stretch of time: counts of what it gave up, means of the rest.
--- a/internal/load/mapping.go
+++ b/internal/load/mapping.go
@@ -15,8 +15,8 @@
 	"unicode"
 	"unicode/utf8"
 
-	"aldermux/deploy"
-	"aldermux/internal/strict"
+	"lemonrail/deploy"
+	"lemonrail/internal/strict"
 )
 
 // Request is one request as it is to be sent.
--- a/internal/load/page.go
+++ b/internal/load/page.go
@@ -5,7 +5,7 @@
 	"html/template"
 	"io"
 
-	"aldermux/internal/chart"
+	"lemonrail/internal/chart"
 )
 
 // HTML writes the report as one self-contained page.
--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -35,7 +35,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"aldermux/internal/load"
+	"lemonrail/internal/load"
 )
 
 // Options say what is measured.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"aldermux/internal/ledger"
+	"lemonrail/internal/ledger"
 )
 
 const (
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -20,7 +20,7 @@
 	"slices"
 	"time"
 
-	"aldermux/internal/strict"
+	"lemonrail/internal/strict"
 )
 
 // Scenario is a site and what goes wrong with it.
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"aldermux/internal/ledger"
+	"lemonrail/internal/ledger"
 )
 
 // Observer is told what happens at a site. *ledger.Ledger is one.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -16,7 +16,7 @@
 
 	"go.uber.org/goleak"
 
-	"aldermux/internal/ledger"
+	"lemonrail/internal/ledger"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/trial/day.go
+++ b/internal/trial/day.go
@@ -15,10 +15,10 @@
 	"text/tabwriter"
 	"time"
 
-	"aldermux/internal/ledger"
-	"aldermux/internal/load"
-	"aldermux/internal/standin"
-	"aldermux/internal/strict"
+	"lemonrail/internal/ledger"
+	"lemonrail/internal/load"
+	"lemonrail/internal/standin"
+	"lemonrail/internal/strict"
 )
 
 // Day is a site, what goes wrong with it, and the load on it: a stand-in day.
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -18,10 +18,10 @@
 	"syscall"
 	"time"
 
-	"aldermux/internal/agent"
-	"aldermux/internal/ledger"
-	"aldermux/internal/load"
-	"aldermux/internal/standin"
+	"lemonrail/internal/agent"
+	"lemonrail/internal/ledger"
+	"lemonrail/internal/load"
+	"lemonrail/internal/standin"
 )
 
 const (
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -13,9 +13,9 @@
 
 	"go.uber.org/goleak"
 
-	"aldermux/internal/ledger"
-	"aldermux/internal/load"
-	"aldermux/internal/standin"
+	"lemonrail/internal/ledger"
+	"lemonrail/internal/load"
+	"lemonrail/internal/standin"
 )
 
 func TestMain(m *testing.M) {
@@ -235,7 +235,7 @@
 // and ended.
 func TestAgentProcesses(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "lemonrail")
-	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, "aldermux/cmd/lemonrail").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, "lemonrail/cmd/lemonrail").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	plan, g := log(t, "steady", 50, 2)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // facts mirrors the settings object of the wire, in the wire's own names.
@@ -59,17 +59,17 @@
 
 // The wire's words; an absent one means the first.
 var (
-	effects = map[string]aldermux.Effect{
-		"repeatable": aldermux.Safe, "by_key": aldermux.Keyed, "once": aldermux.Unsafe}
-	groups = map[string]aldermux.Group{
-		"": aldermux.GroupAll, "all": aldermux.GroupAll,
-		"zone": aldermux.GroupZone, "cell": aldermux.GroupCell}
-	weights = map[string]aldermux.WeightMeaning{
-		"": aldermux.WeightsOff, "off": aldermux.WeightsOff, "nominal": aldermux.WeightsNominal,
-		"rough": aldermux.WeightsRough, "live": aldermux.WeightsLive}
-	sources = map[string]aldermux.ReportSource{
-		"": aldermux.ReportsOff, "off": aldermux.ReportsOff,
-		"inline": aldermux.ReportsInline, "on_probe": aldermux.ReportsOnProbe}
+	effects = map[string]balance.Effect{
+		"repeatable": balance.Safe, "by_key": balance.Keyed, "once": balance.Unsafe}
+	groups = map[string]balance.Group{
+		"": balance.GroupAll, "all": balance.GroupAll,
+		"zone": balance.GroupZone, "cell": balance.GroupCell}
+	weights = map[string]balance.WeightMeaning{
+		"": balance.WeightsOff, "off": balance.WeightsOff, "nominal": balance.WeightsNominal,
+		"rough": balance.WeightsRough, "live": balance.WeightsLive}
+	sources = map[string]balance.ReportSource{
+		"": balance.ReportsOff, "off": balance.ReportsOff,
+		"inline": balance.ReportsInline, "on_probe": balance.ReportsOnProbe}
 )
 
 // Names are the words by which the settings call what the module knows by number.
@@ -78,10 +78,10 @@
 }
 
 // ParseSettings translates the settings object. Unknown keys are ignored.
-func ParseSettings(raw []byte) (aldermux.Settings, Names, error) {
+func ParseSettings(raw []byte) (balance.Settings, Names, error) {
 	var f facts
 	if err := json.Unmarshal(raw, &f); err != nil {
-		return aldermux.Settings{}, Names{}, fmt.Errorf("settings: %w", err)
+		return balance.Settings{}, Names{}, fmt.Errorf("settings: %w", err)
 	}
 	names := Names{Zones: f.Dcs, Kinds: f.Kinds}
 	for _, p := range f.Profiles {
@@ -94,8 +94,8 @@
 	return s, names, err
 }
 
-func (f *facts) settings() (aldermux.Settings, error) {
-	s := aldermux.Settings{
+func (f *facts) settings() (balance.Settings, error) {
+	s := balance.Settings{
 		Balancers:      f.Balancers,
 		Self:           f.Me,
 		Zone:           f.Zone,
@@ -131,7 +131,7 @@
 		GoalWindow:     f.Goal.WorstWindow,
 		GoalClass:      f.Goal.WorstClass,
 		GoalTenant:     f.Goal.WorstTenant,
-		Prices: aldermux.Prices{
+		Prices: balance.Prices{
 			Connection: f.Prices.Connection, CrossZone: f.Prices.CrossZone, Fleet: f.Prices.Fleet,
 			Handshake: f.Prices.Handshake, LateFail: f.Prices.LateFail, List: f.Prices.MembershipMode,
 			Moves: f.Prices.Moves, Origin: f.Prices.Origin, Peer: f.Prices.Peer,
@@ -161,7 +161,7 @@
 		}
 	}
 	for _, t := range f.Tenants {
-		s.Tenants = append(s.Tenants, aldermux.Tenant{PerSecond: t.QuotaPerS, Portion: t.Portion})
+		s.Tenants = append(s.Tenants, balance.Tenant{PerSecond: t.QuotaPerS, Portion: t.Portion})
 	}
 	for i, p := range f.Profiles {
 		effect, ok := effects[p.Semantics]
@@ -172,7 +172,7 @@
 		if !ok {
 			return s, fmt.Errorf("Profiles[%d].Group: unknown group %q", i, p.Group)
 		}
-		s.Classes = append(s.Classes, aldermux.Class{
+		s.Classes = append(s.Classes, balance.Class{
 			Aim: Duration(p.AimMs), Deadline: Duration(p.DeadlineMs),
 			Worth: p.Worth, LateWorth: p.LateValue,
 			Effect: effect, Group: group, Window: Duration(p.WindowMs),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire translates between the bench's JSON lines and aldermux's
+// Package wire translates between the bench's JSON lines and balance's
 // events and actions. It decides nothing.
 package wire
 
@@ -14,13 +14,13 @@
 	"strconv"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 // Open tells that an instance starts with no state.
 type Open struct {
 	Seed     uint64
-	Settings aldermux.Settings
+	Settings balance.Settings
 }
 
 // Event is one event of a batch, with the instance it belongs to. Exactly one
@@ -30,7 +30,7 @@
 	Agent  int
 	Open   *Open
 	Retire bool
-	Event  aldermux.Event
+	Event  balance.Event
 }
 
 // Batch holds what happened at one instant.
@@ -43,12 +43,12 @@
 type Reader struct {
 	in    *bufio.Reader
 	line  int
-	lists map[int][]aldermux.Backend
+	lists map[int][]balance.Backend
 }
 
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(r, 1<<16), lists: map[int][]aldermux.Backend{}}
+	return &Reader{in: bufio.NewReaderSize(r, 1<<16), lists: map[int][]balance.Backend{}}
 }
 
 type entry struct {
@@ -107,19 +107,19 @@
 	bitWrite     = 4
 )
 
-var results = map[string]aldermux.Result{
-	"pass": aldermux.OK, "fault": aldermux.Errored, "no_room": aldermux.Full,
-	"too_slow": aldermux.TimedOut, "no_route": aldermux.ConnectFailed, "cut": aldermux.Reset,
-	"undone": aldermux.Cancelled, "stale_send": aldermux.NotSent,
+var results = map[string]balance.Result{
+	"pass": balance.OK, "fault": balance.Errored, "no_room": balance.Full,
+	"too_slow": balance.TimedOut, "no_route": balance.ConnectFailed, "cut": balance.Reset,
+	"undone": balance.Cancelled, "stale_send": balance.NotSent,
 }
 
-var listKinds = map[string]aldermux.ListKind{
-	"diff": aldermux.ListDelta, "snapshot": aldermux.ListFull,
-	"disk": aldermux.ListCached, "error": aldermux.ListFailed,
+var listKinds = map[string]balance.ListKind{
+	"diff": balance.ListDelta, "snapshot": balance.ListFull,
+	"disk": balance.ListCached, "error": balance.ListFailed,
 }
 
-var states = map[string]aldermux.BackendState{
-	"on": aldermux.Up, "fading": aldermux.Draining, "off": aldermux.Gone,
+var states = map[string]balance.BackendState{
+	"on": balance.Up, "fading": balance.Draining, "off": balance.Gone,
 }
 
 // Next reads one batch. It returns io.EOF where the input ends between batches.
@@ -193,7 +193,7 @@
 		if m.Job == nil || m.TierClass == nil || m.GraceMs == nil {
 			return errors.New("missing Job, TierClass or GraceMs")
 		}
-		q := aldermux.Request{ID: *m.Job, Class: *m.TierClass, Tenant: m.Project, Key: m.Item,
+		q := balance.Request{ID: *m.Job, Class: *m.TierClass, Tenant: m.Project, Key: m.Item,
 			Left: Duration(*m.GraceMs), Repeat: m.StateBits&bitRepeat != 0, Write: m.StateBits&bitWrite != 0}
 		if m.StateBits&bitHintValid != 0 {
 			q.Work = Duration(m.WorkHintMs)
@@ -207,7 +207,7 @@
 		if !ok {
 			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
 		}
-		e.Event = aldermux.Outcome{Request: *m.Job, Attempt: *m.SendNo, Backend: *m.Backend, Result: res,
+		e.Event = balance.Outcome{Request: *m.Job, Attempt: *m.SendNo, Backend: *m.Backend, Result: res,
 			Latency: Duration(*m.WaitTimeMs), Done: m.Ended, Load: load(m.Usage)}
 	case "ProbeDone":
 		if m.Backend == nil || m.Outcome == nil || m.WaitTimeMs == nil {
@@ -217,23 +217,23 @@
 		if !ok {
 			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
 		}
-		e.Event = aldermux.ProbeResult{Backend: *m.Backend, Result: res,
+		e.Event = balance.ProbeResult{Backend: *m.Backend, Result: res,
 			Latency: Duration(*m.WaitTimeMs), Load: load(m.Usage)}
 	case "Streaming":
 		if m.Job == nil || m.SendNo == nil {
 			return errors.New("missing Job or SendNo")
 		}
-		e.Event = aldermux.StreamStarted{Request: *m.Job, Attempt: *m.SendNo, Latency: Duration(m.waited())}
+		e.Event = balance.StreamStarted{Request: *m.Job, Attempt: *m.SendNo, Latency: Duration(m.waited())}
 	case "Expired":
 		if m.Job == nil {
 			return errors.New("missing Job")
 		}
-		e.Event = aldermux.Abandoned{Request: *m.Job}
+		e.Event = balance.Abandoned{Request: *m.Job}
 	case "Reminder":
 		if m.Cookie == nil {
 			return errors.New("missing Cookie")
 		}
-		e.Event = aldermux.TimerFired{Token: *m.Cookie}
+		e.Event = balance.TimerFired{Token: *m.Cookie}
 	case "Peer":
 		if m.From == nil || m.Text == nil {
 			return errors.New("missing From or Msg")
@@ -242,7 +242,7 @@
 		if err != nil {
 			return fmt.Errorf("Msg: %w", err)
 		}
-		e.Event = aldermux.PeerMessage{From: *m.From, Data: data}
+		e.Event = balance.PeerMessage{From: *m.From, Data: data}
 	default:
 		return errors.New("unknown message")
 	}
@@ -261,7 +261,7 @@
 	if m.Sheet == nil || m.Items == nil {
 		return errors.New("missing Sheet or Items")
 	}
-	list := make([]aldermux.Backend, 0, len(*m.Items))
+	list := make([]balance.Backend, 0, len(*m.Items))
 	for _, it := range *m.Items {
 		state, ok := states[it.Availability]
 		if !ok {
@@ -270,14 +270,14 @@
 		if it.Backend == "" {
 			return errors.New("missing Backend")
 		}
-		list = append(list, aldermux.Backend{ID: it.Backend, State: state, Zone: it.Dc, Cell: it.Block,
+		list = append(list, balance.Backend{ID: it.Backend, State: state, Zone: it.Dc, Cell: it.Block,
 			Kind: it.Sku, Weight: it.Rating, Started: Duration(it.LaunchedMs)})
 	}
 	r.lists[*m.Sheet] = list
 	return nil
 }
 
-func (r *Reader) view(m *message) (aldermux.Event, error) {
+func (r *Reader) view(m *message) (balance.Event, error) {
 	if m.How == nil {
 		return nil, errors.New("missing How")
 	}
@@ -285,8 +285,8 @@
 	if !ok {
 		return nil, fmt.Errorf("unknown How %q", *m.How)
 	}
-	if kind == aldermux.ListFailed {
-		return aldermux.List{Kind: kind, Version: m.Index}, nil
+	if kind == balance.ListFailed {
+		return balance.List{Kind: kind, Version: m.Index}, nil
 	}
 	if m.Sheet == nil {
 		return nil, errors.New("missing Sheet")
@@ -295,11 +295,11 @@
 	if !ok {
 		return nil, fmt.Errorf("Sheet %d was never defined", *m.Sheet)
 	}
-	return aldermux.List{Kind: kind, Version: m.Index, Backends: list}, nil
+	return balance.List{Kind: kind, Version: m.Index, Backends: list}, nil
 }
 
 // ParseLoad reads a load report; values that it lacks are negative.
-func ParseLoad(raw []byte) (aldermux.Load, error) {
+func ParseLoad(raw []byte) (balance.Load, error) {
 	var u usage
 	if err := json.Unmarshal(raw, &u); err != nil {
 		return NoLoad(), fmt.Errorf("load report: %w", err)
@@ -310,11 +310,11 @@
 const loadMost = 1e6 // no figure of a backend's load is larger: ten minutes, a million requests
 
 // NoLoad is what is known where no report came.
-func NoLoad() aldermux.Load {
-	return aldermux.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
+func NoLoad() balance.Load {
+	return balance.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
 }
 
-func load(u *usage) aldermux.Load {
+func load(u *usage) balance.Load {
 	l := NoLoad()
 	if u == nil {
 		return l
@@ -365,38 +365,38 @@
 func NewWriter(w io.Writer) *Writer { return &Writer{out: w} }
 
 // Actions writes the actions of one instance.
-func (w *Writer) Actions(agent int, actions []aldermux.Action) error {
+func (w *Writer) Actions(agent int, actions []balance.Action) error {
 	for _, a := range actions {
 		switch a := a.(type) {
-		case aldermux.Send:
+		case balance.Send:
 			w.begin("Try", agent).str("Job", a.Request).str("Backend", a.Backend)
 			if a.Timeout > 0 {
 				w.ms("PatienceMs", a.Timeout)
 			}
-		case aldermux.Cancel:
+		case balance.Cancel:
 			w.begin("Cancel", agent).str("Job", a.Request).num("SendNo", int64(a.Attempt))
-		case aldermux.Refuse:
+		case balance.Refuse:
 			w.begin("SayNo", agent).str("Job", a.Request)
 			if a.RetryAfter > 0 {
 				w.ms("WaitMs", a.RetryAfter)
 			}
-		case aldermux.Fail:
+		case balance.Fail:
 			w.begin("DropRequest", agent).str("Job", a.Request)
-		case aldermux.SetTimer:
+		case balance.SetTimer:
 			w.begin("SetTimer", agent).ms("SpanMs", a.After).num("Cookie", a.Token)
-		case aldermux.Probe:
+		case balance.Probe:
 			w.begin("Test", agent).str("Backend", a.Backend)
-		case aldermux.TellPeer:
+		case balance.TellPeer:
 			w.begin("WritePeer", agent).peer("Whom", a.To).str("Msg", hex.EncodeToString(a.Data))
-		case aldermux.Subscribe:
+		case balance.Subscribe:
 			w.begin("KeepInformed", agent).raw("Enable", "true")
-		case aldermux.Unsubscribe:
+		case balance.Unsubscribe:
 			w.begin("KeepInformed", agent).raw("Enable", "false")
-		case aldermux.FetchList:
+		case balance.FetchList:
 			w.begin("ListAll", agent)
-		case aldermux.CloseIdle:
+		case balance.CloseIdle:
 			w.begin("CloseIdle", agent).str("Backend", a.Backend)
-		case aldermux.Trace:
+		case balance.Trace:
 			w.begin("Trace", agent).str("Msg", a.Text)
 		default:
 			return fmt.Errorf("no wire form for action %T", a)
@@ -440,7 +440,7 @@
 }
 
 func (w *Writer) peer(name string, to int) *Writer {
-	if to == aldermux.EveryPeer {
+	if to == balance.EveryPeer {
 		return w.raw(name, "null")
 	}
 	return w.num(name, int64(to))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"aldermux"
+	"lemonrail/balance"
 )
 
 const ms = time.Millisecond
@@ -23,40 +23,40 @@
 	const list = `{"msg":"DefineList","Sheet":3,"Items":[` +
 		`{"Backend":"10.0.0.1:80","Availability":"on","Rating":1.5,"Block":2,"LaunchedMs":900,"Sku":1,"Dc":1},` +
 		`{"Backend":"10.0.0.2:80","Availability":"fading"},{"Backend":"10.0.0.3:80","Availability":"off"}]}`
-	entries := []aldermux.Backend{
+	entries := []balance.Backend{
 		{ID: "10.0.0.1:80", Weight: 1.5, Cell: 2, Started: 900 * ms, Kind: 1, Zone: 1},
-		{ID: "10.0.0.2:80", State: aldermux.Draining}, {ID: "10.0.0.3:80", State: aldermux.Gone}}
+		{ID: "10.0.0.2:80", State: balance.Draining}, {ID: "10.0.0.3:80", State: balance.Gone}}
 	tests := []struct {
 		line string
-		want aldermux.Event
+		want balance.Event
 	}{
 		{`{"msg":"Submit","Agent":3,"Job":"d0","TierClass":1,"Project":2,"Item":"91f0","GraceMs":240.5,"WorkHintMs":12,"StateBits":7}`,
-			aldermux.Request{ID: "d0", Class: 1, Tenant: 2, Key: "91f0", Left: 240500 * time.Microsecond, Work: 12 * ms,
+			balance.Request{ID: "d0", Class: 1, Tenant: 2, Key: "91f0", Left: 240500 * time.Microsecond, Work: 12 * ms,
 				Repeat: true, Write: true}},
 		{`{"msg":"Submit","Agent":3,"Job":"d0","TierClass":0,"GraceMs":240,"WorkHintMs":12,"Later":{"x":1}}`,
-			aldermux.Request{ID: "d0", Left: 240 * ms}},
+			balance.Request{ID: "d0", Left: 240 * ms}},
 		{`{"msg":"Ended","Agent":3,"Job":"d0","Outcome":"pass","WaitTimeMs":18.5,"Backend":"b","SendNo":2,"Ended":true,"Usage":{"backlog":4,"recent_ms":7,"errors_per_s":0.5,"mood":"sour"}}`,
-			aldermux.Outcome{Request: "d0", Attempt: 2, Backend: "b", Latency: 18500 * time.Microsecond, Done: true,
-				Load: aldermux.Load{Valid: true, Queue: 4, Service: 7 * ms, ErrorsPerSec: 0.5,
+			balance.Outcome{Request: "d0", Attempt: 2, Backend: "b", Latency: 18500 * time.Microsecond, Done: true,
+				Load: balance.Load{Valid: true, Queue: 4, Service: 7 * ms, ErrorsPerSec: 0.5,
 					Outstanding: -1, Utilization: -1, Throughput: -1}}},
 		{`{"msg":"ProbeDone","Agent":3,"Backend":"b","Outcome":"pass","WaitTimeMs":2,"Usage":{"outstanding":0,"backlog":0,"utilization":0,"recent_ms":0,"throughput":0,"errors_per_s":0}}`,
-			aldermux.ProbeResult{Backend: "b", Latency: 2 * ms, Load: aldermux.Load{Valid: true}}},
+			balance.ProbeResult{Backend: "b", Latency: 2 * ms, Load: balance.Load{Valid: true}}},
 		{`{"msg":"ProbeDone","Agent":3,"Backend":"b","Outcome":"pass","WaitTimeMs":2,"Usage":{"outstanding":7,"utilization":0.5,"throughput":3}}`,
-			aldermux.ProbeResult{Backend: "b", Latency: 2 * ms, Load: aldermux.Load{Valid: true, Outstanding: 7,
+			balance.ProbeResult{Backend: "b", Latency: 2 * ms, Load: balance.Load{Valid: true, Outstanding: 7,
 				Utilization: 0.5, Throughput: 3, Queue: -1, Service: -1, ErrorsPerSec: -1}}},
 		{`{"msg":"Ended","Agent":3,"Job":"d0","Outcome":"stale_send","WaitTimeMs":0,"Backend":"b","SendNo":0}`,
-			aldermux.Outcome{Request: "d0", Backend: "b", Result: aldermux.NotSent, Load: load(nil)}},
-		{`{"msg":"Expired","Agent":3,"Job":"d0"}`, aldermux.Abandoned{Request: "d0"}},
-		{`{"msg":"Reminder","Agent":3,"Cookie":9223372036854775807}`, aldermux.TimerFired{Token: 1<<63 - 1}},
+			balance.Outcome{Request: "d0", Backend: "b", Result: balance.NotSent, Load: load(nil)}},
+		{`{"msg":"Expired","Agent":3,"Job":"d0"}`, balance.Abandoned{Request: "d0"}},
+		{`{"msg":"Reminder","Agent":3,"Cookie":9223372036854775807}`, balance.TimerFired{Token: 1<<63 - 1}},
 		{`{"msg":"Streaming","Agent":3,"Job":"d0","WaitTimeMs":1,"SendNo":1,"Backend":"b"}`,
-			aldermux.StreamStarted{Request: "d0", Attempt: 1, Latency: ms}},
+			balance.StreamStarted{Request: "d0", Attempt: 1, Latency: ms}},
 		{`{"msg":"Peer","Agent":3,"From":2,"Msg":"68692037"}`,
-			aldermux.PeerMessage{From: 2, Data: []byte("hi 7")}},
+			balance.PeerMessage{From: 2, Data: []byte("hi 7")}},
 		{`{"msg":"ProbeDone","Agent":3,"Backend":"b","Outcome":"no_route","WaitTimeMs":2}`,
-			aldermux.ProbeResult{Backend: "b", Result: aldermux.ConnectFailed, Latency: 2 * ms, Load: load(nil)}},
-		{`{"msg":"View","Agent":3,"How":"error","Index":4,"Sheet":0}`, aldermux.List{Kind: aldermux.ListFailed, Version: 4}},
+			balance.ProbeResult{Backend: "b", Result: balance.ConnectFailed, Latency: 2 * ms, Load: load(nil)}},
+		{`{"msg":"View","Agent":3,"How":"error","Index":4,"Sheet":0}`, balance.List{Kind: balance.ListFailed, Version: 4}},
 		{list + "\n" + `{"msg":"View","Agent":3,"How":"diff","Index":4,"Sheet":3}`,
-			aldermux.List{Kind: aldermux.ListDelta, Version: 4, Backends: entries}},
+			balance.List{Kind: balance.ListDelta, Version: 4, Backends: entries}},
 	}
 	for _, tt := range tests {
 		b, err := NewReader(strings.NewReader(frame(tt.line))).Next()
@@ -91,13 +91,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := aldermux.Settings{
+	want := balance.Settings{
 		Balancers: 3, Self: 1, Zone: 2, Zones: 2, Kinds: 1, ByWork: true, Subscribe: true, Tick: 5 * ms,
-		Classes: []aldermux.Class{{Aim: 400 * ms, Deadline: 1500 * ms, Worth: 3, LateWorth: 0.25,
-			Effect: aldermux.Keyed, Group: aldermux.GroupCell, Window: 3 * time.Second, Stretch: 2.5, Stream: true}},
-		Tenants: []aldermux.Tenant{{PerSecond: 120, Portion: 0.4}}, OverShare: 0.05,
-		Marked: true, WarmKeys: true, Weights: aldermux.WeightsLive, Reports: aldermux.ReportsOnProbe,
-		Fields: aldermux.ReportFields{Outstanding: true, Queue: true, Utilization: true, Service: true,
+		Classes: []balance.Class{{Aim: 400 * ms, Deadline: 1500 * ms, Worth: 3, LateWorth: 0.25,
+			Effect: balance.Keyed, Group: balance.GroupCell, Window: 3 * time.Second, Stretch: 2.5, Stream: true}},
+		Tenants: []balance.Tenant{{PerSecond: 120, Portion: 0.4}}, OverShare: 0.05,
+		Marked: true, WarmKeys: true, Weights: balance.WeightsLive, Reports: balance.ReportsOnProbe,
+		Fields: balance.ReportFields{Outstanding: true, Queue: true, Utilization: true, Service: true,
 			Throughput: true, ErrorsPerSec: true},
 		MaxAttempts: 4, SecondCopies: true, MayProbe: true, MayCancel: true, RetryAfter: true, Peers: true,
 		MaxRetryAfter: 1500 * ms, ConnectTimeout: 250 * ms, IdleClose: 30 * time.Second, StreamsPerConn: 100,
@@ -105,7 +105,7 @@
 		DrainGrace: 500 * ms, AnswerGrace: 20 * ms, AskWithin: 10 * time.Second, ColdShare: 0.16,
 		RampTime: 20 * time.Second, FallMultiple: 2.5, FallWindow: time.Second,
 		GoalWhole: 0.55, GoalWindow: 0.15, GoalClass: 0.3, GoalTenant: 0.1,
-		Prices: aldermux.Prices{Connection: 1, CrossZone: 0.02, Fleet: 2, Handshake: 3, LateFail: 4, List: 5,
+		Prices: balance.Prices{Connection: 1, CrossZone: 0.02, Fleet: 2, Handshake: 3, LateFail: 4, List: 5,
 			Moves: 6, Origin: 7, Peer: 8, Probe: 9, Waste: 10},
 	}
 	if o := b.Events[0].Open; o == nil || o.Seed != 77 || !reflect.DeepEqual(o.Settings, want) {
@@ -118,7 +118,7 @@
 			t.Errorf("the example leaves %s out", v.Type().Field(i).Name)
 		}
 	}
-	if _, err := aldermux.New(b.Events[0].Open.Settings, 1); err != nil {
+	if _, err := balance.New(b.Events[0].Open.Settings, 1); err != nil {
 		t.Error(err)
 	}
 }
@@ -154,32 +154,32 @@
 
 func TestActions(t *testing.T) {
 	tests := []struct {
-		action aldermux.Action
+		action balance.Action
 		want   string
 	}{
-		{aldermux.Send{Request: "d0", Backend: "b", Timeout: 80500 * time.Microsecond},
+		{balance.Send{Request: "d0", Backend: "b", Timeout: 80500 * time.Microsecond},
 			`{"msg":"Try","Agent":4,"Job":"d0","Backend":"b","PatienceMs":80.5}`},
-		{aldermux.Send{Request: "d0", Backend: "b"}, `{"msg":"Try","Agent":4,"Job":"d0","Backend":"b"}`},
-		{aldermux.Cancel{Request: "d0", Attempt: 2}, `{"msg":"Cancel","Agent":4,"Job":"d0","SendNo":2}`},
-		{aldermux.Refuse{Request: "d0", RetryAfter: 5 * ms}, `{"msg":"SayNo","Agent":4,"Job":"d0","WaitMs":5}`},
-		{aldermux.Refuse{Request: "d0"}, `{"msg":"SayNo","Agent":4,"Job":"d0"}`},
-		{aldermux.Fail{Request: `q"\`}, `{"msg":"DropRequest","Agent":4,"Job":"q\"\\"}`},
-		{aldermux.SetTimer{After: ms / 4, Token: 9}, `{"msg":"SetTimer","Agent":4,"SpanMs":0.25,"Cookie":9}`},
-		{aldermux.Probe{Backend: "b"}, `{"msg":"Test","Agent":4,"Backend":"b"}`},
-		{aldermux.TellPeer{To: 3, Data: []byte("hi 7")},
+		{balance.Send{Request: "d0", Backend: "b"}, `{"msg":"Try","Agent":4,"Job":"d0","Backend":"b"}`},
+		{balance.Cancel{Request: "d0", Attempt: 2}, `{"msg":"Cancel","Agent":4,"Job":"d0","SendNo":2}`},
+		{balance.Refuse{Request: "d0", RetryAfter: 5 * ms}, `{"msg":"SayNo","Agent":4,"Job":"d0","WaitMs":5}`},
+		{balance.Refuse{Request: "d0"}, `{"msg":"SayNo","Agent":4,"Job":"d0"}`},
+		{balance.Fail{Request: `q"\`}, `{"msg":"DropRequest","Agent":4,"Job":"q\"\\"}`},
+		{balance.SetTimer{After: ms / 4, Token: 9}, `{"msg":"SetTimer","Agent":4,"SpanMs":0.25,"Cookie":9}`},
+		{balance.Probe{Backend: "b"}, `{"msg":"Test","Agent":4,"Backend":"b"}`},
+		{balance.TellPeer{To: 3, Data: []byte("hi 7")},
 			`{"msg":"WritePeer","Agent":4,"Whom":3,"Msg":"68692037"}`},
-		{aldermux.TellPeer{To: aldermux.EveryPeer, Data: []byte("hi 7")},
+		{balance.TellPeer{To: balance.EveryPeer, Data: []byte("hi 7")},
 			`{"msg":"WritePeer","Agent":4,"Whom":null,"Msg":"68692037"}`},
-		{aldermux.Subscribe{}, `{"msg":"KeepInformed","Agent":4,"Enable":true}`},
-		{aldermux.Unsubscribe{}, `{"msg":"KeepInformed","Agent":4,"Enable":false}`},
-		{aldermux.FetchList{}, `{"msg":"ListAll","Agent":4}`},
-		{aldermux.CloseIdle{Backend: "b"}, `{"msg":"CloseIdle","Agent":4,"Backend":"b"}`},
-		{aldermux.Trace{Text: "two\nlines"}, `{"msg":"Trace","Agent":4,"Msg":"two\nlines"}`},
+		{balance.Subscribe{}, `{"msg":"KeepInformed","Agent":4,"Enable":true}`},
+		{balance.Unsubscribe{}, `{"msg":"KeepInformed","Agent":4,"Enable":false}`},
+		{balance.FetchList{}, `{"msg":"ListAll","Agent":4}`},
+		{balance.CloseIdle{Backend: "b"}, `{"msg":"CloseIdle","Agent":4,"Backend":"b"}`},
+		{balance.Trace{Text: "two\nlines"}, `{"msg":"Trace","Agent":4,"Msg":"two\nlines"}`},
 	}
 	for _, tt := range tests {
 		var out bytes.Buffer
 		w := NewWriter(&out)
-		if err := w.Actions(4, []aldermux.Action{tt.action}); err != nil {
+		if err := w.Actions(4, []balance.Action{tt.action}); err != nil {
 			t.Fatal(err)
 		}
 		if err := w.End(); err != nil {
@@ -222,7 +222,7 @@
 			}
 			for _, e := range b.Events {
 				if e.Open != nil && e.Open.Settings.Balancers < 1000 {
-					aldermux.New(e.Open.Settings, e.Open.Seed)
+					balance.New(e.Open.Settings, e.Open.Seed)
 				}
 			}
 		}
