--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"lemonrail/balance"
 	"lemonrail/internal/admission"
 	"lemonrail/internal/explain"
+	"lemonrail/internal/roster"
 )
 
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
@@ -66,7 +67,7 @@
 	l := newLoop(bal, &cfg.Settings, log)
 	l.peers = peers
 	l.up = newUpstream(&cfg.Settings, socks, cfg.MemoryMB<<20, log)
-	l.disc = newDiscovery(inner, cfg, func(list balance.List, addrs map[string]string) {
+	l.disc = roster.New(inner, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, func(list balance.List, addrs map[string]string) {
 		l.post(func() { l.listed(list, addrs) })
 	}, log)
 
@@ -93,9 +94,9 @@
 		}
 	})
 	parts.Go(func() { l.up.run(inner) })
-	l.disc.tell(cfg.Known, balance.ListCached)
-	parts.Go(l.disc.run)
-	parts.Go(func() { follow(inner, hup, cfg.path, l.disc.move, log) })
+	l.disc.Tell(cfg.Known, balance.ListCached)
+	parts.Go(l.disc.Run)
+	parts.Go(func() { follow(inner, hup, cfg.path, l.disc.Move, log) })
 	if peers != nil {
 		parts.Go(func() {
 			peers.run(inner, func(m balance.PeerMessage) { l.post(func() { l.event(m) }) })
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -11,6 +11,7 @@
 
 	"lemonrail/balance"
 	"lemonrail/internal/explain"
+	"lemonrail/internal/roster"
 	"lemonrail/internal/wire"
 )
 
@@ -29,7 +30,7 @@
 
 	Settings balance.Settings
 	Names    wire.Names
-	Known    hostList
+	Known    roster.List
 
 	Explain explain.Config // whether decisions are explained, and where
 
@@ -66,7 +67,7 @@
 		PeerListen netip.AddrPort   `json:"peer_listen"`
 		Peers      []netip.AddrPort `json:"peers"`
 		PeersAll   netip.AddrPort   `json:"peers_all"`
-		Known      hostList         `json:"known"`
+		Known      roster.List      `json:"known"`
 		Settings   json.RawMessage  `json:"settings"`
 	}
 	if err := json.Unmarshal(raw, &f); err != nil {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/roster"
 	"lemonrail/internal/wire"
 )
 
@@ -64,7 +65,7 @@
 	dead  chan struct{} // closed when run has ended
 
 	up    *upstream
-	disc  *discovery
+	disc  *roster.Client
 	peers *peers // nil where agents don't talk
 	s     *balance.Settings
 
@@ -290,11 +291,11 @@
 			l.peers.tell(a.To, a.Data)
 		}
 	case balance.Subscribe:
-		l.disc.subscribe()
+		l.disc.Subscribe()
 	case balance.Unsubscribe:
-		l.disc.unsubscribe()
+		l.disc.Unsubscribe()
 	case balance.FetchList:
-		l.disc.fetch()
+		l.disc.Fetch()
 	case balance.CloseIdle:
 		l.up.closeIdle(func(to target) bool { return to.id != a.Backend })
 	case balance.Trace:
--- a/internal/agent/discovery.go
+++ b/internal/roster/roster.go
@@ -1,4 +1,7 @@
-package agent
+// Package roster follows discovery: it asks for the list of backends, or watches it, reads what comes and
+// hands it on in the order of its versions. It decides nothing: where lists are asked for, when to ask is the
+// decision module's matter. A Client's Run and one goroutine for each call end with the context given to New.
+package roster
 
 import (
 	"bufio"
@@ -30,14 +33,15 @@
 	maxListBytes = 8 << 20
 )
 
-// hostList is a list of backends in discovery's form.
-type hostList struct {
+// List is a list of backends in discovery's form.
+type List struct {
 	Seq   int64  `json:"seq"`
 	Whole bool   `json:"whole"`
-	Hosts []host `json:"hosts"`
+	Hosts []Host `json:"hosts"`
 }
 
-type host struct {
+// Host is an entry of a list.
+type Host struct {
 	Host   string  `json:"host"`
 	Dial   string  `json:"dial"`
 	Site   string  `json:"site"`
@@ -49,7 +53,7 @@
 }
 
 // backend translates an entry by the settings' names.
-func (h host) backend(names wire.Names) (balance.Backend, error) {
+func (h Host) backend(names wire.Names) (balance.Backend, error) {
 	b := balance.Backend{ID: h.Host, State: balance.Gone, Cell: h.Block, Weight: h.Share,
 		Zone: slices.Index(names.Zones, h.Site), Kind: slices.Index(names.Kinds, h.Class),
 		Started: wire.Duration(h.BornMs)}
@@ -77,8 +81,8 @@
 	return b, nil
 }
 
-// discovery follows the list of backends and hands what it learns to told at once.
-type discovery struct {
+// Client follows the list of backends and hands what it learns to told at once.
+type Client struct {
 	ask   bool // the module asks; else a watch stays open by itself
 	names wire.Names
 	told  func(list balance.List, addrs map[string]string)
@@ -99,16 +103,25 @@
 	stop context.CancelFunc // ends the watch that was asked for; nil: none; the loop's own
 }
 
-func newDiscovery(ctx context.Context, cfg *Config, told func(balance.List, map[string]string), log *slog.Logger) *discovery {
-	return &discovery{base: listURL(cfg.Discovery), wake: make(chan struct{}, 1), ask: cfg.Settings.Subscribe,
-		names: cfg.Names, told: told, log: log, ctx: ctx, seq: cfg.Known.Seq, silence: silence,
+// Config is what a Client is told at its start.
+type Config struct {
+	Service netip.AddrPort
+	Ask     bool // lists are asked for by Subscribe and Fetch; else Run keeps a watch open
+	Names   wire.Names
+	Seq     int64 // version of the list that is known already
+}
+
+// New returns a client that hands lists, with the addresses of their backends, to told until ctx ends.
+func New(ctx context.Context, c Config, told func(balance.List, map[string]string), log *slog.Logger) *Client {
+	return &Client{base: listURL(c.Service), wake: make(chan struct{}, 1), ask: c.Ask,
+		names: c.Names, told: told, log: log, ctx: ctx, seq: c.Seq, silence: silence,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 func listURL(service netip.AddrPort) string { return "http://" + service.String() + "/discovery/hosts" }
 
-// move follows another service from now on. The list stays as it is until that one speaks.
-func (d *discovery) move(service netip.AddrPort) {
+// Move follows another service from now on. The list stays as it is until that one speaks.
+func (d *Client) Move(service netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	base := listURL(service)
@@ -134,9 +147,9 @@
 	moved int
 }
 
-// tell passes on a list. Guards against an entry that makes no sense: it counts as gone, since
+// Tell passes on a list. Guards against an entry that makes no sense: it counts as gone, since
 // a backend that can't be understood can't be used, and must not live on as it was before.
-func (d *discovery) tell(l hostList, kind balance.ListKind) {
+func (d *Client) Tell(l List, kind balance.ListKind) {
 	list := balance.List{Kind: kind, Version: l.Seq}
 	addrs := map[string]string{}
 	for _, h := range l.Hosts {
@@ -150,7 +163,7 @@
 	d.told(list, addrs)
 }
 
-func (d *discovery) failed(err error) {
+func (d *Client) failed(err error) {
 	if d.ctx.Err() != nil {
 		return // the agent stops
 	}
@@ -160,8 +173,8 @@
 	}
 }
 
-// run keeps a watch open until the context ends, where lists come unasked.
-func (d *discovery) run() {
+// Run keeps a watch open until the context ends, where lists come unasked.
+func (d *Client) Run() {
 	if d.ask {
 		return
 	}
@@ -187,7 +200,7 @@
 }
 
 // follow watches the list until the connection ends or falls silent, or the service moves. It returns the number of lines.
-func (d *discovery) follow(ctx context.Context) (lines int, err error) {
+func (d *Client) follow(ctx context.Context) (lines int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(d.silence, func() { cancel(errors.New("watch is silent")) })
@@ -230,8 +243,8 @@
 }
 
 // take reads and passes on one list.
-func (d *discovery) take(raw []byte, from source, watched bool) error {
-	var l hostList
+func (d *Client) take(raw []byte, from source, watched bool) error {
+	var l List
 	if err := json.Unmarshal(raw, &l); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
@@ -243,7 +256,7 @@
 	// Guards against a fetched list that a watch or another service has overtaken: it would bring
 	// drained backends back. Its call is still owed an answer: nothing has changed.
 	if from.moved != d.moved || !watched && !d.fresh && l.Seq < d.seq {
-		l = hostList{Seq: d.seq}
+		l = List{Seq: d.seq}
 	} else {
 		d.seq, d.fresh = l.Seq, false
 	}
@@ -251,14 +264,14 @@
 	if l.Whole {
 		kind = balance.ListFull
 	}
-	d.tell(l, kind)
+	d.Tell(l, kind)
 	return nil
 }
 
 // source is called with the lock held.
-func (d *discovery) source() source { return source{d.base, d.seq, d.fresh, d.moved} }
+func (d *Client) source() source { return source{d.base, d.seq, d.fresh, d.moved} }
 
-func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
+func (d *Client) get(ctx context.Context, url string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -274,12 +287,12 @@
 	return resp.Body, nil
 }
 
-// subscribe opens a watch, anew if there is one. Where lists come unasked one is always open.
-func (d *discovery) subscribe() {
+// Subscribe opens a watch, anew if there is one. Where lists come unasked one is always open.
+func (d *Client) Subscribe() {
 	if !d.ask {
 		return
 	}
-	d.unsubscribe()
+	d.Unsubscribe()
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.stop = cancel
 	go func() {
@@ -291,16 +304,16 @@
 	}()
 }
 
-// unsubscribe ends the watch that was asked for.
-func (d *discovery) unsubscribe() {
+// Unsubscribe ends the watch that was asked for.
+func (d *Client) Unsubscribe() {
 	if d.stop != nil {
 		d.stop()
 		d.stop = nil
 	}
 }
 
-// fetch gets the whole list once.
-func (d *discovery) fetch() {
+// Fetch gets the whole list once.
+func (d *Client) Fetch() {
 	go func() {
 		ctx, cancel := context.WithTimeout(d.ctx, fetchLimit)
 		defer cancel()
