--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,5 +1,5 @@
-// Package agent runs one balancer on real sockets. It turns what happens on them into
-// the balancer's events and carries out the balancer's actions; it decides nothing itself.
+// Package agent puts one instance together: configuration, core, front, backend, discovery and peers; start,
+// stop and reload. It decides nothing itself.
 package agent
 
 import (
@@ -15,10 +15,15 @@
 
 	"lemonrail/balance"
 	"lemonrail/internal/admission"
+	upstream "lemonrail/internal/backend/http1"
+	"lemonrail/internal/core"
 	"lemonrail/internal/explain"
+	front "lemonrail/internal/front/http1"
 	"lemonrail/internal/roster"
 )
 
+const reservedSockets = 32 // for standard streams, listeners, discovery, peers and the poller
+
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
 // With each hup it reads its configuration again.
 func Run(ctx context.Context, cfg *Config, hup <-chan os.Signal, log *slog.Logger) error {
@@ -56,58 +61,62 @@
 }
 
 // serve runs the parts round a balancer until ctx ends or one of them fails.
-func serve(ctx context.Context, cfg *Config, bal decider, ln net.Listener, peers *peers, hup <-chan os.Signal,
+func serve(ctx context.Context, cfg *Config, bal core.Decider, ln net.Listener, peers *peers, hup <-chan os.Signal,
 	log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
 
-	socks := &sockets{limit: int64(max(0, cfg.Sockets-reservedSockets))}
-	l := newLoop(bal, &cfg.Settings, log)
-	l.peers = peers
-	l.up = newUpstream(&cfg.Settings, socks, cfg.MemoryMB<<20, log)
-	l.disc = roster.New(inner, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, func(list balance.List, addrs map[string]string) {
-		l.post(func() { l.listed(list, addrs) })
+	socks := &upstream.Sockets{Limit: int64(max(0, cfg.Sockets-reservedSockets))}
+	l := core.New(bal, &cfg.Settings, log)
+	if peers != nil {
+		l.Peers = peers
+	}
+	up := upstream.New(&cfg.Settings, socks, cfg.MemoryMB<<20, log)
+	l.Backend = up
+	disc := roster.New(inner, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, func(list balance.List, addrs map[string]string) {
+		l.Post(func() { l.Listed(list, addrs) })
 	}, log)
+	l.Lists = disc
 
-	s := &server{loop: l, cfg: cfg}
-	front, err := admission.Listen(ln, admission.DefaultConfig(int(socks.limit), cfg.MemoryMB<<20), s.comeBack(),
+	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names}
+	door, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
 		admission.Hooks{
 			Opened: func() {
-				socks.open.Add(1)
-				if socks.full() { // room for the next one
-					l.up.evict()
+				socks.Open.Add(1)
+				if socks.Full() { // room for the next one
+					up.Evict()
 				}
 			},
-			Closed: func() { socks.open.Add(-1) },
-			Room:   func() { l.up.evict() },
+			Closed: func() { socks.Open.Add(-1) },
+			Room:   func() { up.Evict() },
 		})
 	if err != nil {
 		return err
 	}
-	srv := s.newHTTP(log)
+	srv := s.HTTP(log)
 	failed := make(chan error, 2)
 	parts.Go(func() {
-		if err := l.run(inner); err != nil {
+		if err := l.Run(inner); err != nil {
 			failed <- err
 		}
 	})
-	parts.Go(func() { l.up.run(inner) })
-	l.disc.Tell(cfg.Known, balance.ListCached)
-	parts.Go(l.disc.Run)
-	parts.Go(func() { follow(inner, hup, cfg.path, l.disc.Move, log) })
+	parts.Go(func() { up.Run(inner) })
+	disc.Tell(cfg.Known, balance.ListCached)
+	parts.Go(disc.Run)
+	parts.Go(func() { follow(inner, hup, cfg.path, disc.Move, log) })
 	if peers != nil {
 		parts.Go(func() {
-			peers.run(inner, func(m balance.PeerMessage) { l.post(func() { l.event(m) }) })
+			peers.run(inner, func(m balance.PeerMessage) { l.Post(func() { l.Event(m) }) })
 		})
 	}
 	parts.Go(func() {
-		if err := srv.Serve(front); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(door); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("clients: %w", err)
 		}
 	})
-	l.post(func() { s.ready.Store(true) }) // behind the known list
+	l.Post(func() { s.Ready.Store(true) }) // behind the known list
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "backends", len(cfg.Known.Hosts))
 
 	var fault error
@@ -118,9 +127,9 @@
 		log.Info("stopping")
 		answerBy := time.Now().Add(cfg.answerBy)
 		cutOff = answerBy.Add(killMargin / 2)
-		l.post(func() { l.stopping(answerBy) })
+		l.Post(func() { l.Stopping(answerBy) })
 		if fault = pause(cfg.stay, failed); fault == nil {
-			front.Drain()
+			door.Drain()
 			fault = pause(cfg.linger-cfg.stay, failed)
 		}
 	}
@@ -130,7 +139,7 @@
 	patience, cancel := context.WithDeadline(context.Background(), cutOff)
 	defer cancel()
 	// Not the server's own Shutdown: it drops requests that it has just read.
-	if left := front.Finish(patience); left > 0 {
+	if left := door.Finish(patience); left > 0 {
 		log.Warn("connections cut off", "count", left)
 	}
 	srv.Close()
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lemonrail/balance"
+	front "lemonrail/internal/front/http1"
 )
 
 // raw sends bytes on a connection of its own and returns what comes until it is closed.
@@ -111,7 +112,7 @@
 func TestReadLimitEndsWithTheRequest(t *testing.T) {
 	base, _, _ := running(t, testConfig(t, backend(t, func(c net.Conn, r *bufio.Reader) {
 		receive(r)
-		time.Sleep(readLimit + 200*time.Millisecond)
+		time.Sleep(front.ReadLimit + 200*time.Millisecond)
 		io.WriteString(c, hello)
 	})), newScripted(sendAll))
 	if resp, body, err := ask(newClient(t), base, "d1"); err != nil || resp.StatusCode != http.StatusOK || body != "hello" {
@@ -142,7 +143,7 @@
 	for _, c := range silent[:2] {
 		rest(t, c)
 	}
-	if time.Since(begun) >= idleLimit {
+	if time.Since(begun) >= front.IdleLimit {
 		t.Error("silent connections are closed by their time only")
 	}
 	close(release)
@@ -161,13 +162,3 @@
 		}
 	}
 }
-
-func TestPastIsBounded(t *testing.T) {
-	p := newPast()
-	for i := range 3 * pastCalls {
-		p.add(fmt.Sprint(i))
-	}
-	if len(p.ids) != pastCalls || !p.has(fmt.Sprint(3*pastCalls-1)) || p.has("0") {
-		t.Errorf("%d ids", len(p.ids))
-	}
-}
--- a/internal/agent/crowd_test.go
+++ b/internal/agent/crowd_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/http1"
 )
 
 // crowd plays clients against an agent, hostile and usual ones, and notes what becomes of them.
@@ -54,7 +55,7 @@
 			if err != nil {
 				return
 			}
-			id := req.Header.Get(headerID)
+			id := req.Header.Get(http1.ID)
 			c.mu.Lock()
 			c.seen[id]++
 			c.mu.Unlock()
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -1,26 +1,39 @@
 package agent
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
-	"syscall"
 	"testing"
 	"time"
 
 	"lemonrail/balance"
-	"lemonrail/internal/standin"
+	"lemonrail/internal/core"
+	"lemonrail/internal/scripted"
 )
 
-// patience bounds every wait of a test; none is expected to last nearly so long.
-const patience = 20 * time.Second
+// Short names for what the tests use on most lines.
+const (
+	patience = scripted.Patience
+	hello    = scripted.Hello
+)
+
+var (
+	quiet    = slog.New(slog.DiscardHandler)
+	deadAddr = scripted.DeadAddr
+	listen   = scripted.Listen
+	backend  = scripted.Backend
+	receive  = scripted.Receive
+	always   = scripted.Always
+)
 
-var quiet = slog.New(slog.DiscardHandler)
+func await[T any](t testing.TB, c <-chan T) T {
+	t.Helper()
+	return scripted.Await(t, c)
+}
 
 const settingsJSON = `{"Balancers":2,"Me":0,"Zone":0,"Dcs":["a","b"],"Kinds":["m1","m2"],"TickMs":5,
  "Profiles":[{"Name":"read","AimMs":5000,"DeadlineMs":10000,"Worth":1,"Semantics":"repeatable"},
@@ -52,73 +65,8 @@
 	return cfg
 }
 
-// deadAddr is an address that refuses connections: bound, so that nobody else gets it, but not
-// listened on.
-func deadAddr(t testing.TB) string {
-	t.Helper()
-	fd, addr, err := standin.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { syscall.Close(fd) })
-	return addr
-}
-
-func listen(t testing.TB) net.Listener {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	return ln
-}
-
-// backend is a scripted one. Every connection is handed to handle; it closes when that returns.
-func backend(t testing.TB, handle func(c net.Conn, r *bufio.Reader)) string {
-	t.Helper()
-	ln := listen(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				handle(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// receive reads one request with its body.
-func receive(r *bufio.Reader) (*http.Request, string, error) {
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		return nil, "", err
-	}
-	body, err := io.ReadAll(req.Body)
-	return req, string(body), err
-}
-
-const hello = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
-
-// always answers each request on a connection with the same bytes.
-func always(answer string) func(net.Conn, *bufio.Reader) {
-	return func(c net.Conn, r *bufio.Reader) {
-		for {
-			if _, _, err := receive(r); err != nil {
-				return
-			}
-			io.WriteString(c, answer)
-		}
-	}
-}
-
 // running starts an agent round bal, or round a real balancer if that is nil.
-func running(t testing.TB, cfg *Config, bal decider) (url string, stop context.CancelFunc, done <-chan error) {
+func running(t testing.TB, cfg *Config, bal core.Decider) (url string, stop context.CancelFunc, done <-chan error) {
 	t.Helper()
 	if bal == nil {
 		var err error
@@ -141,17 +89,6 @@
 	return "http://" + ln.Addr().String(), cancel, ended
 }
 
-func await[T any](t testing.TB, c <-chan T) T {
-	t.Helper()
-	select {
-	case v := <-c:
-		return v
-	case <-time.After(patience):
-		t.Fatal("nothing came")
-	}
-	panic("unreachable")
-}
-
 // ask sends a read with an id of its own.
 func ask(client *http.Client, url, id string) (*http.Response, string, error) {
 	req, err := http.NewRequest(http.MethodGet, url+"/read?key=7f", nil)
@@ -175,17 +112,17 @@
 	return &http.Client{Transport: tr, Timeout: patience}
 }
 
-// scripted is a decider that does what a test says and shows what it was told.
-type scripted struct {
+// decider is one that does what a test says and shows what it was told.
+type decider struct {
 	seen chan balance.Event
 	step func(balance.Event) []balance.Action
 }
 
-func newScripted(step func(balance.Event) []balance.Action) *scripted {
-	return &scripted{seen: make(chan balance.Event, 100), step: step}
+func newScripted(step func(balance.Event) []balance.Action) *decider {
+	return &decider{seen: make(chan balance.Event, 100), step: step}
 }
 
-func (s *scripted) Step(_ time.Duration, events []balance.Event) (actions []balance.Action) {
+func (s *decider) Step(_ time.Duration, events []balance.Event) (actions []balance.Action) {
 	for _, e := range events {
 		actions = append(actions, s.step(e)...)
 		s.seen <- e
@@ -194,7 +131,7 @@
 }
 
 // next returns the next event of a type.
-func next[E balance.Event](t testing.TB, s *scripted) E {
+func next[E balance.Event](t testing.TB, s *decider) E {
 	t.Helper()
 	for {
 		if e, ok := await(t, s.seen).(E); ok {
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"lemonrail/balance"
+	front "lemonrail/internal/front/http1"
+	"lemonrail/internal/scripted"
 )
 
 // sendAll sends each request to h0, and ends what is not served.
@@ -84,8 +86,8 @@
 		{"an endless time", "GET", "/read", "1e300m", "d1", "", "", 400},
 		{"no key to drop repeats by", "POST", "/sub", "1000m", "d1", "", "x", 400},
 		{"wrong method", "GET", "/sub", "1000m", "d1", "5c", "", 405},
-		{"too large", "POST", "/sub", "1000m", "d1", "5c", strings.Repeat("x", maxBody+1), 413},
-		{"large", "POST", "/sub", "1000000u", "d2", "5c", strings.Repeat("x", maxBody), 200},
+		{"too large", "POST", "/sub", "1000m", "d1", "5c", strings.Repeat("x", front.MaxBody+1), 413},
+		{"large", "POST", "/sub", "1000000u", "d2", "5c", strings.Repeat("x", front.MaxBody), 200},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			req, err := http.NewRequest(tt.method, base+tt.path, strings.NewReader(tt.body))
@@ -170,71 +172,6 @@
 	}
 }
 
-// bare is a loop that no goroutine runs: the test says what happens, and when.
-func bare(bal decider) (*loop, *call) {
-	l := newLoop(bal, &balance.Settings{AnswerGrace: 20 * time.Millisecond}, quiet)
-	l.up = newUpstream(l.s, &sockets{}, 0, quiet)
-	c := &call{event: balance.Request{ID: "d1"}, deadline: time.Now().Add(time.Hour), reply: make(chan answer, 1),
-		out: rendered(http.MethodGet, "/read", http.Header{}, "")}
-	return l, c
-}
-
-// An answer that arrives together with the time-out of the same call: the first to be taken
-// counts, and neither the client nor the module gets two ends.
-func TestAnswerArrivesWithTimeOut(t *testing.T) {
-	for _, served := range []bool{true, false} {
-		l, c := bare(nil)
-		l.arrived(c)
-		c.attempts = []*attempt{{sent: time.Now(), cancel: func() {}}}
-		c.open = 1
-		answered := func() { l.ended(c, 0, "h0", response{result: balance.OK, body: []byte("hello")}) }
-		overdue := func() { l.due(c.deadline.Add(time.Second)) }
-		want := http.StatusOK
-		if served {
-			answered()
-			overdue()
-		} else {
-			overdue()
-			answered()
-			want = http.StatusBadGateway
-		}
-		if a := <-c.reply; a.status != want {
-			t.Errorf("got %d, want %d", a.status, want)
-		}
-		outcomes := 0
-		for _, e := range l.events {
-			if o, ok := e.(balance.Outcome); ok {
-				outcomes++
-				if !o.Done {
-					t.Error("the module still owes an answer")
-				}
-			}
-		}
-		if len(c.reply) != 0 || outcomes != 1 || len(l.calls) != 0 {
-			t.Errorf("%d answers more, %d outcomes, %d calls in hand", len(c.reply), outcomes, len(l.calls))
-		}
-	}
-}
-
-// Whatever the module sends has one outcome, even for a call that has ended or a backend that
-// no list has named.
-func TestEverySendHasAnOutcome(t *testing.T) {
-	l, c := bare(nil)
-	l.arrived(c)
-	l.events = nil
-	l.do(balance.Send{Request: "d1", Backend: "unheard of"})
-	l.do(balance.Fail{Request: "d1"})
-	l.do(balance.Send{Request: "d1", Backend: "h0"})
-	if len(l.events) != 2 {
-		t.Fatalf("got %v", l.events)
-	}
-	for i, e := range l.events {
-		if o := e.(balance.Outcome); o.Result != balance.NotSent || o.Done != (i == 1) {
-			t.Errorf("got %+v", o)
-		}
-	}
-}
-
 // A module that never answers must not keep a client waiting beyond the deadline.
 func TestOverdueAnswer(t *testing.T) {
 	bal := newScripted(func(balance.Event) []balance.Action { return nil })
@@ -365,7 +302,7 @@
 
 // The real module, over a backend that restarts: what the agent kept open to it is of no use.
 func TestBackendRestarts(t *testing.T) {
-	addr, conns, _, restart := counting(t)
+	addr, conns, _, restart := scripted.Counting(t)
 	base, _, _ := running(t, testConfig(t, addr), nil)
 	client := newClient(t)
 	served := func(id string) {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// tell sends data to one agent or to all. It never waits.
-func (p *peers) tell(to int, data []byte) {
+// Tell sends data to one agent or to all. It never waits.
+func (p *peers) Tell(to int, data []byte) {
 	addr := p.all
 	if to != balance.EveryPeer {
 		if to < 0 || to >= len(p.addrs) {
--- /dev/null
+++ b/internal/backend/http1/helpers_test.go
@@ -0,0 +1,28 @@
+package http1
+
+import (
+	"log/slog"
+	"testing"
+
+	"lemonrail/internal/scripted"
+)
+
+// Short names for what the tests use on most lines.
+const (
+	patience = scripted.Patience
+	hello    = scripted.Hello
+)
+
+var (
+	quiet    = slog.New(slog.DiscardHandler)
+	deadAddr = scripted.DeadAddr
+	listen   = scripted.Listen
+	backend  = scripted.Backend
+	receive  = scripted.Receive
+	always   = scripted.Always
+)
+
+func await[T any](t testing.TB, c <-chan T) T {
+	t.Helper()
+	return scripted.Await(t, c)
+}
--- a/internal/agent/standing_test.go
+++ b/internal/backend/http1/standing_test.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"bufio"
@@ -10,6 +10,7 @@
 	"testing"
 
 	"lemonrail/balance"
+	"lemonrail/internal/http1"
 )
 
 // A connection that breaks beside one that stands is no end of the process; one that breaks with all
@@ -45,15 +46,15 @@
 			var two sync.WaitGroup
 			for range 2 {
 				two.Go(func() {
-					if r := attemptOf(t, u, addr, read); r.result != balance.OK {
-						t.Errorf("got %v", r.result)
+					if r := attemptOf(t, u, addr, read); r.Result != balance.OK {
+						t.Errorf("got %v", r.Result)
 					}
 				})
 			}
 			two.Wait()
 			r := attemptOf(t, u, addr, read)
-			if r.result != balance.Reset || r.standing == all {
-				t.Errorf("got %v, standing %v", r.result, r.standing)
+			if r.Result != balance.Reset || r.Standing == all {
+				t.Errorf("got %v, standing %v", r.Result, r.Standing)
 			}
 		})
 	}
@@ -73,15 +74,15 @@
 		receive(r)
 	})
 	r := attemptOf(t, u, addr, read)
-	if r.result != balance.OK || string(r.body) != strings.Repeat(part, parts) {
-		t.Errorf("got %v with %d bytes, want %d", r.result, len(r.body), parts*len(part))
+	if r.Result != balance.OK || string(r.Payload.(*http1.Answer).Body) != strings.Repeat(part, parts) {
+		t.Errorf("got %v with %d bytes, want %d", r.Result, len(r.Payload.(*http1.Answer).Body), parts*len(part))
 	}
 }
 
 // What one answer may take follows the memory.
 func TestLongestAnswerFollowsMemory(t *testing.T) {
-	for memory, want := range map[int64]int64{0: mostReply, 4 << 20: maxBody, 32 << 20: 256 << 10, 192 << 20: mostReply} {
-		if u := newUpstream(&balance.Settings{}, &sockets{}, memory, quiet); u.maxReply != want {
+	for memory, want := range map[int64]int64{0: mostReply, 4 << 20: leastReply, 32 << 20: 256 << 10, 192 << 20: mostReply} {
+		if u := New(&balance.Settings{}, &Sockets{}, memory, quiet); u.maxReply != want {
 			t.Errorf("%d bytes of memory: %d, want %d", memory, u.maxReply, want)
 		}
 	}
--- a/internal/agent/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -1,4 +1,7 @@
-package agent
+// Package http1 makes attempts over HTTP/1.1: one connection carries one request at a time, and is kept for
+// further ones while the backend lets it. It counts its sockets with those of the process, and closes what
+// has been idle for too long.
+package http1
 
 import (
 	"bufio"
@@ -10,7 +13,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,16 +20,18 @@
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/core"
+	"lemonrail/internal/http1"
 	"lemonrail/internal/peek"
 	"lemonrail/internal/wire"
 )
 
 const (
-	maxBody   = 64 << 10 // bytes of a request's body
-	mostReply = 1 << 20  // bytes of an answer's body at the most; PROTOCOL names 64 KiB, which backends surpass
-	replyPart = 128      // of the memory that one answer may take, as 1 over it
-	maxHead   = 8 << 10  // bytes of an answer's head
-	maxInfos  = 8        // 1xx answers ahead of the final one
+	leastReply = 64 << 10 // bytes of an answer's body that are always passed on
+	mostReply  = 1 << 20  // bytes of an answer's body at the most; PROTOCOL names 64 KiB, which backends surpass
+	replyPart  = 128      // of the memory that one answer may take, as 1 over it
+	maxHead    = 8 << 10  // bytes of an answer's head
+	maxInfos   = 8        // 1xx answers ahead of the final one
 
 	// An answer that has begun comes in one go: one whose next part takes so long is spoilt.
 	stallLimit = 100 * time.Millisecond
@@ -40,72 +44,32 @@
 	idleShare   = 0.75 // of the time after which a backend closes an idle connection
 	maxIdleTime = time.Minute
 	probeLimit  = time.Second
-
-	reservedSockets = 32 // for standard streams, listeners, discovery, peers and the poller
 )
 
-// sockets counts the client and backend connections of the process against its limit.
-type sockets struct {
-	limit int64 // 0: none
-	open  atomic.Int64
+// Sockets counts the client and backend connections of the process against its limit.
+type Sockets struct {
+	Limit int64 // 0: none
+	Open  atomic.Int64
 }
 
-func (s *sockets) full() bool { return s.limit > 0 && s.open.Load() >= s.limit }
-
-// outgoing is a client's request as it goes on to a backend, but for the time left, which
-// stands between its two parts. Attempts share it.
-type outgoing struct {
-	head, rest []byte
-	method     string
-}
+// Full reports whether none is left.
+func (s *Sockets) Full() bool { return s.Limit > 0 && s.Open.Load() >= s.Limit }
 
-// render writes a request out. The headers must not tell the time left or the body's length.
-func render(method, target, host string, header http.Header, body []byte) (outgoing, error) {
-	u, err := url.ParseRequestURI(target)
-	if err != nil {
-		return outgoing{}, fmt.Errorf("target: %w", err)
-	}
-	req := &http.Request{Method: method, URL: u, Host: host, Header: header,
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
-	if len(body) == 0 {
-		req.Body = http.NoBody
-	}
-	var buf bytes.Buffer
-	if err := req.Write(&buf); err != nil {
-		return outgoing{}, fmt.Errorf("request: %w", err)
-	}
-	_, rest, _ := bytes.Cut(buf.Bytes(), []byte("\r\n"))
-	return outgoing{head: fmt.Appendf(nil, "%s %s HTTP/1.1\r\n", method, target), rest: rest, method: method}, nil
-}
-
-// response is how an attempt ended.
-type response struct {
-	result balance.Result
-	load   balance.Load
-	header http.Header // with OK
-	body   []byte      // with OK
-
-	standing bool // with Reset and ConnectFailed: other connections to the backend still stand
-}
-
-// upstream makes attempts and keeps connections to backends. net/http's Transport would resend
+// Upstream makes attempts and keeps connections to backends. net/http's Transport would resend
 // by itself on a broken connection, which counts as an attempt; this does not.
-type upstream struct {
+type Upstream struct {
 	connectTimeout time.Duration
 	idleTime       time.Duration // an idle connection is dropped after it
-	sockets        *sockets
+	sockets        *Sockets
+	reports        bool  // probes bring them
 	maxReply       int64 // bytes of an answer's body
 	log            *slog.Logger
 
 	mu   sync.Mutex
-	idle map[target][]*conn // the newest last
-	busy map[target]int     // connections with an attempt on them
+	idle map[core.Target][]*conn // the newest last
+	busy map[core.Target]int     // connections with an attempt on them
 }
 
-// target is a backend at its address. Guards against an address that passes from one backend to
-// another: neither is sent what a connection to the other was kept for.
-type target struct{ id, addr string }
-
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
@@ -115,41 +79,43 @@
 	most  int64     // bytes of an answer's body
 }
 
-func newUpstream(s *balance.Settings, socks *sockets, memory int64, log *slog.Logger) *upstream {
+// New returns an upstream whose answers take a bounded part of the memory, if that is bounded.
+func New(s *balance.Settings, socks *Sockets, memory int64, log *slog.Logger) *Upstream {
 	idle := time.Duration(idleShare * float64(s.IdleClose))
 	if idle == 0 {
 		idle = maxIdleTime
 	}
 	reply := int64(mostReply)
 	if memory > 0 { // Guards against a few long answers that take a small machine's memory.
-		reply = min(reply, max(maxBody, memory/replyPart))
+		reply = min(reply, max(leastReply, memory/replyPart))
 	}
-	return &upstream{connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, maxReply: reply, log: log,
-		idle: map[target][]*conn{}, busy: map[target]int{}}
+	return &Upstream{connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, maxReply: reply, log: log, reports: s.Reports != balance.ReportsOff,
+		idle: map[core.Target][]*conn{}, busy: map[core.Target]int{}}
 }
 
-// exchange makes one attempt: one request on one connection, written once.
-func (u *upstream) exchange(ctx context.Context, to target, out outgoing) response {
+// Exchange makes one attempt: one request (an *http1.Request) on one connection, written once.
+func (u *Upstream) Exchange(ctx context.Context, to core.Target, request any) core.Response {
+	out := request.(*http1.Request)
 	r, broke := u.once(ctx, to, out)
-	if broke && (r.result == balance.Reset || r.result == balance.ConnectFailed) {
-		r.standing = u.stands(ctx, to)
+	if broke && (r.Result == balance.Reset || r.Result == balance.ConnectFailed) {
+		r.Standing = u.stands(ctx, to)
 	}
 	return r
 }
 
 // once is exchange but for what else is known of the backend. It reports whether there was a
 // connection, which may have broken.
-func (u *upstream) once(ctx context.Context, to target, out outgoing) (r response, connected bool) {
+func (u *Upstream) once(ctx context.Context, to core.Target, out *http1.Request) (r core.Response, connected bool) {
 	if c := u.take(to); c != nil {
 		// Guards against blame for a kept connection that has gone stale: what could not be written
 		// to it is no attempt yet, and goes out on a new one.
-		if r := u.use(ctx, c, to, out); r.result != balance.ConnectFailed {
+		if r := u.use(ctx, c, to, out); r.Result != balance.ConnectFailed {
 			return r, true
 		}
 	}
-	c, err := u.dial(ctx, to.addr)
+	c, err := u.dial(ctx, to.Addr)
 	if err != nil {
-		return response{result: dialResult(ctx, err), load: wire.NoLoad()}, false
+		return core.Response{Result: dialResult(ctx, err), Load: wire.NoLoad()}, false
 	}
 	return u.use(ctx, c, to, out), true
 }
@@ -159,7 +125,7 @@
 const settle = 5 * time.Millisecond
 
 // stands reports whether other connections to a backend outlive one that broke.
-func (u *upstream) stands(ctx context.Context, to target) bool {
+func (u *Upstream) stands(ctx context.Context, to core.Target) bool {
 	wait := time.NewTimer(settle)
 	defer wait.Stop()
 	select {
@@ -173,7 +139,7 @@
 }
 
 // count notes a connection that takes an attempt, or has done with it.
-func (u *upstream) count(to target, n int) {
+func (u *Upstream) count(to core.Target, n int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.busy[to] += n; u.busy[to] == 0 {
@@ -182,7 +148,7 @@
 }
 
 // use makes an attempt on a connection, and keeps or closes it.
-func (u *upstream) use(ctx context.Context, c *conn, to target, out outgoing) response {
+func (u *Upstream) use(ctx context.Context, c *conn, to core.Target, out *http1.Request) core.Response {
 	u.count(to, 1)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	r, reusable := c.roundTrip(ctx, out)
@@ -194,8 +160,8 @@
 	} else {
 		u.close(c)
 	}
-	if !r.load.Valid {
-		r.load = wire.NoLoad()
+	if !r.Load.Valid {
+		r.Load = wire.NoLoad()
 	}
 	return r
 }
@@ -230,35 +196,35 @@
 
 // roundTrip writes the request and reads the whole answer. Whatever breaks before the last
 // byte is written proves that the request never ran; after that it may have.
-func (c *conn) roundTrip(ctx context.Context, out outgoing) (r response, reusable bool) {
-	buf := make([]byte, 0, len(out.head)+len(out.rest)+len(headerTimeLeft)+24)
-	buf = append(buf, out.head...)
+func (c *conn) roundTrip(ctx context.Context, out *http1.Request) (r core.Response, reusable bool) {
+	buf := make([]byte, 0, len(out.Head)+len(out.Rest)+len(http1.TimeLeft)+24)
+	buf = append(buf, out.Head...)
 	if deadline, ok := ctx.Deadline(); ok {
-		buf = fmt.Appendf(buf, "%s: %du\r\n", headerTimeLeft, max(0, time.Until(deadline).Microseconds()))
+		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.TimeLeft, max(0, time.Until(deadline).Microseconds()))
 	}
-	buf = append(buf, out.rest...)
+	buf = append(buf, out.Rest...)
 	if _, err := c.Write(buf); err != nil {
 		if ctx.Err() != nil {
-			return response{result: dialResult(ctx, err)}, false
+			return core.Response{Result: dialResult(ctx, err)}, false
 		}
-		return response{result: balance.ConnectFailed}, false
+		return core.Response{Result: balance.ConnectFailed}, false
 	}
-	resp, body, err := c.answer(ctx, out.method)
+	resp, body, err := c.answer(ctx, out.Method)
 	switch {
 	case err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
-		return response{result: balance.Cancelled}, false
+		return core.Response{Result: balance.Cancelled}, false
 	case ctx.Err() != nil:
-		return response{result: balance.TimedOut}, false
+		return core.Response{Result: balance.TimedOut}, false
 	case errors.Is(err, errSpoilt):
-		return response{result: balance.Errored}, false
+		return core.Response{Result: balance.Errored}, false
 	default:
-		return response{result: balance.Reset}, false
+		return core.Response{Result: balance.Reset}, false
 	}
-	r = response{result: result(resp), header: resp.Header, body: body}
-	if report := resp.Header[headerLoad]; len(report) == 1 {
+	r = core.Response{Result: result(resp), Payload: &http1.Answer{Header: resp.Header, Body: body}}
+	if report := resp.Header[http1.Load]; len(report) == 1 {
 		if l, err := wire.ParseLoad([]byte(report[0])); err == nil {
-			r.load = l
+			r.Load = l
 		}
 	}
 	return r, resp.ContentLength >= 0 && !resp.Close && c.r.Buffered() == 0
@@ -380,45 +346,45 @@
 	case http.StatusOK:
 		return balance.OK
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get(headerNotRun) == "1" {
+		if resp.Header.Get(http1.NotRun) == "1" {
 			return balance.Full
 		}
 	}
 	return balance.Errored
 }
 
-// probe asks a backend how it is.
-func (u *upstream) probe(to target, reports bool) response {
+// Probe asks a backend how it is.
+func (u *Upstream) Probe(to core.Target) core.Response {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
 	defer cancel()
 	path := "/alive"
-	if reports {
+	if u.reports {
 		path = "/metrics/load"
 	}
-	out, err := render(http.MethodGet, path, to.addr, http.Header{}, nil)
+	out, err := http1.Render(http.MethodGet, path, to.Addr, http.Header{}, nil)
 	if err != nil {
-		return response{result: balance.NotSent, load: wire.NoLoad()}
+		return core.Response{Result: balance.NotSent, Load: wire.NoLoad()}
 	}
-	r := u.exchange(ctx, to, out)
-	if r.result == balance.OK && reports && !r.load.Valid {
-		r.load, _ = wire.ParseLoad(r.body)
+	r := u.Exchange(ctx, to, out)
+	if r.Result == balance.OK && u.reports && !r.Load.Valid {
+		r.Load, _ = wire.ParseLoad(r.Payload.(*http1.Answer).Body)
 	}
 	return r
 }
 
 // dial opens a connection. At the limit on sockets an idle one makes room for it.
-func (u *upstream) dial(ctx context.Context, addr string) (*conn, error) {
-	for u.sockets.full() {
-		if !u.evict() {
+func (u *Upstream) dial(ctx context.Context, addr string) (*conn, error) {
+	for u.sockets.Full() {
+		if !u.Evict() {
 			return nil, errOutOfSockets
 		}
 	}
-	u.sockets.open.Add(1)
+	u.sockets.Open.Add(1)
 	d := net.Dialer{Timeout: u.connectTimeout, KeepAlive: -1}
 	began := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		u.sockets.open.Add(-1)
+		u.sockets.Open.Add(-1)
 		// Guards against a backend that says nothing and is taken for a client that had no time: net's own
 		// time-out, too, counts as context.DeadlineExceeded.
 		until, bounded := ctx.Deadline()
@@ -431,13 +397,13 @@
 	return &conn{Conn: nc, limit: limit, r: bufio.NewReaderSize(limit, maxHead), most: u.maxReply}, nil
 }
 
-func (u *upstream) close(c *conn) {
+func (u *Upstream) close(c *conn) {
 	c.Close()
-	u.sockets.open.Add(-1)
+	u.sockets.Open.Add(-1)
 }
 
 // take returns the newest idle connection to a backend that has rested, nil if there is none.
-func (u *upstream) take(to target) *conn {
+func (u *Upstream) take(to core.Target) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := len(u.idle[to]) - 1; i >= 0; i-- {
@@ -456,7 +422,7 @@
 }
 
 // drop takes the connection at place i off the idle ones.
-func (u *upstream) drop(to target, i int) {
+func (u *Upstream) drop(to core.Target, i int) {
 	list := u.idle[to]
 	copy(list[i:], list[i+1:])
 	list[len(list)-1] = nil
@@ -465,7 +431,7 @@
 	}
 }
 
-func (u *upstream) keep(to target, c *conn) {
+func (u *Upstream) keep(to core.Target, c *conn) {
 	c.since = time.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -476,17 +442,17 @@
 // request on a connection that the backend has closed: it would end as a reset, that may have run.
 func (c *conn) silent() bool { return peek.Look(c.Conn) == peek.Silent }
 
-// evict closes the connection that has been idle for longest. It reports whether there was one.
-func (u *upstream) evict() bool {
+// Evict closes the connection that has been idle for longest. It reports whether there was one.
+func (u *Upstream) Evict() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var oldest target
+	var oldest core.Target
 	for to, list := range u.idle {
-		if oldest == (target{}) || list[0].since.Before(u.idle[oldest][0].since) {
+		if oldest == (core.Target{}) || list[0].since.Before(u.idle[oldest][0].since) {
 			oldest = to
 		}
 	}
-	if oldest == (target{}) {
+	if oldest == (core.Target{}) {
 		return false
 	}
 	u.close(u.idle[oldest][0])
@@ -495,7 +461,7 @@
 }
 
 // sweep drops the connections that have been idle for too long or that the backend has closed.
-func (u *upstream) sweep() {
+func (u *Upstream) sweep() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for to, list := range u.idle {
@@ -508,8 +474,8 @@
 	}
 }
 
-// closeIdle closes the idle connections to all backends but those that are wanted.
-func (u *upstream) closeIdle(wanted func(target) bool) {
+// Keep closes the idle connections to all backends but those that are wanted.
+func (u *Upstream) Keep(wanted func(core.Target) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for to, list := range u.idle {
@@ -523,8 +489,8 @@
 	}
 }
 
-// run sweeps until ctx ends, then closes what is idle.
-func (u *upstream) run(ctx context.Context) {
+// Run sweeps until ctx ends, then closes what is idle.
+func (u *Upstream) Run(ctx context.Context) {
 	tick := time.NewTicker(min(time.Second, max(u.idleTime/8, time.Millisecond)))
 	defer tick.Stop()
 	for {
@@ -532,7 +498,7 @@
 		case <-tick.C:
 			u.sweep()
 		case <-ctx.Done():
-			for u.evict() {
+			for u.Evict() {
 			}
 			return
 		}
--- a/internal/agent/upstream_test.go
+++ b/internal/backend/http1/upstream_test.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"bufio"
@@ -8,29 +8,31 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/core"
+	"lemonrail/internal/http1"
+	"lemonrail/internal/scripted"
 )
 
-func newTestUpstream(t *testing.T) *upstream {
-	u := newUpstream(&balance.Settings{ConnectTimeout: patience, IdleClose: time.Minute}, &sockets{}, 0, quiet)
+func newTestUpstream(t *testing.T) *Upstream {
+	u := New(&balance.Settings{ConnectTimeout: patience, IdleClose: time.Minute}, &Sockets{}, 0, quiet)
 	t.Cleanup(func() {
-		for u.evict() {
+		for u.Evict() {
 		}
-		if n := u.sockets.open.Load(); n != 0 {
+		if n := u.sockets.Open.Load(); n != 0 {
 			t.Errorf("%d sockets are left over", n)
 		}
 	})
 	return u
 }
 
-func rendered(method, path string, header http.Header, body string) outgoing {
-	out, err := render(method, path, "api.internal", header, []byte(body))
+func rendered(method, path string, header http.Header, body string) *http1.Request {
+	out, err := http1.Render(method, path, "api.internal", header, []byte(body))
 	if err != nil {
 		panic(err)
 	}
@@ -40,10 +42,10 @@
 var read = rendered(http.MethodGet, "/read", http.Header{"X-Correlation-Id": {"d1"}}, "")
 
 // at is the backend that the tests of attempts speak to.
-func at(addr string) target { return target{"h0", addr} }
+func at(addr string) core.Target { return core.Target{ID: "h0", Addr: addr} }
 
 // attemptOf makes an attempt once what is kept has rested.
-func attemptOf(t *testing.T, u *upstream, addr string, out outgoing) response {
+func attemptOf(t *testing.T, u *Upstream, addr string, out *http1.Request) core.Response {
 	t.Helper()
 	u.mu.Lock()
 	for _, c := range u.idle[at(addr)] {
@@ -52,7 +54,7 @@
 	u.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return u.exchange(ctx, at(addr), out)
+	return u.Exchange(ctx, at(addr), out)
 }
 
 // The protocol's table of outcomes.
@@ -90,22 +92,22 @@
 				io.WriteString(c, tt.answer)
 			})
 			r := attemptOf(t, u, addr, read)
-			if r.result != tt.want {
-				t.Errorf("got %v, want %v", r.result, tt.want)
+			if r.Result != tt.want {
+				t.Errorf("got %v, want %v", r.Result, tt.want)
 			}
-			if r.result == balance.OK && string(r.body) != "hello" {
-				t.Errorf("body %q", r.body)
+			if r.Result == balance.OK && string(r.Payload.(*http1.Answer).Body) != "hello" {
+				t.Errorf("body %q", r.Payload.(*http1.Answer).Body)
 			}
-			if r.load.Valid || r.load.Queue >= 0 {
-				t.Errorf("a load from nowhere: %+v", r.load)
+			if r.Load.Valid || r.Load.Queue >= 0 {
+				t.Errorf("a load from nowhere: %+v", r.Load)
 			}
 		})
 	}
 }
 
 func TestRefusedConnectionNeverRan(t *testing.T) {
-	if r := attemptOf(t, newTestUpstream(t), deadAddr(t), read); r.result != balance.ConnectFailed {
-		t.Errorf("got %v", r.result)
+	if r := attemptOf(t, newTestUpstream(t), deadAddr(t), read); r.Result != balance.ConnectFailed {
+		t.Errorf("got %v", r.Result)
 	}
 }
 
@@ -121,8 +123,8 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second) // enough to connect in
 	defer cancel()
-	if r := u.exchange(ctx, at(addr), read); r.result != balance.TimedOut {
-		t.Errorf("got %v", r.result)
+	if r := u.Exchange(ctx, at(addr), read); r.Result != balance.TimedOut {
+		t.Errorf("got %v", r.Result)
 	}
 	await(t, over) // giving up closed the connection
 }
@@ -137,8 +139,8 @@
 		io.Copy(io.Discard, r)
 		close(over)
 	})
-	if r := u.exchange(ctx, at(addr), read); r.result != balance.Cancelled {
-		t.Errorf("got %v", r.result)
+	if r := u.Exchange(ctx, at(addr), read); r.Result != balance.Cancelled {
+		t.Errorf("got %v", r.Result)
 	}
 	await(t, over)
 }
@@ -157,50 +159,21 @@
 	if want, sent := "POST /sub/a%2Fb?key=7f&x=%20 api.internal 5c payload true", await(t, got); sent != want {
 		t.Errorf("got %q, want %q", sent, want)
 	}
-	if l := r.load; !l.Valid || l.Queue != 2 || l.Service != 14500*time.Microsecond || l.Outstanding >= 0 {
+	if l := r.Load; !l.Valid || l.Queue != 2 || l.Service != 14500*time.Microsecond || l.Outstanding >= 0 {
 		t.Errorf("load %+v", l)
 	}
 }
 
-// counting is a backend that counts its connections and the requests on them; restart ends
-// all that are open.
-func counting(t *testing.T) (addr string, conns, requests *atomic.Int64, restart func()) {
-	conns, requests = new(atomic.Int64), new(atomic.Int64)
-	var mu sync.Mutex
-	var open []net.Conn
-	addr = backend(t, func(c net.Conn, r *bufio.Reader) {
-		conns.Add(1)
-		mu.Lock()
-		open = append(open, c)
-		mu.Unlock()
-		for {
-			if _, _, err := receive(r); err != nil {
-				return
-			}
-			requests.Add(1)
-			io.WriteString(c, hello)
-		}
-	})
-	return addr, conns, requests, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		for _, c := range open {
-			c.Close()
-		}
-		open = nil
-	}
-}
-
 func TestConnectionsAreKept(t *testing.T) {
 	u := newTestUpstream(t)
-	addr, conns, _, _ := counting(t)
+	addr, conns, _, _ := scripted.Counting(t)
 	for range 3 {
 		attemptOf(t, u, addr, read)
 	}
 	if n := conns.Load(); n != 1 {
 		t.Errorf("%d connections for three requests in turn", n)
 	}
-	u.closeIdle(func(target) bool { return false })
+	u.Keep(func(core.Target) bool { return false })
 	attemptOf(t, u, addr, read)
 	if n := conns.Load(); n != 2 {
 		t.Errorf("%d connections after the idle one was closed", n)
@@ -211,7 +184,7 @@
 // end as a reset, and a library that sends it again by itself would make two attempts of one.
 func TestStaleConnectionIsNotUsed(t *testing.T) {
 	u := newTestUpstream(t)
-	addr, conns, requests, restart := counting(t)
+	addr, conns, requests, restart := scripted.Counting(t)
 	attemptOf(t, u, addr, read)
 	u.mu.Lock()
 	kept := u.idle[at(addr)][0]
@@ -223,8 +196,8 @@
 		}
 	}
 	r := attemptOf(t, u, addr, read)
-	if r.result != balance.OK || conns.Load() != 2 || requests.Load() != 2 {
-		t.Errorf("got %v, %d connections, %d requests", r.result, conns.Load(), requests.Load())
+	if r.Result != balance.OK || conns.Load() != 2 || requests.Load() != 2 {
+		t.Errorf("got %v, %d connections, %d requests", r.Result, conns.Load(), requests.Load())
 	}
 }
 
@@ -247,8 +220,8 @@
 	if err := u.idle[at(addr)][0].Conn.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	if r := attemptOf(t, u, addr, read); r.result != balance.OK {
-		t.Errorf("got %v", r.result)
+	if r := attemptOf(t, u, addr, read); r.Result != balance.OK {
+		t.Errorf("got %v", r.Result)
 	}
 }
 
@@ -259,14 +232,14 @@
 		receive(r)
 		requests.Add(1)
 	})
-	if r := attemptOf(t, u, addr, read); r.result != balance.Reset || requests.Load() != 1 {
-		t.Errorf("got %v after %d requests", r.result, requests.Load())
+	if r := attemptOf(t, u, addr, read); r.Result != balance.Reset || requests.Load() != 1 {
+		t.Errorf("got %v after %d requests", r.Result, requests.Load())
 	}
 }
 
 func TestIdleConnectionsAreDropped(t *testing.T) {
 	u := newTestUpstream(t)
-	addr, conns, _, _ := counting(t)
+	addr, conns, _, _ := scripted.Counting(t)
 	attemptOf(t, u, addr, read)
 	u.mu.Lock()
 	u.idle[at(addr)][0].since = time.Now().Add(-u.idleTime)
@@ -279,7 +252,7 @@
 	u.idle[at(addr)][0].since = time.Now().Add(-u.idleTime)
 	u.mu.Unlock()
 	u.sweep()
-	if n := u.sockets.open.Load(); n != 0 {
+	if n := u.sockets.Open.Load(); n != 0 {
 		t.Errorf("%d sockets after the sweep", n)
 	}
 }
@@ -287,36 +260,37 @@
 // At the limit on sockets an idle connection gives way before a dial fails.
 func TestIdleConnectionGivesWay(t *testing.T) {
 	u := newTestUpstream(t)
-	u.sockets.limit = 1
-	one, _, _, _ := counting(t)
-	two, _, _, _ := counting(t)
+	u.sockets.Limit = 1
+	one, _, _, _ := scripted.Counting(t)
+	two, _, _, _ := scripted.Counting(t)
 	for _, addr := range []string{one, two, one} {
-		if r := attemptOf(t, u, addr, read); r.result != balance.OK {
-			t.Errorf("got %v", r.result)
+		if r := attemptOf(t, u, addr, read); r.Result != balance.OK {
+			t.Errorf("got %v", r.Result)
 		}
 	}
-	u.sockets.open.Add(1) // a client's; nothing idle is left after the next
-	u.evict()
-	if r := attemptOf(t, u, two, read); r.result != balance.NotSent { // no fault of the backend's
-		t.Errorf("got %v with no socket to be had", r.result)
+	u.sockets.Open.Add(1) // a client's; nothing idle is left after the next
+	u.Evict()
+	if r := attemptOf(t, u, two, read); r.Result != balance.NotSent { // no fault of the backend's
+		t.Errorf("got %v with no socket to be had", r.Result)
 	}
-	u.sockets.open.Add(-1)
+	u.sockets.Open.Add(-1)
 }
 
 func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
 	u := newTestUpstream(t)
 	addr := backend(t, always(hello+hello))
 	for range 2 {
-		if r := attemptOf(t, u, addr, read); r.result != balance.OK {
-			t.Fatalf("got %v", r.result)
+		if r := attemptOf(t, u, addr, read); r.Result != balance.OK {
+			t.Fatalf("got %v", r.Result)
 		}
 	}
 }
 
 func TestProbe(t *testing.T) {
 	u := newTestUpstream(t)
+	u.reports = true
 	addr := backend(t, always("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"backlog\":3}"))
-	if r := u.probe(at(addr), true); r.result != balance.OK || r.load.Queue != 3 {
+	if r := u.Probe(at(addr)); r.Result != balance.OK || r.Load.Queue != 3 {
 		t.Errorf("got %+v", r)
 	}
 }
@@ -333,8 +307,8 @@
 			io.Copy(io.Discard, r) // until the agent gives up
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		if r := u.exchange(ctx, at(addr), read); r.result != balance.Errored || ctx.Err() != nil {
-			t.Errorf("%q: got %v, %v", answer, r.result, ctx.Err())
+		if r := u.Exchange(ctx, at(addr), read); r.Result != balance.Errored || ctx.Err() != nil {
+			t.Errorf("%q: got %v, %v", answer, r.Result, ctx.Err())
 		}
 		cancel()
 	}
@@ -359,8 +333,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	for want := 1; want <= 3; want++ { // without a rest between
-		if r := u.exchange(ctx, at(addr), read); r.result != balance.OK || string(r.body) != fmt.Sprint(want) {
-			t.Errorf("got %v %q, want %d", r.result, r.body, want)
+		if r := u.Exchange(ctx, at(addr), read); r.Result != balance.OK || string(r.Payload.(*http1.Answer).Body) != fmt.Sprint(want) {
+			t.Errorf("got %v %q, want %d", r.Result, r.Payload.(*http1.Answer).Body, want)
 		}
 	}
 }
@@ -369,17 +343,17 @@
 // to the old one was kept for, and that connection holds no socket.
 func TestConnectionsGoWithTheirBackend(t *testing.T) {
 	u := newTestUpstream(t)
-	addr, conns, _, _ := counting(t)
+	addr, conns, _, _ := scripted.Counting(t)
 	attemptOf(t, u, addr, read)
-	u.closeIdle(func(to target) bool { return to == target{"h1", addr} })
-	if n := u.sockets.open.Load(); n != 0 {
+	u.Keep(func(to core.Target) bool { return to == core.Target{ID: "h1", Addr: addr} })
+	if n := u.sockets.Open.Load(); n != 0 {
 		t.Errorf("%d sockets", n)
 	}
 	attemptOf(t, u, addr, read)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if r := u.exchange(ctx, target{"h1", addr}, read); r.result != balance.OK || conns.Load() != 3 {
-		t.Errorf("got %v, %d connections", r.result, conns.Load())
+	if r := u.Exchange(ctx, core.Target{ID: "h1", Addr: addr}, read); r.Result != balance.OK || conns.Load() != 3 {
+		t.Errorf("got %v, %d connections", r.Result, conns.Load())
 	}
 }
 
@@ -388,8 +362,8 @@
 func TestBlameForDials(t *testing.T) {
 	over, cancel := context.WithDeadline(context.Background(), longAgo)
 	defer cancel()
-	if r := newTestUpstream(t).exchange(over, at(deadAddr(t)), read); r.result != balance.NotSent {
-		t.Errorf("got %v", r.result)
+	if r := newTestUpstream(t).Exchange(over, at(deadAddr(t)), read); r.Result != balance.NotSent {
+		t.Errorf("got %v", r.Result)
 	}
 	for err, want := range map[error]balance.Result{errOutOfSockets: balance.NotSent, syscall.EMFILE: balance.NotSent,
 		syscall.EADDRNOTAVAIL: balance.NotSent, syscall.ECONNREFUSED: balance.ConnectFailed} {
@@ -415,8 +389,8 @@
 			u.connectTimeout = tt.connect
 			ctx, cancel := context.WithTimeout(context.Background(), tt.left)
 			defer cancel()
-			if r := u.exchange(ctx, at(deadAddr(t)), read); r.result != tt.want {
-				t.Errorf("result %v, want %v", r.result, tt.want)
+			if r := u.Exchange(ctx, at(deadAddr(t)), read); r.Result != tt.want {
+				t.Errorf("result %v, want %v", r.Result, tt.want)
 			}
 		})
 	}
--- a/internal/agent/loop.go
+++ b/internal/core/core.go
@@ -1,21 +1,25 @@
-package agent
+// Package core carries the decision module's decisions out: it owns the module, the calls in hand and the
+// timers, on one goroutine (Run), and knows no protocol. A front turns bytes into calls and answers into
+// bytes; a Backend makes the attempts, each on a goroutine of its own, and posts how they ended. Only the
+// loop decides which outcome an attempt has and which answer a call gets, so there is one of each.
+//
+// Bounds: the inbox holds inboxSize events, beyond which those who post wait; calls and timers are bounded
+// by what the fronts admit; of calls that have ended the last pastCalls ids are kept.
+package core
 
 import (
 	"container/heap"
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"runtime/debug"
 	"time"
 
 	"lemonrail/balance"
-	"lemonrail/internal/roster"
-	"lemonrail/internal/wire"
 )
 
-// decider is what the loop asks for decisions; in service an *balance.Balancer.
-type decider interface {
+// Decider is what the loop asks for decisions; in service an *balance.Balancer.
+type Decider interface {
 	Step(now time.Duration, events []balance.Event) []balance.Action
 }
 
@@ -29,12 +33,58 @@
 	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
 }
 
-// call is a client's request in hand. The loop owns what is below reply.
-type call struct {
-	event    balance.Request // but for Left
-	out      outgoing
-	deadline time.Time
-	reply    chan answer // holds the one final answer
+// Target is a backend at its address. Guards against an address that passes from one backend to
+// another: neither is sent what a connection to the other was kept for.
+type Target struct{ ID, Addr string }
+
+// Response is how an attempt ended.
+type Response struct {
+	Result   balance.Result
+	Load     balance.Load // not Valid: none came
+	Standing bool         // with Reset and ConnectFailed: other connections to the backend still stand
+	Payload  any          // with OK: the answer, for the front
+}
+
+// Backend makes attempts. Each is written once: nothing is sent again by itself.
+type Backend interface {
+	Exchange(ctx context.Context, to Target, request any) Response
+	Probe(to Target) Response
+	Keep(wanted func(Target) bool) // closes idle connections to all others
+}
+
+// Lists is where the list of backends is asked for.
+type Lists interface {
+	Subscribe()
+	Unsubscribe()
+	Fetch()
+}
+
+// Peers sends bytes to other agents, or to all (balance.EveryPeer). It never waits.
+type Peers interface{ Tell(to int, data []byte) }
+
+// Kind says what an answer is.
+type Kind uint8
+
+const (
+	Served    Kind = iota // by a backend: Payload is its answer
+	Refused               // nothing ran: trying again is harmless
+	Failed                // promises nothing
+	Duplicate             // its id is or has just been in use
+)
+
+// Answer is a call's final answer.
+type Answer struct {
+	Kind       Kind
+	RetryAfter time.Duration // with Refused; 0: no advice
+	Payload    any
+}
+
+// Call is a client's request in hand. The loop owns what is below Reply.
+type Call struct {
+	Event    balance.Request // but for Left
+	Request  any             // for the backend
+	Deadline time.Time
+	Reply    chan Answer // with room for the one final answer
 
 	attempts []*attempt // in the order of their Send
 	open     int        // of these, still out
@@ -47,30 +97,24 @@
 	cancel context.CancelFunc
 }
 
-// answer is a call's final answer.
-type answer struct {
-	status     int
-	retryAfter time.Duration
-	header     http.Header
-	body       []byte
-}
+var noLoad = balance.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
 
-// loop owns the balancer, the calls in hand and the timers. All that happens comes to it as
+// Loop owns the balancer, the calls in hand and the timers. All that happens comes to it as
 // a function on its inbox; it alone decides which outcome an attempt and which answer a call has.
-type loop struct {
-	bal   decider
+type Loop struct {
+	bal   Decider
 	clock clock
 	log   *slog.Logger
 	inbox chan func()
-	dead  chan struct{} // closed when run has ended
+	Dead  chan struct{} // closed when run has ended
 
-	up    *upstream
-	disc  *roster.Client
-	peers *peers // nil where agents don't talk
-	s     *balance.Settings
+	Backend Backend
+	Lists   Lists
+	Peers   Peers // nil where agents don't talk
+	s       *balance.Settings
 
 	events []balance.Event  // for the next step
-	calls  map[string]*call // in hand, or answered with attempts still out
+	calls  map[string]*Call // in hand, or answered with attempts still out
 	past   *past
 	addrs  map[string]string
 	timers timers
@@ -98,30 +142,31 @@
 
 const inboxSize = 4096 // what may queue while one step runs; beyond it senders wait
 
-func newLoop(bal decider, s *balance.Settings, log *slog.Logger) *loop {
-	return &loop{bal: bal, s: s, clock: clock{time.Now()}, log: log,
-		inbox: make(chan func(), inboxSize), dead: make(chan struct{}),
-		calls: map[string]*call{}, past: newPast(), addrs: map[string]string{}}
+// New returns a loop whose parts (Backend, Lists, Peers) are still to be set.
+func New(bal Decider, s *balance.Settings, log *slog.Logger) *Loop {
+	return &Loop{bal: bal, s: s, clock: clock{time.Now()}, log: log,
+		inbox: make(chan func(), inboxSize), Dead: make(chan struct{}),
+		calls: map[string]*Call{}, past: newPast(), addrs: map[string]string{}}
 }
 
-// post hands f to the loop. It may wait; the loop itself must not call it.
-func (l *loop) post(f func()) {
+// Post hands f to the loop. It may wait; the loop itself must not call it.
+func (l *Loop) Post(f func()) {
 	select {
 	case l.inbox <- f:
-	case <-l.dead:
+	case <-l.Dead:
 	}
 }
 
-// run steps until ctx ends. A panic of the decision module comes back as an error, after
+// Run steps until ctx ends. A panic of the decision module comes back as an error, after
 // whatever is in hand has been answered as failed.
-func (l *loop) run(ctx context.Context) (err error) {
-	defer close(l.dead)
+func (l *Loop) Run(ctx context.Context) (err error) {
+	defer close(l.Dead)
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic in the decision loop: %v\n%s", p, debug.Stack())
 		}
 		for _, c := range l.calls {
-			l.answer(c, answer{status: http.StatusBadGateway})
+			l.answer(c, Answer{Kind: Failed})
 		}
 	}()
 	alarm := time.NewTimer(0)
@@ -151,37 +196,39 @@
 	}
 }
 
-func (l *loop) event(e balance.Event) { l.events = append(l.events, e) }
+// Event adds one to the next step. It belongs to the loop's goroutine, as do Arrived, Left, Listed and
+// Stopping: others Post a function that calls them.
+func (l *Loop) Event(e balance.Event) { l.events = append(l.events, e) }
 
-// arrived takes a client's request in hand.
-func (l *loop) arrived(c *call) {
-	if l.calls[c.event.ID] != nil || l.past.has(c.event.ID) {
+// Arrived takes a client's request in hand.
+func (l *Loop) Arrived(c *Call) {
+	if l.calls[c.Event.ID] != nil || l.past.has(c.Event.ID) {
 		// Guards against an id that is or has just been in use: the module would take the second
 		// request for the first and owe it nothing, and a backend would be sent what has had its answer.
-		c.reply <- answer{status: http.StatusBadRequest}
+		c.Reply <- Answer{Kind: Duplicate}
 		return
 	}
-	l.calls[c.event.ID] = c
-	e := c.event
-	e.Left = time.Until(c.deadline)
-	l.event(e)
+	l.calls[c.Event.ID] = c
+	e := c.Event
+	e.Left = time.Until(c.Deadline)
+	l.Event(e)
 	// Guards against an answer that is owed for ever: should the module still owe one when the
 	// grace is half over, the call fails here and the module is told, as on the bench.
 	l.timers.add(timer{at: l.latest(c), call: c})
 }
 
 // latest is when a call is failed here, should the module still owe it an answer.
-func (l *loop) latest(c *call) time.Time {
-	at := c.deadline.Add(l.s.AnswerGrace / 2)
+func (l *Loop) latest(c *Call) time.Time {
+	at := c.Deadline.Add(l.s.AnswerGrace / 2)
 	if !l.stopBy.IsZero() && l.stopBy.Before(at) {
 		return l.stopBy
 	}
 	return at
 }
 
-// stopping takes note that the program is to end: what is in hand or comes has its answer by then.
+// Stopping takes note that the program is to end: what is in hand or comes has its answer by then.
 // Guards against requests that are lost when the platform ends the process.
-func (l *loop) stopping(by time.Time) {
+func (l *Loop) Stopping(by time.Time) {
 	l.stopBy = by
 	for _, c := range l.calls {
 		if !c.answered {
@@ -190,47 +237,51 @@
 	}
 }
 
-// left takes note that a client has gone.
-func (l *loop) left(c *call) {
-	if l.calls[c.event.ID] == c && !c.answered {
+// Left takes note that a client has gone.
+func (l *Loop) Left(c *Call) {
+	if l.calls[c.Event.ID] == c && !c.answered {
 		c.answered = true
-		l.event(balance.Abandoned{Request: c.event.ID})
+		l.Event(balance.Abandoned{Request: c.Event.ID})
 		l.forget(c)
 	}
 }
 
 // answer gives a call its final answer, once.
-func (l *loop) answer(c *call, a answer) {
+func (l *Loop) answer(c *Call, a Answer) {
 	if c.answered {
 		return
 	}
 	c.answered = true
-	c.reply <- a
+	c.Reply <- a
 	l.forget(c)
 }
 
-func (l *loop) forget(c *call) {
-	if c.answered && c.open == 0 && l.calls[c.event.ID] == c {
-		delete(l.calls, c.event.ID)
-		l.past.add(c.event.ID)
+func (l *Loop) forget(c *Call) {
+	if c.answered && c.open == 0 && l.calls[c.Event.ID] == c {
+		delete(l.calls, c.Event.ID)
+		l.past.add(c.Event.ID)
 	}
 }
 
 // ended passes on the outcome of an attempt. The first that is served answers the call.
-func (l *loop) ended(c *call, n int, backend string, r response) {
+func (l *Loop) ended(c *Call, n int, backend string, r Response) {
 	a := c.attempts[n]
 	a.cancel()
 	c.open--
-	if r.result == balance.OK {
-		l.answer(c, answer{status: http.StatusOK, header: r.header, body: r.body})
+	if r.Result == balance.OK {
+		l.answer(c, Answer{Kind: Served, Payload: r.Payload})
 	}
-	l.event(balance.Outcome{Request: c.event.ID, Attempt: n, Backend: backend, Result: r.result,
-		Latency: time.Since(a.sent), Done: c.answered, Load: r.load, Standing: r.standing})
+	load := r.Load
+	if !load.Valid {
+		load = noLoad
+	}
+	l.Event(balance.Outcome{Request: c.Event.ID, Attempt: n, Backend: backend, Result: r.Result,
+		Latency: time.Since(a.sent), Done: c.answered, Load: load, Standing: r.Standing})
 	l.forget(c)
 }
 
-// listed takes a list, or the failure to get one, from discovery.
-func (l *loop) listed(list balance.List, addrs map[string]string) {
+// Listed takes a list, or the failure to get one, from discovery.
+func (l *Loop) Listed(list balance.List, addrs map[string]string) {
 	if list.Kind == balance.ListFull || list.Kind == balance.ListCached {
 		clear(l.addrs)
 	}
@@ -242,41 +293,41 @@
 		}
 	}
 	// Guards against connections to backends that are gone: they would hold sockets, and serve nobody.
-	l.up.closeIdle(func(to target) bool { return l.addrs[to.id] == to.addr })
-	l.event(list)
+	l.Backend.Keep(func(to Target) bool { return l.addrs[to.ID] == to.Addr })
+	l.Event(list)
 }
 
 // due turns the timers that have run out into events.
-func (l *loop) due(now time.Time) {
+func (l *Loop) due(now time.Time) {
 	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
 		t := heap.Pop(&l.timers).(timer)
 		if t.call == nil {
-			l.event(balance.TimerFired{Token: t.token})
+			l.Event(balance.TimerFired{Token: t.token})
 		} else if !t.call.answered {
-			id, status := t.call.event.ID, http.StatusBadGateway
+			id, kind := t.call.Event.ID, Failed
 			if l.stopBy.IsZero() {
 				l.log.Error("no final answer in time", "request", id, "attempts", len(t.call.attempts))
 			} else if len(t.call.attempts) == 0 {
-				status = http.StatusServiceUnavailable // nothing was sent: another try does no harm
+				kind = Refused // nothing was sent: another try does no harm
 			}
-			l.answer(t.call, answer{status: status})
-			l.event(balance.Abandoned{Request: id})
+			l.answer(t.call, Answer{Kind: kind})
+			l.Event(balance.Abandoned{Request: id})
 		}
 	}
 }
 
 // do carries out one action.
-func (l *loop) do(a balance.Action) {
+func (l *Loop) do(a balance.Action) {
 	switch a := a.(type) {
 	case balance.Send:
 		l.send(a)
 	case balance.Refuse:
 		if c := l.calls[a.Request]; c != nil {
-			l.answer(c, answer{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter})
+			l.answer(c, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
 		}
 	case balance.Fail:
 		if c := l.calls[a.Request]; c != nil {
-			l.answer(c, answer{status: http.StatusBadGateway})
+			l.answer(c, Answer{Kind: Failed})
 		}
 	case balance.Cancel:
 		if c := l.calls[a.Request]; c != nil && a.Attempt >= 0 && a.Attempt < len(c.attempts) {
@@ -287,17 +338,17 @@
 	case balance.Probe:
 		l.probe(a.Backend)
 	case balance.TellPeer:
-		if l.peers != nil {
-			l.peers.tell(a.To, a.Data)
+		if l.Peers != nil {
+			l.Peers.Tell(a.To, a.Data)
 		}
 	case balance.Subscribe:
-		l.disc.Subscribe()
+		l.Lists.Subscribe()
 	case balance.Unsubscribe:
-		l.disc.Unsubscribe()
+		l.Lists.Unsubscribe()
 	case balance.FetchList:
-		l.disc.Fetch()
+		l.Lists.Fetch()
 	case balance.CloseIdle:
-		l.up.closeIdle(func(to target) bool { return to.id != a.Backend })
+		l.Backend.Keep(func(to Target) bool { return to.ID != a.Backend })
 	case balance.Trace:
 		l.log.Info("module", "trace", a.Text)
 	default:
@@ -307,15 +358,15 @@
 
 // send starts an attempt on a goroutine of its own, bounded by its time-out and by the
 // client's deadline.
-func (l *loop) send(s balance.Send) {
+func (l *Loop) send(s balance.Send) {
 	c, addr := l.calls[s.Request], l.addrs[s.Backend]
 	if c == nil {
-		l.event(balance.Outcome{Request: s.Request, Backend: s.Backend, Result: balance.NotSent,
-			Done: true, Load: wire.NoLoad()})
+		l.Event(balance.Outcome{Request: s.Request, Backend: s.Backend, Result: balance.NotSent,
+			Done: true, Load: noLoad})
 		return
 	}
 	now := time.Now()
-	until := c.deadline
+	until := c.Deadline
 	if s.Timeout > 0 && now.Add(s.Timeout).Before(until) {
 		until = now.Add(s.Timeout)
 	}
@@ -324,26 +375,30 @@
 	c.attempts = append(c.attempts, &attempt{sent: now, cancel: cancel})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
-		l.ended(c, n, s.Backend, response{result: balance.NotSent, load: wire.NoLoad()})
+		l.ended(c, n, s.Backend, Response{Result: balance.NotSent})
 		return
 	}
 	go func() {
-		r := l.up.exchange(ctx, target{s.Backend, addr}, c.out)
-		l.post(func() { l.ended(c, n, s.Backend, r) })
+		r := l.Backend.Exchange(ctx, Target{s.Backend, addr}, c.Request)
+		l.Post(func() { l.ended(c, n, s.Backend, r) })
 	}()
 }
 
 // probe examines a backend outside any request, where the settings allow it.
-func (l *loop) probe(backend string) {
+func (l *Loop) probe(backend string) {
 	addr, sent := l.addrs[backend], time.Now()
 	if addr == "" || !l.s.MayProbe {
-		l.event(balance.ProbeResult{Backend: backend, Result: balance.NotSent, Load: wire.NoLoad()})
+		l.Event(balance.ProbeResult{Backend: backend, Result: balance.NotSent, Load: noLoad})
 		return
 	}
 	go func() {
-		r := l.up.probe(target{backend, addr}, l.s.Reports != balance.ReportsOff)
-		l.post(func() {
-			l.event(balance.ProbeResult{Backend: backend, Result: r.result, Latency: time.Since(sent), Load: r.load})
+		r := l.Backend.Probe(Target{backend, addr})
+		load := r.Load
+		if !load.Valid {
+			load = noLoad
+		}
+		l.Post(func() {
+			l.Event(balance.ProbeResult{Backend: backend, Result: r.Result, Latency: time.Since(sent), Load: load})
 		})
 	}()
 }
@@ -352,7 +407,7 @@
 type timer struct {
 	at    time.Time
 	token int64
-	call  *call
+	call  *Call
 }
 
 // timers is a heap, the next one due first.
--- a/internal/agent/server.go
+++ b/internal/front/http1/server.go
@@ -1,4 +1,6 @@
-package agent
+// Package http1 takes clients' requests over HTTP/1.1, as the protocol page describes them, and answers them
+// as the core decides. Connections come by internal/admission, whose governor says which are kept.
+package http1
 
 import (
 	"errors"
@@ -15,52 +17,46 @@
 
 	"lemonrail/balance"
 	"lemonrail/internal/admission"
+	"lemonrail/internal/core"
+	"lemonrail/internal/http1"
+	"lemonrail/internal/wire"
 )
 
-// Headers of the protocol.
+// Limits on what a client may take.
 const (
-	headerID       = "X-Correlation-Id"
-	headerTenant   = "X-Account"
-	headerTimeLeft = "X-Time-Left"
-	headerRepeat   = "X-Repeat"
-	headerWork     = "X-Weight-Hint"
-	headerEffect   = "Idempotency-Key"
-	headerLoad     = "X-Backend-Load"
-	headerNotRun   = "X-Unprocessed"
-)
-
-const (
-	readLimit    = 2200 * time.Millisecond // for a request's head and body together: 3 s are owed
-	idleLimit    = 2200 * time.Millisecond // for a connection without a request: 2 s are due to it
+	ReadLimit    = 2200 * time.Millisecond // for a request's head and body together: 3 s are owed
+	IdleLimit    = 2200 * time.Millisecond // for a connection without a request: 2 s are due to it
 	writeLimit   = 2 * time.Second         // for an answer, to a client that does not read it
 	maxLeft      = time.Hour               // a client that waits for longer has lost its way
 	maxHeadBytes = 8 << 10
-	maxID        = 256 // bytes of an id
-	heldCopies   = 2   // of a body: as it was read, and as it goes on
+	MaxBody      = 64 << 10 // bytes of a request's body
+	maxID        = 256      // bytes of an id
+	heldCopies   = 2        // of a body: as it was read, and as it goes on
 )
 
 // single are the headers that say what becomes of a request: two values contradict each other.
-var single = []string{headerID, headerTenant, headerTimeLeft, headerRepeat, headerWork, headerEffect, "Content-Length"}
+var single = []string{http1.ID, http1.Tenant, http1.TimeLeft, http1.Repeat, http1.Work, http1.Effect, "Content-Length"}
 
 // hopByHop headers belong to one connection and are not passed on.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
 
-// server takes clients' requests. It owes each the one answer that the loop decides on.
-type server struct {
-	loop  *loop
-	cfg   *Config
-	ready atomic.Bool
+// Server takes clients' requests. It owes each the one answer that the loop decides on.
+type Server struct {
+	Loop     *core.Loop
+	Settings *balance.Settings
+	Names    wire.Names
+	Ready    atomic.Bool // what /up answers
 }
 
-// newHTTP returns the server of clients' connections. Its limits guard against clients that
+// HTTP returns the server of clients' connections. Its limits guard against clients that
 // connect and say nothing, begin and never end, or don't read.
-func (s *server) newHTTP(log *slog.Logger) *http.Server {
-	return &http.Server{Handler: s, ReadTimeout: readLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeadBytes,
+func (s *Server) HTTP(log *slog.Logger) *http.Server {
+	return &http.Server{Handler: s, ReadTimeout: ReadLimit, IdleTimeout: IdleLimit, MaxHeaderBytes: maxHeadBytes,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnContext: admission.Context, ConnState: admission.StateChanged}
 }
 
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	conn := admission.Of(r.Context())
 	if status, err := framing(r); err != nil {
@@ -69,7 +65,7 @@
 	}
 	if r.URL.Path == "/up" {
 		last(conn, w)
-		if !s.ready.Load() {
+		if !s.Ready.Load() {
 			http.Error(w, "starting", http.StatusServiceUnavailable)
 		}
 		return
@@ -80,21 +76,21 @@
 		return
 	}
 	conn.Taken()
-	s.loop.post(func() { s.loop.arrived(c) })
-	var a answer
+	s.Loop.Post(func() { s.Loop.Arrived(c) })
+	var a core.Answer
 	select {
-	case a = <-c.reply:
+	case a = <-c.Reply:
 	case <-r.Context().Done():
-		s.loop.post(func() { s.loop.left(c) })
+		s.Loop.Post(func() { s.Loop.Left(c) })
 		// Guards against a client that has ended its sending only: a handler that returns without
 		// a word would serve it an empty answer that no backend made.
 		refuse(conn, w, http.StatusBadGateway, errors.New("the client has gone away"))
 		return
-	case <-s.loop.dead:
+	case <-s.Loop.Dead:
 		select { // the loop may have answered on its way out
-		case a = <-c.reply:
+		case a = <-c.Reply:
 		default:
-			a.status = http.StatusBadGateway
+			a.Kind = core.Failed
 		}
 	}
 	last(conn, w)
@@ -137,7 +133,7 @@
 }
 
 // read takes in a whole request. An error comes with the status that tells the client.
-func (s *server) read(conn *admission.Conn, w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, int, error) {
+func (s *Server) read(conn *admission.Conn, w http.ResponseWriter, r *http.Request, arrived time.Time) (*core.Call, int, error) {
 	query, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil || len(query["key"]) > 1 {
 		return nil, http.StatusBadRequest, errors.New("the query makes no sense")
@@ -149,12 +145,12 @@
 	}
 	path, _, _ := strings.Cut(r.RequestURI[1:], "?")
 	name, _, _ := strings.Cut(path, "/")
-	class := slices.Index(s.cfg.Names.Classes, name)
+	class := slices.Index(s.Names.Classes, name)
 	if class < 0 {
 		return nil, http.StatusNotFound, fmt.Errorf("unknown class %q", name)
 	}
 	want := http.MethodPost
-	effect := s.cfg.Settings.Classes[class].Effect
+	effect := s.Settings.Classes[class].Effect
 	if effect == balance.Safe {
 		want = http.MethodGet
 	}
@@ -162,68 +158,68 @@
 		w.Header().Set("Allow", want)
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("%s takes %s", name, want)
 	}
-	id := r.Header.Get(headerID)
+	id := r.Header.Get(http1.ID)
 	if id == "" || len(id) > maxID {
-		return nil, http.StatusBadRequest, errors.New(headerID + ": missing or too long")
+		return nil, http.StatusBadRequest, errors.New(http1.ID + ": missing or too long")
 	}
-	if effect == balance.Keyed && r.Header.Get(headerEffect) == "" {
-		return nil, http.StatusBadRequest, errors.New(headerEffect + ": missing")
+	if effect == balance.Keyed && r.Header.Get(http1.Effect) == "" {
+		return nil, http.StatusBadRequest, errors.New(http1.Effect + ": missing")
 	}
-	left, err := parseTimeLeft(r.Header.Get(headerTimeLeft))
+	left, err := parseTimeLeft(r.Header.Get(http1.TimeLeft))
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
 	tenant := 0
-	if len(s.cfg.Names.Tenants) > 0 {
-		if tenant = slices.Index(s.cfg.Names.Tenants, r.Header.Get(headerTenant)); tenant < 0 {
-			return nil, http.StatusBadRequest, fmt.Errorf("%s: unknown tenant", headerTenant)
+	if len(s.Names.Tenants) > 0 {
+		if tenant = slices.Index(s.Names.Tenants, r.Header.Get(http1.Tenant)); tenant < 0 {
+			return nil, http.StatusBadRequest, fmt.Errorf("%s: unknown tenant", http1.Tenant)
 		}
 	}
 	var work time.Duration
-	if hint := r.Header.Get(headerWork); hint != "" {
+	if hint := r.Header.Get(http1.Work); hint != "" {
 		if work, err = decimal(hint, time.Microsecond); err != nil {
-			return nil, http.StatusBadRequest, fmt.Errorf("%s: %w", headerWork, err)
+			return nil, http.StatusBadRequest, fmt.Errorf("%s: %w", http1.Work, err)
 		}
 	}
-	if r.ContentLength > maxBody { // not one byte of it is read
-		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body over %d bytes", maxBody)
+	if r.ContentLength > MaxBody { // not one byte of it is read
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body over %d bytes", MaxBody)
 	}
 	if !conn.Reserve(heldCopies * int(r.ContentLength)) { // it has not been read, and may come again
-		if after := s.comeBack(); after > 0 {
+		if after := s.ComeBack(); after > 0 {
 			w.Header().Set("Retry-After", seconds(after))
 		}
 		return nil, http.StatusServiceUnavailable, errors.New("too many bodies in hand")
 	}
 	body := make([]byte, r.ContentLength)
-	if err := conn.ReadBody(r.Body, body, arrived.Add(readLimit)); err != nil {
+	if err := conn.ReadBody(r.Body, body, arrived.Add(ReadLimit)); err != nil {
 		return nil, http.StatusRequestTimeout, fmt.Errorf("body: %w", err)
 	}
 	out, err := encode(r, body)
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
-	return &call{
-		event: balance.Request{ID: id, Class: class, Tenant: tenant, Key: query.Get("key"),
-			Work: work, Repeat: r.Header.Get(headerRepeat) == "1"},
-		out:      out,
-		deadline: arrived.Add(left),
-		reply:    make(chan answer, 1),
+	return &core.Call{
+		Event: balance.Request{ID: id, Class: class, Tenant: tenant, Key: query.Get("key"),
+			Work: work, Repeat: r.Header.Get(http1.Repeat) == "1"},
+		Request:  out,
+		Deadline: arrived.Add(left),
+		Reply:    make(chan core.Answer, 1),
 	}, 0, nil
 }
 
 // encode renders a request as it goes on to a backend, but for the time left. Guards against one
 // that can't be rendered: found out only at a backend, it would count as a failure to connect.
-func encode(r *http.Request, body []byte) (outgoing, error) {
+func encode(r *http.Request, body []byte) (*http1.Request, error) {
 	header := r.Header.Clone()
 	for _, f := range strings.Split(strings.Join(header["Connection"], ","), ",") {
 		if f = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(f)); !slices.Contains(single, f) {
 			header.Del(f)
 		}
 	}
-	for _, h := range append(hopByHop, headerTimeLeft, "Content-Length") {
+	for _, h := range append(hopByHop, http1.TimeLeft, "Content-Length") {
 		header.Del(h)
 	}
-	return render(r.Method, r.RequestURI, r.Host, header, body)
+	return http1.Render(r.Method, r.RequestURI, r.Host, header, body)
 }
 
 // decimal reads a number of units as plain digits, with a point at most: no sign, exponent or
@@ -249,7 +245,7 @@
 		err = fmt.Errorf("%q has no unit, m (milliseconds) or u (microseconds)", text)
 	}
 	if err != nil {
-		return 0, fmt.Errorf("%s: %w", headerTimeLeft, err)
+		return 0, fmt.Errorf("%s: %w", http1.TimeLeft, err)
 	}
 	return d, nil
 }
@@ -257,30 +253,38 @@
 // seconds is a time as Retry-After tells it.
 func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
-// comeBack is when a client may come again that the front turns away by itself; 0 where settings
+// ComeBack is when a client may come again that the front turns away by itself; 0 where settings
 // allow no such advice.
-func (s *server) comeBack() time.Duration {
-	if !s.cfg.Settings.RetryAfter {
+func (s *Server) ComeBack() time.Duration {
+	if !s.Settings.RetryAfter {
 		return 0
 	}
-	return s.cfg.Settings.MaxRetryAfter
+	return s.Settings.MaxRetryAfter
+}
+
+// statuses are what tells a client of an answer that is not served.
+var statuses = map[core.Kind]int{
+	core.Refused:   http.StatusServiceUnavailable,
+	core.Failed:    http.StatusBadGateway,
+	core.Duplicate: http.StatusBadRequest,
 }
 
 // write passes the final answer on. What fails here is the client's loss of its own connection.
-func write(w http.ResponseWriter, a answer) {
+func write(w http.ResponseWriter, a core.Answer) {
 	h := w.Header()
-	if a.retryAfter > 0 {
-		h.Set("Retry-After", seconds(a.retryAfter))
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", seconds(a.RetryAfter))
 	}
-	if a.status != http.StatusOK {
-		http.Error(w, http.StatusText(a.status), a.status)
+	if a.Kind != core.Served {
+		http.Error(w, http.StatusText(statuses[a.Kind]), statuses[a.Kind])
 		return
 	}
+	served := a.Payload.(*http1.Answer)
 	for _, name := range []string{"Content-Type", "Content-Encoding"} { // what a client needs to read the body
-		if v := a.header[name]; v != nil {
+		if v := served.Header[name]; v != nil {
 			h[name] = v
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.Write(a.body)
+	h.Set("Content-Length", strconv.Itoa(len(served.Body)))
+	w.Write(served.Body)
 }
