Diameter relay decisions: routes, classes, resends, ids; lemonctl diameter decode

internal/diameter/relay says which requests are taken (Route-Record loops, realms, applications), of which class and effect they are by deploy/diameter.toml (strict; what no class fits is unsafe), which are one request sent again, on the same connection or another, and which answer belongs to which attempt. No I/O or clock; tables, properties and fuzzing. lemonctl diameter decode prints captures. Nothing of it is used by the agent yet.

--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -30,6 +30,9 @@
 		List trialListCmd `cmd:"" help:"Name the stand-in days."`
 		Run  trialRunCmd  `cmd:"" help:"Play stand-in days against agents and tell what was refused while nodes had room."`
 	} `cmd:"" help:"Stand-in days: what agents make of trouble, measured."`
+	Diameter struct {
+		Decode diameterDecodeCmd `cmd:"" help:"Print the messages of a capture as trees."`
+	} `cmd:"" help:"Diameter messages."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
 	BareProxy bareProxyCmd `cmd:"" hidden:"" help:"The proxy that overhead compares with."`
 	Try       tryCmd       `cmd:"" help:"Start a stand-in site with agents, play a log against them, and report."`
--- /dev/null
+++ b/internal/diameter/relay/relay_test.go
@@ -0,0 +1,261 @@
+package relay
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lemonrail/balance"
+	"lemonrail/internal/diameter"
+)
+
+func rules(t testing.TB) *Rules {
+	t.Helper()
+	r, err := ReadRules("../../../deploy/diameter.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// request is a credit control request that is taken as it stands.
+func request(more ...diameter.AVP) *diameter.Message {
+	return &diameter.Message{Flags: diameter.FlagRequest | diameter.FlagProxiable, Command: diameter.CreditControl,
+		Application: diameter.AppCreditControl, HopByHop: 7, EndToEnd: 9,
+		AVPs: append([]diameter.AVP{diameter.Str(diameter.CodeSessionID, "s;1"), diameter.Str(diameter.CodeOriginHost, "client1.example.net"),
+			diameter.Str(diameter.CodeDestinationRealm, "Example.NET")}, more...)}
+}
+
+func TestTake(t *testing.T) {
+	r := rules(t)
+	for _, tt := range []struct {
+		name   string
+		change func(m *diameter.Message)
+		want   uint32
+	}{
+		{"as it should be", func(*diameter.Message) {}, 0},
+		{"through other relays", func(m *diameter.Message) {
+			m.AVPs = append(m.AVPs, diameter.Str(diameter.CodeRouteRecord, "other.example.net"))
+		}, 0},
+		{"a circle", func(m *diameter.Message) {
+			m.AVPs = append(m.AVPs, diameter.Str(diameter.CodeRouteRecord, "RELAY.example.net"))
+		}, diameter.LoopDetected},
+		{"not proxiable", func(m *diameter.Message) { m.Flags &^= diameter.FlagProxiable }, diameter.UnableToDeliver},
+		{"for the relay itself", func(m *diameter.Message) {
+			m.AVPs = append(m.AVPs, diameter.Str(diameter.CodeDestinationHost, "relay.example.net"))
+		}, diameter.UnableToDeliver},
+		{"another realm", func(m *diameter.Message) { m.AVPs[2] = diameter.Str(diameter.CodeDestinationRealm, "other.net") }, diameter.RealmNotServed},
+		{"another application", func(m *diameter.Message) { m.Application = 3 }, diameter.ApplicationUnsupported},
+		{"no realm", func(m *diameter.Message) { m.AVPs = m.AVPs[:2] }, diameter.MissingAVP},
+		{"no origin", func(m *diameter.Message) { m.AVPs = slices.Delete(m.AVPs, 1, 2) }, diameter.MissingAVP},
+	} {
+		m := request()
+		tt.change(m)
+		got := uint32(0)
+		if err := r.Take(m); err != nil {
+			got = err.Result
+		}
+		if got != tt.want {
+			t.Errorf("%s: %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestClassify(t *testing.T) {
+	r := rules(t)
+	sh := request()
+	sh.Application, sh.Command = diameter.AppSh, diameter.UserData
+	other := request()
+	other.Command = diameter.ReAuth
+	for want, m := range []*diameter.Message{
+		request(diameter.U32(diameter.CodeCCRequestType, 4), diameter.U32(diameter.CodeRequestedAction, 2)),
+		request(diameter.U32(diameter.CodeCCRequestType, 4), diameter.U32(diameter.CodeRequestedAction, 0)),
+		sh, other,
+	} {
+		if got := r.Classify(m); got != want {
+			t.Errorf("class %d, want %d", got, want)
+		}
+	}
+	if got := r.Classify(request(diameter.U32(diameter.CodeCCRequestType, 1))); got != 1 {
+		t.Errorf("a first interrogation is of class %d", got)
+	}
+	if last := r.Classes[len(r.Classes)-1]; last.Effect != balance.Unsafe || last.Deadline != 5*time.Second {
+		t.Errorf("what no class fits: %+v", last)
+	}
+	if k := r.Classes[1]; k.Effect != balance.Keyed || k.Group != balance.GroupZone || k.Window != 30*time.Second {
+		t.Errorf("charge: %+v", k)
+	}
+}
+
+// What goes on carries Route-Record and the attempt's id, and is otherwise what came, whose message is untouched.
+func TestOnward(t *testing.T) {
+	r, m := rules(t), request()
+	out := r.Onward(m, "client1.example.net", 1234, true)
+	if out.HopByHop != 1234 || out.EndToEnd != 9 || out.Flags&diameter.FlagRetransmitted == 0 || len(out.AVPs) != len(m.AVPs)+1 {
+		t.Errorf("got %+v", out)
+	}
+	if m.HopByHop != 7 || m.Flags&diameter.FlagRetransmitted != 0 || len(m.AVPs) != 3 {
+		t.Errorf("the client's message became %+v", m)
+	}
+	refusal := r.Refusal(m, diameter.TooBusy, "come back")
+	if refusal.Request() || refusal.Flags&diameter.FlagError == 0 || refusal.HopByHop != 7 || refusal.EndToEnd != 9 ||
+		diameter.Find(refusal.AVPs, diameter.CodeSessionID, 0) == nil {
+		t.Errorf("refusal: %+v", refusal)
+	}
+	if failed := r.Refusal(m, diameter.UnableToComply, ""); failed.Flags&diameter.FlagError != 0 {
+		t.Error("5012 is no protocol error")
+	}
+}
+
+func TestRulesRefuseNonsense(t *testing.T) {
+	whole, err := os.ReadFile("../../../deploy/diameter.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct{ from, to, want string }{
+		{`identity = "relay.example.net"`, `identity = "a b"`, "identity"},
+		{`realm = "example.net"`, `realm = ""`, "realm"},
+		{`application = 4                 # credit control`, `application = 0`, "line 10: route.application"},
+		{`effect = "keyed"`, `effect = "often"`, "class.effect"},
+		{`group = "zone"`, `group = "town"`, "class.group"},
+		{`window_ms = 30000`, `window_ms = 0`, "class.window_ms"},
+		{`aim_ms = 500`, `aim_ms = 5000`, "class.deadline_ms"},
+		{`name = "charge"`, `name = "balance-check"`, "class.name"},
+		{`command = 306`, `commands = 306`, "unknown key class.commands"},
+		{`action = 2 `, `action = "two" `, "line 25"},
+	} {
+		text := strings.Replace(string(whole), tt.from, tt.to, 1)
+		if text == string(whole) {
+			t.Fatalf("%q is not in the file", tt.from)
+		}
+		if _, err := ParseRules("d.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), tt.want) || !strings.HasPrefix(err.Error(), "d.toml:") {
+			t.Errorf("%s: %v, want %q named", tt.to, err, tt.want)
+		}
+	}
+	r := rules(t)
+	if !r.Known("Client1.example.net", "127.0.0.1") || r.Known("client1.example.net", "127.0.0.2") || r.Known("stranger", "127.0.0.1") {
+		t.Error("peers are not told apart")
+	}
+	if got := fmt.Sprint(r.Applications()); got != "[4 16777217]" {
+		t.Errorf("applications %s", got)
+	}
+}
+
+func TestResends(t *testing.T) {
+	table := NewTable(Limits{InHand: 2, Kept: 2, KeptBytes: 100, KeepFor: time.Minute})
+	o := Origin{"c", 1}
+	arrive := func(o Origin, w Waiter, now time.Duration, want Verdict) []byte {
+		t.Helper()
+		v, raw := table.Arrive(o, w, now)
+		if v != want {
+			t.Errorf("verdict %d, want %d", v, want)
+		}
+		return raw
+	}
+	arrive(o, Waiter{1, 10}, 0, New)
+	arrive(o, Waiter{1, 11}, 0, Joined) // again on the same connection: the later id counts
+	arrive(o, Waiter{2, 10}, 0, Joined) // and on another
+	arrive(Origin{"d", 1}, Waiter{3, 10}, 0, New)
+	arrive(Origin{"d", 2}, Waiter{3, 11}, 0, Busy)
+	if got := table.Answer(o, []byte("answer"), true, 0); fmt.Sprint(got) != "[{1 11} {2 10}]" {
+		t.Errorf("waiters %v", got)
+	}
+	if got := table.Answer(o, []byte("late"), true, 0); got != nil {
+		t.Errorf("a second answer goes to %v", got)
+	}
+	if raw := arrive(o, Waiter{4, 1}, 59*time.Second, Answered); string(raw) != "answer" {
+		t.Errorf("answered %q", raw)
+	}
+	arrive(o, Waiter{4, 2}, 61*time.Second, New) // long enough ago: ids may come round
+	table.Left(3)
+	if got := table.Answer(Origin{"d", 1}, []byte("x"), false, 0); len(got) != 0 {
+		t.Errorf("waiters that have gone: %v", got)
+	}
+	arrive(Origin{"d", 1}, Waiter{5, 1}, 61*time.Second, New) // refused: a new try
+}
+
+// Whatever comes in whatever order: one final answer for each waiter at the most, all bounds kept, and no
+// second New while a request is in hand or its answer is kept.
+func TestTableProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := Limits{InHand: rapid.IntRange(1, 5).Draw(rt, "in hand"), Kept: rapid.IntRange(0, 3).Draw(rt, "kept"), KeptBytes: 40, KeepFor: 10}
+		table, now := NewTable(l), time.Duration(0)
+		hand := map[Origin]bool{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 4).Draw(rt, "gap"))
+			o := Origin{"c", uint32(rapid.IntRange(0, 6).Draw(rt, "request"))}
+			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			case 0, 1:
+				v, raw := table.Arrive(o, Waiter{uint64(rapid.IntRange(0, 8).Draw(rt, "connection")), 1}, now)
+				if hand[o] && v != Joined || v == New && hand[o] || (v == Answered) != (raw != nil) {
+					rt.Fatalf("verdict %d while in hand: %v", v, hand[o])
+				}
+				if v == New {
+					hand[o] = true
+				}
+			case 2:
+				was := hand[o]
+				got := table.Answer(o, make([]byte, rapid.IntRange(0, 50).Draw(rt, "size")), rapid.Bool().Draw(rt, "ran"), now)
+				if !was && got != nil || len(got) > WaitersMost {
+					rt.Fatalf("%d answers, in hand: %v", len(got), was)
+				}
+				delete(hand, o)
+			case 3:
+				table.Left(uint64(rapid.IntRange(0, 8).Draw(rt, "gone")))
+			}
+			if table.InHand() != len(hand) || len(hand) > l.InHand || len(table.order) > l.Kept || len(table.kept) != len(table.order) || table.bytes > l.KeptBytes {
+				rt.Fatalf("%d in hand, %d kept, %d bytes", table.InHand(), len(table.order), table.bytes)
+			}
+		}
+	})
+}
+
+func TestWindow(t *testing.T) {
+	w := NewWindow(2, 1<<32-1)
+	a, _ := w.Send(100)
+	b, _ := w.Send(101)
+	if a != 1<<32-1 || b != 0 {
+		t.Errorf("ids %d, %d: they wrap", a, b)
+	}
+	if _, ok := w.Send(102); ok {
+		t.Error("a full window took one more")
+	}
+	if got, ok := w.Answer(b); !ok || got != 101 {
+		t.Errorf("answer to %d, %v", got, ok)
+	}
+	for _, hop := range []uint32{b, 77} {
+		if _, ok := w.Answer(hop); ok {
+			t.Errorf("an answer to %d that nobody waits for was taken", hop)
+		}
+	}
+	w.next = a // ids come round while one is still out
+	if hop, ok := w.Send(103); !ok || hop == a {
+		t.Errorf("%d was given out twice", hop)
+	}
+	if owed := w.Close(); fmt.Sprint(owed) != "[100 103]" || w.Open() != 0 {
+		t.Errorf("owed %v, %d open", owed, w.Open())
+	}
+}
+
+func FuzzRules(f *testing.F) {
+	whole, err := os.ReadFile("../../../deploy/diameter.toml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add([]byte("identity = 'a'\nrealm = 'b'\n[[class]]\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := ParseRules("d.toml", raw)
+		if (r == nil) == (err == nil) {
+			t.Error("neither rules nor an error, or both")
+		}
+		if r != nil && len(r.Classes) == 0 {
+			t.Error("no class for what no class fits")
+		}
+	})
+}
