--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -15,14 +15,16 @@
 	"syscall"
 
 	"lemonrail/internal/agent"
+	"lemonrail/internal/diameter/relay"
 	"lemonrail/internal/explain"
 )
 
 func main() {
 	hup := hangups()
 	explained := flag.String("explain", "", "TOML `file` that says where reasons of refusals are written, such as deploy/explain.toml")
+	diameter := flag.String("diameter", "", "TOML `file` by which the agent speaks Diameter too, such as deploy/diameter.toml")
 	flag.Parse()
-	if err := run(hup, os.Stderr, *explained); err != nil {
+	if err := run(hup, os.Stderr, *explained, *diameter); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
 		os.Exit(1)
 	}
@@ -35,7 +37,7 @@
 	return hup
 }
 
-func run(hup <-chan os.Signal, log io.Writer, explained string) error {
+func run(hup <-chan os.Signal, log io.Writer, explained, diameter string) error {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
 		return errors.New("LB_CONFIG is not set")
@@ -49,6 +51,15 @@
 			return err
 		}
 	}
+	if diameter != "" {
+		rules, err := relay.ReadRules(diameter)
+		if err != nil {
+			return err
+		}
+		if err := cfg.WithDiameter(rules); err != nil {
+			return err
+		}
+	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 3 / 4) // the rest is for what the collector does not count
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,6 +75,14 @@
 	}
 	up := upstream.New(&cfg.Settings, socks, cfg.MemoryMB<<20, log)
 	l.Backend = up
+	dia, err := withDiameter(cfg, l, up, log)
+	if err != nil {
+		return err
+	}
+	if dia != nil {
+		defer dia.back.Close() // once no attempt begins any more
+		defer dia.ln.Close()
+	}
 	disc := roster.New(inner, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, func(list balance.List, addrs map[string]string) {
 		l.Post(func() { l.Listed(list, addrs) })
 	}, log)
@@ -96,7 +104,7 @@
 		return err
 	}
 	srv := s.HTTP(log)
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	parts.Go(func() {
 		if err := l.Run(inner); err != nil {
 			failed <- err
@@ -119,6 +127,16 @@
 	l.Post(func() { s.Ready.Store(true) }) // behind the known list
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "backends", len(cfg.Known.Hosts))
 
+	diaDone, endDia := context.WithCancel(context.Background())
+	defer endDia()
+	if dia != nil {
+		parts.Go(func() {
+			if err := dia.front.Serve(diaDone, dia.ln, func() time.Time { return time.Now().Add(cfg.answerBy - cfg.stay) }); err != nil {
+				failed <- err
+			}
+		})
+	}
+
 	var fault error
 	var cutOff time.Time // the end of what still goes on
 	select {
@@ -129,6 +147,7 @@
 		cutOff = answerBy.Add(killMargin / 2)
 		l.Post(func() { l.Stopping(answerBy) })
 		if fault = pause(cfg.stay, failed); fault == nil {
+			endDia()
 			door.Drain()
 			fault = pause(cfg.linger-cfg.stay, failed)
 		}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/diameter/relay"
 	"lemonrail/internal/explain"
 	"lemonrail/internal/roster"
 	"lemonrail/internal/wire"
@@ -34,6 +35,9 @@
 
 	Explain explain.Config // whether decisions are explained, and where
 
+	diameter     *relay.Rules // nil: the agent speaks none
+	diameterFrom int          // place of its classes
+
 	path     string        // of the file
 	stay     time.Duration // after a stop, for which connections are kept and served
 	linger   time.Duration // after a stop, for which the listener stays open at the least
--- /dev/null
+++ b/internal/agent/diameter.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	diameterback "lemonrail/internal/backend/diameter"
+	http1back "lemonrail/internal/backend/http1"
+	"lemonrail/internal/core"
+	"lemonrail/internal/diameter"
+	"lemonrail/internal/diameter/relay"
+	diameterfront "lemonrail/internal/front/diameter"
+)
+
+// helloLimit is how long a Diameter client may take to make itself known.
+const helloLimit = 5 * time.Second
+
+// WithDiameter has the agent speak Diameter too, by the rules of a file. Its classes are the module's further
+// ones, behind those of the settings: there is one module, one bucket and one knowledge of backends.
+func (c *Config) WithDiameter(r *relay.Rules) error {
+	if r.Config().Listen == "" {
+		return errors.New("diameter: listen: missing")
+	}
+	c.diameter, c.diameterFrom = r, len(c.Settings.Classes)
+	c.Settings.Classes = append(c.Settings.Classes[:c.diameterFrom:c.diameterFrom], r.Classes...)
+	return nil
+}
+
+// both makes an attempt over the protocol that its request is of.
+type both struct {
+	http1    *http1back.Upstream
+	diameter *diameterback.Backend
+	rules    *relay.Rules
+}
+
+func (b *both) at(to core.Target) core.Target {
+	return core.Target{ID: to.ID, Addr: b.rules.Address(to.ID, to.Addr)}
+}
+
+func (b *both) Exchange(ctx context.Context, to core.Target, request any) core.Response {
+	if r, ok := request.(*diameterback.Request); ok {
+		return b.diameter.Exchange(ctx, b.at(to), r)
+	}
+	return b.http1.Exchange(ctx, to, request)
+}
+
+func (b *both) Probe(to core.Target) core.Response { return b.http1.Probe(to) }
+
+func (b *both) Keep(wanted func(core.Target) bool) {
+	b.http1.Keep(wanted)
+	b.diameter.Keep(func(to core.Target) bool {
+		// The list knows a server by its address there; with one of its own in the file the id is what counts.
+		return wanted(to) || wanted(core.Target{ID: to.ID}) || b.rules.Address(to.ID, "") == to.Addr
+	})
+}
+
+// diameterParts are the Diameter front and backend of an agent.
+type diameterParts struct {
+	front *diameterfront.Front
+	back  *diameterback.Backend
+	ln    net.Listener
+}
+
+// withDiameter puts Diameter beside HTTP/1.1 in a loop. It is nil where the agent speaks none.
+func withDiameter(cfg *Config, l *core.Loop, up *http1back.Upstream, log *slog.Logger) (*diameterParts, error) {
+	if cfg.diameter == nil {
+		return nil, nil
+	}
+	c := cfg.diameter.Config()
+	ln, err := net.Listen("tcp4", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("diameter clients: %w", err)
+	}
+	p := &diameterParts{ln: ln}
+	p.back = diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
+		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log})
+	p.front = diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
+		Limits: relay.DefaultLimits(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections, Hello: helloLimit, Log: log}, l)
+	l.Backend = &both{http1: up, diameter: p.back, rules: cfg.diameter}
+	log.Info("serving diameter", "listen", ln.Addr().String())
+	return p, nil
+}
--- a/internal/diameter/relay/relay.go
+++ b/internal/diameter/relay/relay.go
@@ -8,7 +8,9 @@
 package relay
 
 import (
+	"cmp"
 	"fmt"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -21,13 +23,29 @@
 
 // Config is a file such as deploy/diameter.toml.
 type Config struct {
-	Identity string  `toml:"identity"` // ours, as in Origin-Host and Route-Record
-	Realm    string  `toml:"realm"`
-	Peers    []Peer  `toml:"peer"`
-	Routes   []Route `toml:"route"`
-	Classes  []Class `toml:"class"`
+	Listen      string   `toml:"listen"`   // where clients connect
+	Identity    string   `toml:"identity"` // ours, as in Origin-Host and Route-Record
+	Realm       string   `toml:"realm"`
+	Connections int      `toml:"connections"` // of clients at the most; 0: 256
+	Window      int      `toml:"window"`      // requests out on a server's connection; 0: 64
+	Servers     []Server `toml:"server"`
+	Peers       []Peer   `toml:"peer"`
+	Routes      []Route  `toml:"route"`
+	Classes     []Class  `toml:"class"`
 }
 
+// Server is where a backend of the list speaks Diameter, if not at its address in the list.
+type Server struct {
+	Host    string `toml:"host"`
+	Address string `toml:"address"`
+}
+
+const (
+	usualConnections = 256
+	usualWindow      = 64
+	mostOfEither     = 1 << 16
+)
+
 // Peer is a client that may connect.
 type Peer struct {
 	Identity string `toml:"identity"`
@@ -61,7 +79,8 @@
 
 // Rules are a checked Config.
 type Rules struct {
-	cfg Config
+	cfg     Config
+	servers map[string]string
 	// Classes are the module's, in the order of the file. The last one is for what no class fits: unsafe.
 	Classes []balance.Class
 }
@@ -98,6 +117,25 @@
 			return nil, bad("peer", i, "identity", fmt.Sprintf("%q", p.Identity), "is no host name")
 		}
 	}
+	if _, err := netip.ParseAddrPort(c.Listen); c.Listen != "" && err != nil {
+		return nil, fmt.Errorf("%s: listen: %w", file, err)
+	}
+	for key, v := range map[string]*int{"connections": &c.Connections, "window": &c.Window} {
+		if *v < 0 || *v > mostOfEither {
+			return nil, fmt.Errorf("%s: %s: %d makes no sense", file, key, *v)
+		}
+	}
+	c.Connections, c.Window = cmp.Or(c.Connections, usualConnections), cmp.Or(c.Window, usualWindow)
+	r.servers = map[string]string{}
+	for i, v := range c.Servers {
+		if _, err := netip.ParseAddrPort(v.Address); err != nil {
+			return nil, bad("server", i, "address", fmt.Sprintf("%q", v.Address), "is no address with a port")
+		}
+		if v.Host == "" || r.servers[v.Host] != "" {
+			return nil, bad("server", i, "host", fmt.Sprintf("%q", v.Host), "is empty or taken")
+		}
+		r.servers[v.Host] = v.Address
+	}
 	for i, t := range c.Routes {
 		if !identity(t.Realm) {
 			return nil, bad("route", i, "realm", fmt.Sprintf("%q", t.Realm), "is no realm name")
@@ -157,6 +195,12 @@
 	})
 }
 
+// Config is what the file says, with what it leaves out filled in.
+func (r *Rules) Config() Config { return r.cfg }
+
+// Address is where a backend speaks Diameter, given its address in the list.
+func (r *Rules) Address(host, listed string) string { return cmp.Or(r.servers[host], listed) }
+
 // Applications are those that requests are routed by, for the capabilities exchange.
 func (r *Rules) Applications() (list []uint32) {
 	for _, t := range r.cfg.Routes {
--- a/internal/diameter/relay/relay_test.go
+++ b/internal/diameter/relay/relay_test.go
@@ -120,14 +120,17 @@
 	for _, tt := range []struct{ from, to, want string }{
 		{`identity = "relay.example.net"`, `identity = "a b"`, "identity"},
 		{`realm = "example.net"`, `realm = ""`, "realm"},
-		{`application = 4                 # credit control`, `application = 0`, "line 10: route.application"},
+		{`application = 4                 # credit control`, `application = 0`, "line 19: route.application"},
 		{`effect = "keyed"`, `effect = "often"`, "class.effect"},
 		{`group = "zone"`, `group = "town"`, "class.group"},
 		{`window_ms = 30000`, `window_ms = 0`, "class.window_ms"},
 		{`aim_ms = 500`, `aim_ms = 5000`, "class.deadline_ms"},
 		{`name = "charge"`, `name = "balance-check"`, "class.name"},
+		{`listen = "127.0.0.1:3868"`, `listen = "here"`, "listen"},
+		{`window = 64`, `window = -1`, "window"},
+		{`# [[server]]`, "[[server]]\nhost = \"a\"\naddress = \"b\"", "server.address"},
 		{`command = 306`, `commands = 306`, "unknown key class.commands"},
-		{`action = 2 `, `action = "two" `, "line 25"},
+		{`action = 2 `, `action = "two" `, "line 34"},
 	} {
 		text := strings.Replace(string(whole), tt.from, tt.to, 1)
 		if text == string(whole) {
--- /dev/null
+++ b/internal/standin/diameter.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"lemonrail/internal/diameter"
+)
+
+// DiameterNode is a scripted Diameter server: it speaks the base protocol by itself and does with requests
+// what its script says.
+type DiameterNode struct {
+	Identity string
+	ln       net.Listener
+	handle   func(c *DiameterConn, m *diameter.Message)
+	mu       sync.Mutex
+	conns    map[*DiameterConn]bool
+	wait     sync.WaitGroup
+}
+
+// DiameterConn is a connection of a DiameterNode, or of a DiameterClient.
+type DiameterConn struct {
+	net.Conn
+	identity string
+	mu       sync.Mutex
+	Got      chan *diameter.Message // of a client: all but what was asked of it
+}
+
+// NewDiameterNode starts one on a loopback address.
+func NewDiameterNode(identity string, handle func(c *DiameterConn, m *diameter.Message)) (*DiameterNode, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &DiameterNode{Identity: identity, ln: ln, handle: handle, conns: map[*DiameterConn]bool{}}
+	n.wait.Go(func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c := &DiameterConn{Conn: nc, identity: identity}
+			n.mu.Lock()
+			n.conns[c] = true
+			n.mu.Unlock()
+			n.wait.Go(func() {
+				defer func() {
+					nc.Close()
+					n.mu.Lock()
+					delete(n.conns, c)
+					n.mu.Unlock()
+				}()
+				c.read(func(m *diameter.Message) { n.handle(c, m) })
+			})
+		}
+	})
+	return n, nil
+}
+
+// Addr is where it listens.
+func (n *DiameterNode) Addr() string { return n.ln.Addr().String() }
+
+// Each does something with each connection.
+func (n *DiameterNode) Each(do func(c *DiameterConn)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		do(c)
+	}
+}
+
+// Stop ends it, as a process that dies.
+func (n *DiameterNode) Stop() {
+	n.ln.Close()
+	n.Each(func(c *DiameterConn) { c.Close() })
+	n.wait.Wait()
+}
+
+// read serves the base protocol and hands on the rest.
+func (c *DiameterConn) read(rest func(m *diameter.Message)) {
+	limits := diameter.DefaultLimits()
+	messages := diameter.NewReader(c.Conn, limits)
+	for {
+		raw, err := messages.Next()
+		if err != nil {
+			return
+		}
+		m, err := diameter.Decode(raw, limits)
+		if err != nil {
+			return
+		}
+		if m.Request() && m.Application == diameter.AppBase && (m.Command == diameter.CapabilitiesExchange ||
+			m.Command == diameter.DeviceWatchdog || m.Command == diameter.DisconnectPeer) {
+			c.Answer(m, diameter.Success)
+			continue
+		}
+		rest(m)
+	}
+}
+
+// Answer answers a request.
+func (c *DiameterConn) Answer(m *diameter.Message, result uint32, more ...diameter.AVP) {
+	a := m.Answer()
+	if result/1000 == 3 {
+		a.Flags |= diameter.FlagError
+	}
+	a.AVPs = append([]diameter.AVP{diameter.U32(diameter.CodeResultCode, result), diameter.Str(diameter.CodeOriginHost, c.identity),
+		diameter.Str(diameter.CodeOriginRealm, "example.net")}, more...)
+	c.Send(a)
+}
+
+// Send writes a message whole. What fails is the connection's end, which its reader sees.
+func (c *DiameterConn) Send(m *diameter.Message) {
+	raw, err := m.Append(nil)
+	if err != nil {
+		panic(err) // a script that makes no sense
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.SetWriteDeadline(time.Now().Add(10 * time.Second))
+	c.Write(raw)
+}
+
+// DialDiameter connects a client. Its first message, the answer to its CER, is on Got.
+func DialDiameter(addr, identity string, application uint32) (*DiameterConn, error) {
+	nc, err := net.Dial("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &DiameterConn{Conn: nc, identity: identity, Got: make(chan *diameter.Message, 256)}
+	c.Send(&diameter.Message{Flags: diameter.FlagRequest, Command: diameter.CapabilitiesExchange, HopByHop: 1, EndToEnd: 1,
+		AVPs: []diameter.AVP{diameter.Str(diameter.CodeOriginHost, identity), diameter.Str(diameter.CodeOriginRealm, "example.net"),
+			diameter.U32(diameter.CodeAuthApplication, application)}})
+	go func() {
+		defer close(c.Got)
+		c.read(func(m *diameter.Message) { c.Got <- m })
+	}()
+	return c, nil
+}
