A Diameter server that takes leave drains at once, whatever the list says

Need: a DPR is told seconds before the list hears of it. core.Loop.Leaves tells the module so as by the list, until the server is back or the list knows of another start; the backend leaves it alone for 5 s, or a minute where it does not want to talk. Tests of both.

--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -77,7 +77,8 @@
 	}
 	p := &diameterParts{ln: ln}
 	p.back = diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
-		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log})
+		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
+		Leaves: func(id string, leaves bool) { l.Post(func() { l.Leaves(id, leaves) }) }})
 	p.front = diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
 		Limits: relay.DefaultLimits(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections, Hello: helloLimit, Log: log}, l)
 	l.Backend = &both{http1: up, diameter: p.back, rules: cfg.diameter}
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -37,13 +37,15 @@
 	ConnectTimeout time.Duration // for a connection and its capabilities exchange
 	Window         int           // attempts on one connection
 	Peer           diameter.PeerConfig
-	Drained        func(to core.Target) // a server said that it wants nothing new; may be nil
+	Leaves         func(id string, leaves bool) // a server wants nothing new, or is back; may be nil
 	Log            *slog.Logger
 }
 
 const (
-	writeLimit = time.Second // a server that does not read for so long has gone
-	baseRoom   = 8           // messages of the base protocol that may wait beside a window's requests
+	writeLimit = time.Second     // a server that does not read for so long has gone
+	leaveRest  = 5 * time.Second // before a server that takes leave to restart is connected to again
+	leaveLong  = time.Minute     // and one that is busy, or does not want to talk to us
+	baseRoom   = 8               // messages of the base protocol that may wait beside a window's requests
 )
 
 // Backend implements core.Backend.
@@ -80,8 +82,11 @@
 	opened  chan struct{} // closed while requests may be sent
 	open    bool
 	timer   *time.Timer
-	ids     uint32 // of our own requests
+	ids     uint32        // of our own requests
+	leaves  bool          // took leave and has not been back
+	shun    time.Duration // no connection before
 	stopped bool
+	told    chan struct{} // closed when the last Leaves has been told
 }
 
 // attempt is one that is out.
@@ -240,6 +245,9 @@
 			}
 		case diameter.Opened, diameter.Failback:
 			s.setOpen(true)
+			if s.leaves && act.Act == diameter.Opened {
+				s.left(false)
+			}
 		case diameter.Failover, diameter.Lost:
 			s.setOpen(false)
 		}
@@ -312,6 +320,10 @@
 	if s.stopped {
 		return
 	}
+	if s.b.now() < s.shun { // the machine waits, longer each time
+		s.step(diameter.Event{Input: diameter.ConnFailed})
+		return
+	}
 	s.b.wait.Go(func() {
 		conn, err := (&net.Dialer{Timeout: s.b.cfg.ConnectTimeout, KeepAlive: -1}).Dial("tcp", s.to.Addr)
 		s.mu.Lock()
@@ -414,11 +426,17 @@
 		event(diameter.GotDWR, diameter.GotDWA)
 		return true
 	case m.Command == diameter.DisconnectPeer:
-		drains := m.Request()
-		event(diameter.GotDPR, diameter.GotDPA)
-		if drains && s.b.cfg.Drained != nil {
-			go s.b.cfg.Drained(s.to) // not under the lock
+		if m.Request() {
+			rest := leaveRest
+			if a := diameter.Find(m.AVPs, diameter.CodeDisconnectCause, 0); a != nil {
+				if cause, err := a.Uint32(); err == nil && cause != rebooting {
+					rest = leaveLong
+				}
+			}
+			s.shun = s.b.now() + rest
+			s.left(true)
 		}
+		event(diameter.GotDPR, diameter.GotDPA)
 		return true
 	}
 	s.step(diameter.Event{Input: diameter.GotOther, Side: diameter.Initiator})
@@ -438,6 +456,26 @@
 	return true
 }
 
+const rebooting = 0 // Disconnect-Cause
+
+// left tells that the server takes leave, or is back. Not under its lock: who is told may wait, and in the
+// order in which it happened.
+func (s *server) left(leaves bool) {
+	s.leaves = leaves
+	if s.b.cfg.Leaves == nil {
+		return
+	}
+	before, told := s.told, make(chan struct{})
+	s.told = told
+	s.b.wait.Go(func() {
+		if before != nil {
+			<-before
+		}
+		s.b.cfg.Leaves(s.to.ID, leaves)
+		close(told)
+	})
+}
+
 func result(m *diameter.Message) uint32 {
 	if a := diameter.Find(m.AVPs, diameter.CodeResultCode, 0); a != nil {
 		if v, err := a.Uint32(); err == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,6 +117,8 @@
 	calls  map[string]*Call // in hand, or answered with attempts still out
 	past   *past
 	addrs  map[string]string
+	listed map[string]balance.Backend // what the list says of those in addrs
+	leaves map[string]bool            // of these, servers that said themselves that they want nothing new
 	timers timers
 	stopBy time.Time // by which all must have been answered; zero: no stop is planned
 }
@@ -146,7 +148,7 @@
 func New(bal Decider, s *balance.Settings, log *slog.Logger) *Loop {
 	return &Loop{bal: bal, s: s, clock: clock{time.Now()}, log: log,
 		inbox: make(chan func(), inboxSize), Dead: make(chan struct{}),
-		calls: map[string]*Call{}, past: newPast(), addrs: map[string]string{}}
+		calls: map[string]*Call{}, past: newPast(), addrs: map[string]string{}, listed: map[string]balance.Backend{}, leaves: map[string]bool{}}
 }
 
 // Post hands f to the loop. It may wait; the loop itself must not call it.
@@ -282,14 +284,30 @@
 
 // Listed takes a list, or the failure to get one, from discovery.
 func (l *Loop) Listed(list balance.List, addrs map[string]string) {
+	before := l.listed
 	if list.Kind == balance.ListFull || list.Kind == balance.ListCached {
 		clear(l.addrs)
+		l.listed = map[string]balance.Backend{}
 	}
-	for _, b := range list.Backends {
+	for i, b := range list.Backends {
 		if b.State == balance.Gone {
 			delete(l.addrs, b.ID)
-		} else {
-			l.addrs[b.ID] = addrs[b.ID]
+			delete(l.listed, b.ID)
+			delete(l.leaves, b.ID)
+			continue
+		}
+		l.addrs[b.ID] = addrs[b.ID]
+		if b.Started > before[b.ID].Started { // another process than the one that took leave
+			delete(l.leaves, b.ID)
+		}
+		l.listed[b.ID] = b
+		if l.leaves[b.ID] {
+			list.Backends[i].State = balance.Draining // the list has not heard of it yet
+		}
+	}
+	for id := range l.leaves {
+		if _, known := l.listed[id]; !known {
+			delete(l.leaves, id)
 		}
 	}
 	// Guards against connections to backends that are gone: they would hold sockets, and serve nobody.
@@ -297,6 +315,22 @@
 	l.Event(list)
 }
 
+// Leaves takes note that a server said itself that it wants nothing new, or that it is back. The module is
+// told as by the list, in which it may stand as up for seconds yet.
+func (l *Loop) Leaves(id string, leaves bool) {
+	b, known := l.listed[id]
+	if !known || l.leaves[id] == leaves {
+		return
+	}
+	if leaves {
+		l.leaves[id] = true
+		b.State = balance.Draining
+	} else {
+		delete(l.leaves, id)
+	}
+	l.Event(balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{b}})
+}
+
 // due turns the timers that have run out into events.
 func (l *Loop) due(now time.Time) {
 	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -96,3 +96,40 @@
 		t.Errorf("%d ids", len(p.ids))
 	}
 }
+
+// A server that takes leave drains at once, though the list says that it is up; it is used again once it is
+// back, or once the list knows of another start.
+func TestLeave(t *testing.T) {
+	l, _ := bare(nil)
+	states := func() (got string) {
+		for _, e := range l.events {
+			for _, b := range e.(balance.List).Backends {
+				got += fmt.Sprint(b.ID, b.State, " ")
+			}
+		}
+		l.events = nil
+		return got
+	}
+	list := func(started time.Duration) {
+		l.Listed(balance.List{Kind: balance.ListFull, Backends: []balance.Backend{{ID: "a", Started: started}}}, map[string]string{"a": "x"})
+	}
+	list(1)
+	l.Leaves("unheard of", true)
+	l.Leaves("a", false)
+	l.Leaves("a", true)
+	l.Leaves("a", true)
+	list(1)
+	if got := states(); got != "a0 a1 a1 " {
+		t.Errorf("states %q", got)
+	}
+	l.Leaves("a", false)
+	l.Leaves("a", true)
+	list(2)
+	if got := states(); got != "a0 a1 a0 " {
+		t.Errorf("states %q", got)
+	}
+	l.Listed(balance.List{Kind: balance.ListFull}, nil)
+	if len(l.leaves)+len(l.listed) != 0 {
+		t.Error("what the list no longer names is kept")
+	}
+}
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -54,7 +54,8 @@
 	}
 	loop := core.New(bal, &s, log)
 	b := backend.New(backend.Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", ConnectTimeout: 5 * time.Second,
-		Window: window, Peer: diameter.DefaultPeerConfig(), Log: log})
+		Window: window, Peer: diameter.DefaultPeerConfig(), Log: log,
+		Leaves: func(id string, leaves bool) { loop.Post(func() { loop.Leaves(id, leaves) }) }})
 	loop.Backend = b
 	site := &relaySite{t: t, loop: loop}
 	for i, script := range scripts {
@@ -255,7 +256,7 @@
 				diameter.U32(diameter.CodeDisconnectCause, 0)}})
 	})
 	scripted.Await(t, bye)
-	s.list()
+	s.list() // which says that it is up
 	for range 20 {
 		m := s.ask(4, 2)
 		c.Send(m)
