Diameter on sockets: cut at every byte, a silent server, and what the relay costs a request

Tests: a message cut at any byte asks nothing of a server; a server that never answers and fills its window holds up nobody.

--- /dev/null
+++ b/internal/front/diameter/bench_test.go
@@ -0,0 +1,52 @@
+package diameter
+
+import (
+	"testing"
+
+	"lemonrail/internal/diameter"
+	"lemonrail/internal/scripted"
+	"lemonrail/internal/standin"
+)
+
+// pipelined asks b.N times with some requests out at a time.
+func pipelined(b *testing.B, c *standin.DiameterConn, ask func() *diameter.Message) {
+	const out = 8
+	b.ReportAllocs()
+	b.ResetTimer()
+	sent := 0
+	for range b.N {
+		for ; sent < b.N && sent < out; sent++ {
+			c.Send(ask())
+		}
+		if a := scripted.Await(b, c.Got); code(a) != diameter.Success {
+			b.Fatalf("got %d", code(a))
+		}
+		if sent < b.N {
+			c.Send(ask())
+			sent++
+		}
+	}
+}
+
+// The same client and server, with and without the relay between them, in one run.
+func BenchmarkRequests(b *testing.B) {
+	b.Run("direct", func(b *testing.B) {
+		node, err := standin.NewDiameterNode("s0.example.net", good)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer node.Stop()
+		c, err := standin.DialDiameter(node.Addr(), "client1.example.net", diameter.AppCreditControl)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer c.Close()
+		scripted.Await(b, c.Got)
+		s := &relaySite{t: b}
+		pipelined(b, c, func() *diameter.Message { return s.ask(4, 2) })
+	})
+	b.Run("relayed", func(b *testing.B) {
+		s := newSite(b, 64, good)
+		pipelined(b, s.client(), func() *diameter.Message { return s.ask(4, 2) })
+	})
+}
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -27,7 +27,7 @@
 
 // relaySite is a relay between clients and scripted servers.
 type relaySite struct {
-	t     *testing.T
+	t     testing.TB
 	addr  string
 	loop  *core.Loop
 	nodes []*standin.DiameterNode
@@ -35,7 +35,7 @@
 	ids   atomic.Uint32
 }
 
-func newSite(t *testing.T, window int, scripts ...func(c *standin.DiameterConn, m *diameter.Message)) *relaySite {
+func newSite(t testing.TB, window int, scripts ...func(c *standin.DiameterConn, m *diameter.Message)) *relaySite {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	raw, err := os.ReadFile("../../../deploy/diameter.toml")
@@ -375,3 +375,47 @@
 		t.Errorf("no realm: %d", code(a))
 	}
 }
+
+// A message that is cut off at any byte ends with its connection: nothing of it is asked of a server, and
+// others are served.
+func TestCutAtEveryByte(t *testing.T) {
+	var n atomic.Int32
+	s := newSite(t, 16, func(c *standin.DiameterConn, m *diameter.Message) { n.Add(1); good(c, m) })
+	whole, err := s.ask(4, 2).Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range whole {
+		c := s.client()
+		c.Conn.Write(whole[:cut])
+		c.Conn.(*net.TCPConn).CloseWrite()
+		if m, open := <-c.Got; open { // the relay closes its side
+			t.Errorf("cut at %d: got %+v", cut, m)
+		}
+		c.Close()
+	}
+	c := s.client()
+	c.Send(s.ask(4, 2))
+	if a := scripted.Await(t, c.Got); code(a) != diameter.Success || n.Load() != 1 {
+		t.Errorf("got %d after %d attempts", code(a), n.Load())
+	}
+}
+
+// One server that never answers and fills its window holds up nobody: others serve what comes.
+func TestSilentServerHoldsUpNobody(t *testing.T) {
+	s := newSite(t, 2, func(*standin.DiameterConn, *diameter.Message) {}, good)
+	c := s.client()
+	// Of no class: neither tried again nor answered before its time, so that what the silent one has stays there,
+	// two at the most. With three out, one has its answer soon.
+	out, served := 0, 0
+	for served < 30 {
+		for ; out < 3; out++ {
+			c.Send(s.ask(0, 0))
+		}
+		if a := scripted.Await(t, c.Got); code(a) != diameter.Success {
+			t.Fatalf("%d after %d served", code(a), served)
+		}
+		out--
+		served++
+	}
+}
