One balance.NoLoad for three copies; a power is worked out once a pick

Need: the load of what brought no report stood in wire, core and the Diameter backend; pick raised the same number to the same power for each backend.

--- a/balance/api.go
+++ b/balance/api.go
@@ -239,6 +239,11 @@
 	ErrorsPerSec float64
 }
 
+// NoLoad is the load of what brought no report.
+func NoLoad() Load {
+	return Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
+}
+
 // Result says how an attempt or a probe ended.
 type Result uint8
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -489,6 +489,7 @@
 	}
 	mean /= float64(max(seen, 1))
 	r.home = b.home(r)
+	unopened := math.Pow(newConnBias, max(0, 2*b.crowding()-1))
 	var idle, few, last *backend
 	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
 	for _, t := range b.backends {
@@ -524,7 +525,7 @@
 			// Departure: an agent with little traffic that picks evenly opens a connection for most
 			// requests and meets no backend twice. Acts from one agent a backend on, in full at two.
 			if t.usedAt == 0 || b.now-t.usedAt >= b.s.IdleClose {
-				w *= math.Pow(newConnBias, max(0, 2*b.crowding()-1))
+				w *= unopened
 			}
 			if total += w; b.rng.Float64()*total < w {
 				idle = t
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -507,7 +507,7 @@
 
 // load reads a report of load (RFC 8583): 0 to 65535, of what the server can do.
 func load(m *diameter.Message) balance.Load {
-	l := balance.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
+	l := balance.NoLoad()
 	if a := diameter.Find(m.AVPs, codeLoad, 0); a != nil {
 		if list, err := a.Group(diameter.DefaultLimits(), 0); err == nil {
 			if v := diameter.Find(list, codeLoadValue, 0); v != nil {
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -115,7 +115,7 @@
 	}
 	c, err := u.dial(ctx, to.Addr)
 	if err != nil {
-		return core.Response{Result: dialResult(ctx, err), Load: wire.NoLoad()}, false
+		return core.Response{Result: dialResult(ctx, err), Load: balance.NoLoad()}, false
 	}
 	return u.use(ctx, c, to, out), true
 }
@@ -161,7 +161,7 @@
 		u.close(c)
 	}
 	if !r.Load.Valid {
-		r.Load = wire.NoLoad()
+		r.Load = balance.NoLoad()
 	}
 	return r
 }
@@ -363,7 +363,7 @@
 	}
 	out, err := http1.Render(http.MethodGet, path, to.Addr, http.Header{}, nil)
 	if err != nil {
-		return core.Response{Result: balance.NotSent, Load: wire.NoLoad()}
+		return core.Response{Result: balance.NotSent, Load: balance.NoLoad()}
 	}
 	r := u.Exchange(ctx, to, out)
 	if r.Result == balance.OK && u.reports && !r.Load.Valid {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,7 +97,13 @@
 	cancel context.CancelFunc
 }
 
-var noLoad = balance.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
+// load is the report that came with it, or none in the module's form.
+func (r Response) load() balance.Load {
+	if r.Load.Valid {
+		return r.Load
+	}
+	return balance.NoLoad()
+}
 
 // Loop owns the balancer, the calls in hand and the timers. All that happens comes to it as
 // a function on its inbox; it alone decides which outcome an attempt and which answer a call has.
@@ -273,12 +279,8 @@
 	if r.Result == balance.OK {
 		l.answer(c, Answer{Kind: Served, Payload: r.Payload})
 	}
-	load := r.Load
-	if !load.Valid {
-		load = noLoad
-	}
 	l.Event(balance.Outcome{Request: c.Event.ID, Attempt: n, Backend: backend, Result: r.Result,
-		Latency: time.Since(a.sent), Done: c.answered, Load: load, Standing: r.Standing})
+		Latency: time.Since(a.sent), Done: c.answered, Load: r.load(), Standing: r.Standing})
 	l.forget(c)
 }
 
@@ -396,7 +398,7 @@
 	c, addr := l.calls[s.Request], l.addrs[s.Backend]
 	if c == nil {
 		l.Event(balance.Outcome{Request: s.Request, Backend: s.Backend, Result: balance.NotSent,
-			Done: true, Load: noLoad})
+			Done: true, Load: balance.NoLoad()})
 		return
 	}
 	now := time.Now()
@@ -422,17 +424,13 @@
 func (l *Loop) probe(backend string) {
 	addr, sent := l.addrs[backend], time.Now()
 	if addr == "" || !l.s.MayProbe {
-		l.Event(balance.ProbeResult{Backend: backend, Result: balance.NotSent, Load: noLoad})
+		l.Event(balance.ProbeResult{Backend: backend, Result: balance.NotSent, Load: balance.NoLoad()})
 		return
 	}
 	go func() {
 		r := l.Backend.Probe(Target{backend, addr})
-		load := r.Load
-		if !load.Valid {
-			load = noLoad
-		}
 		l.Post(func() {
-			l.Event(balance.ProbeResult{Backend: backend, Result: r.Result, Latency: time.Since(sent), Load: load})
+			l.Event(balance.ProbeResult{Backend: backend, Result: r.Result, Latency: time.Since(sent), Load: r.load()})
 		})
 	}()
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -302,20 +302,15 @@
 func ParseLoad(raw []byte) (balance.Load, error) {
 	var u usage
 	if err := json.Unmarshal(raw, &u); err != nil {
-		return NoLoad(), fmt.Errorf("load report: %w", err)
+		return balance.NoLoad(), fmt.Errorf("load report: %w", err)
 	}
 	return load(&u), nil
 }
 
 const loadMost = 1e6 // no figure of a backend's load is larger: ten minutes, a million requests
 
-// NoLoad is what is known where no report came.
-func NoLoad() balance.Load {
-	return balance.Load{Outstanding: -1, Queue: -1, Utilization: -1, Service: -1, Throughput: -1, ErrorsPerSec: -1}
-}
-
 func load(u *usage) balance.Load {
-	l := NoLoad()
+	l := balance.NoLoad()
 	if u == nil {
 		return l
 	}
@@ -323,7 +318,7 @@
 	// Guards against figures that can't be: they would stay in the module's running means.
 	for _, f := range []*float64{u.Outstanding, u.Backlog, u.Utilization, u.RecentMs, u.Throughput, u.ErrorsPerSec} {
 		if f != nil && !(*f >= 0 && *f <= loadMost) {
-			return NoLoad()
+			return balance.NoLoad()
 		}
 	}
 	for _, f := range []struct {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -243,7 +243,7 @@
 	if err != nil || !l.Valid || l.Service != 14500*time.Microsecond || l.Queue != 0 || l.Throughput >= 0 {
 		t.Errorf("got %+v, %v", l, err)
 	}
-	if l, err := ParseLoad([]byte(`{"backlog":`)); err == nil || l != NoLoad() {
+	if l, err := ParseLoad([]byte(`{"backlog":`)); err == nil || l != balance.NoLoad() {
 		t.Errorf("got %+v, %v", l, err)
 	}
 }
@@ -251,7 +251,7 @@
 // A figure that can't be spoils its report: it would stay in the module's running means.
 func TestParseLoadRange(t *testing.T) {
 	for _, raw := range []string{`{"recent_ms":14,"backlog":-1}`, `{"recent_ms":1e300}`, `{"backlog":3,"throughput":1e7}`, `{"backlog":1e999}`, `{"outstanding":"3"}`} {
-		if l, _ := ParseLoad([]byte(raw)); l != NoLoad() {
+		if l, _ := ParseLoad([]byte(raw)); l != balance.NoLoad() {
 			t.Errorf("%s: got %+v", raw, l)
 		}
 	}
