Diameter servers that the list no longer names are taken leave of

Cause: both.Keep in internal/agent/diameter.go asked for a backend with no address, which the loop's own look-up of what is not listed matches, so that a gone server was kept and connected to for ever. Change: the backend works out itself where a listed server speaks Diameter, and compares what the list says; the special case goes.

--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -34,16 +34,11 @@
 type both struct {
 	http1    *http1back.Upstream
 	diameter *diameterback.Backend
-	rules    *relay.Rules
-}
-
-func (b *both) at(to core.Target) core.Target {
-	return core.Target{ID: to.ID, Addr: b.rules.Address(to.ID, to.Addr)}
 }
 
 func (b *both) Exchange(ctx context.Context, to core.Target, request any) core.Response {
 	if r, ok := request.(*diameterback.Request); ok {
-		return b.diameter.Exchange(ctx, b.at(to), r)
+		return b.diameter.Exchange(ctx, to, r)
 	}
 	return b.http1.Exchange(ctx, to, request)
 }
@@ -52,10 +47,7 @@
 
 func (b *both) Keep(wanted func(core.Target) bool) {
 	b.http1.Keep(wanted)
-	b.diameter.Keep(func(to core.Target) bool {
-		// The list knows a server by its address there; with one of its own in the file the id is what counts.
-		return wanted(to) || wanted(core.Target{ID: to.ID}) || b.rules.Address(to.ID, "") == to.Addr
-	})
+	b.diameter.Keep(wanted)
 }
 
 // diameterParts are the Diameter front and backend of an agent.
@@ -81,7 +73,7 @@
 		Leaves: func(id string, leaves bool) { l.Post(func() { l.Leaves(id, leaves) }) }})
 	p.front = diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
 		Limits: relay.DefaultLimits(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections, Hello: helloLimit, Log: log}, l)
-	l.Backend = &both{http1: up, diameter: p.back, rules: cfg.diameter}
+	l.Backend = &both{http1: up, diameter: p.back}
 	log.Info("serving diameter", "listen", ln.Addr().String())
 	return p, nil
 }
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -70,7 +70,7 @@
 // server is one server: its peer, connection and what is out there.
 type server struct {
 	b  *Backend
-	to core.Target
+	to core.Target // by the list; where it speaks Diameter is the rules' matter
 
 	mu      sync.Mutex
 	peer    *diameter.Peer
@@ -325,7 +325,7 @@
 		return
 	}
 	s.b.wait.Go(func() {
-		conn, err := (&net.Dialer{Timeout: s.b.cfg.ConnectTimeout, KeepAlive: -1}).Dial("tcp", s.to.Addr)
+		conn, err := (&net.Dialer{Timeout: s.b.cfg.ConnectTimeout, KeepAlive: -1}).Dial("tcp4", s.b.cfg.Rules.Address(s.to.ID, s.to.Addr))
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		switch {
