lemonctl limits and fleet-log share their flags, checks and printing

Need: both had the same three flags, the same check of the window and the same way to print. No change of behaviour; their tests are as they were and pass.

--- a/cmd/lemonctl/fleet.go
+++ b/cmd/lemonctl/fleet.go
@@ -10,15 +10,13 @@
 )
 
 type fleetLogCmd struct {
-	Paths  []string `arg:"" name:"path" help:"Directories with agents' logs (*.log) or files of notes (lemonrail -explain); - for standard input."`
-	Window float64  `default:"1" help:"Length of a window in seconds."`
-	JSON   bool     `name:"json" help:"Print one JSON object."`
-	HTML   string   `name:"html" placeholder:"FILE" help:"Write the report as one page with plots."`
+	Paths []string `arg:"" name:"path" help:"Directories with agents' logs (*.log) or files of notes (lemonrail -explain); - for standard input."`
+	noteFlags
 }
 
 func (c *fleetLogCmd) Run(s streams) error {
-	if !(c.Window >= 0.05) || c.Window > 1e6 {
-		return fmt.Errorf("--window: %v makes no sense", c.Window)
+	if err := c.check(); err != nil {
+		return err
 	}
 	var files []string
 	for _, path := range c.Paths {
@@ -42,18 +40,7 @@
 		}
 	}
 	r := fleet.Report()
-	if r.Agents == 0 {
-		return fmt.Errorf("no notes in %d lines: agents write them when started with -explain", r.Others)
-	}
-	if c.HTML != "" {
-		if err := writeFile(c.HTML, func(w io.Writer) error { return r.HTML(w, "The fleet") }); err != nil {
-			return err
-		}
-	}
-	if c.JSON {
-		return printJSON(s.out, r)
-	}
-	return r.Text(s.out)
+	return c.print(s, r, "The fleet", r.Agents, r.Others)
 }
 
 // readInto has a file read, or standard input for -.
