--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/membership"
 )
 
 // Decider is what the loop asks for decisions; in service an *balance.Balancer.
@@ -123,8 +124,7 @@
 	calls  map[string]*Call // in hand, or answered with attempts still out
 	past   *past
 	addrs  map[string]string
-	listed map[string]balance.Backend // what the list says of those in addrs
-	leaves map[string]bool            // of these, servers that said themselves that they want nothing new
+	pool   *membership.Pool
 	timers timers
 	stopBy time.Time // by which all must have been answered; zero: no stop is planned
 }
@@ -154,7 +154,7 @@
 func New(bal Decider, s *balance.Settings, log *slog.Logger) *Loop {
 	return &Loop{bal: bal, s: s, clock: clock{time.Now()}, log: log,
 		inbox: make(chan func(), inboxSize), Dead: make(chan struct{}),
-		calls: map[string]*Call{}, past: newPast(), addrs: map[string]string{}, listed: map[string]balance.Backend{}, leaves: map[string]bool{}}
+		calls: map[string]*Call{}, past: newPast(), addrs: map[string]string{}, pool: membership.New()}
 }
 
 // Post hands f to the loop. It may wait; the loop itself must not call it.
@@ -286,51 +286,32 @@
 
 // Listed takes a list, or the failure to get one, from discovery.
 func (l *Loop) Listed(list balance.List, addrs map[string]string) {
-	before := l.listed
 	if list.Kind == balance.ListFull || list.Kind == balance.ListCached {
 		clear(l.addrs)
-		l.listed = map[string]balance.Backend{}
 	}
-	for i, b := range list.Backends {
+	for _, b := range list.Backends {
 		if b.State == balance.Gone {
 			delete(l.addrs, b.ID)
-			delete(l.listed, b.ID)
-			delete(l.leaves, b.ID)
-			continue
-		}
-		l.addrs[b.ID] = addrs[b.ID]
-		if b.Started > before[b.ID].Started { // another process than the one that took leave
-			delete(l.leaves, b.ID)
-		}
-		l.listed[b.ID] = b
-		if l.leaves[b.ID] {
-			list.Backends[i].State = balance.Draining // the list has not heard of it yet
-		}
-	}
-	for id := range l.leaves {
-		if _, known := l.listed[id]; !known {
-			delete(l.leaves, id)
+		} else {
+			l.addrs[b.ID] = addrs[b.ID]
 		}
 	}
 	// Guards against connections to backends that are gone: they would hold sockets, and serve nobody.
 	l.Backend.Keep(func(to Target) bool { return l.addrs[to.ID] == to.Addr })
-	l.Event(list)
+	l.Event(l.pool.Listed(list))
 }
 
 // Leaves takes note that a server said itself that it wants nothing new, or that it is back. The module is
 // told as by the list, in which it may stand as up for seconds yet.
 func (l *Loop) Leaves(id string, leaves bool) {
-	b, known := l.listed[id]
-	if !known || l.leaves[id] == leaves {
-		return
-	}
-	if leaves {
-		l.leaves[id] = true
-		b.State = balance.Draining
-	} else {
-		delete(l.leaves, id)
+	l.changed(l.pool.Leaves(id, leaves))
+}
+
+// changed tells the module what is new about a backend.
+func (l *Loop) changed(c membership.Change) {
+	if c != nil {
+		l.Event(balance.List{Kind: balance.ListDelta, Backends: c})
 	}
-	l.Event(balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{b}})
 }
 
 // due turns the timers that have run out into events.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -129,7 +129,7 @@
 		t.Errorf("states %q", got)
 	}
 	l.Listed(balance.List{Kind: balance.ListFull}, nil)
-	if len(l.leaves)+len(l.listed) != 0 {
+	if l.pool.Size() != 0 {
 		t.Error("what the list no longer names is kept")
 	}
 }
