--- a/balance/notes.go
+++ b/balance/notes.go
@@ -144,3 +144,13 @@
 			Aim: r.aim - b.now, Repeat: r.repeat, Attempts: len(r.attempts)})
 	}
 }
+
+// Ejected lists the backends that are up by the list and get no ordinary traffic now, by the module's choice.
+func (b *Balancer) Ejected(now time.Duration) (ids []string) {
+	for _, t := range b.backends {
+		if t.State == Up && (t.down || now < t.ejected) {
+			ids = append(ids, t.ID)
+		}
+	}
+	return ids
+}
--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -46,6 +47,11 @@
 	if err != nil {
 		return err
 	}
+	if control := os.Getenv("LB_CONTROL"); control != "" { // new with each process, so before the file
+		if cfg.Control, err = netip.ParseAddrPort(control); err != nil {
+			return fmt.Errorf("LB_CONTROL: %w", err)
+		}
+	}
 	if explained != "" {
 		if cfg.Explain, err = explain.ReadConfig(explained); err != nil {
 			return err
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	upstream "lemonrail/internal/backend/http1"
 	"lemonrail/internal/core"
 	"lemonrail/internal/explain"
+	"lemonrail/internal/figures"
 	front "lemonrail/internal/front/http1"
 	"lemonrail/internal/roster"
 )
@@ -53,15 +54,22 @@
 			}
 		}()
 	}
+	desk, err := openDoor(cfg)
+	if err != nil {
+		return err
+	}
+	if desk != nil {
+		defer desk.Close()
+	}
 	peers, err := listenPeers(cfg, log)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, cfg, bal, ln, peers, hup, log)
+	return serve(ctx, cfg, bal, ln, desk, peers, hup, log)
 }
 
 // serve runs the parts round a balancer until ctx ends or one of them fails.
-func serve(ctx context.Context, cfg *Config, bal core.Decider, ln net.Listener, peers *peers, hup <-chan os.Signal,
+func serve(ctx context.Context, cfg *Config, bal core.Decider, ln, desk net.Listener, peers *peers, hup <-chan os.Signal,
 	log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
@@ -75,6 +83,8 @@
 	}
 	up := upstream.New(&cfg.Settings, socks, cfg.MemoryMB<<20, log)
 	l.Backend = up
+	l.Figures = figures.New(cfg.Names.Classes)
+	up.CountTries(&l.Figures.Tries)
 	dia, err := withDiameter(cfg, l, up, log)
 	if err != nil {
 		return err
@@ -88,7 +98,7 @@
 	}, log)
 	l.Lists = disc
 
-	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names}
+	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names, Figures: l.Figures}
 	door, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
 		admission.Hooks{
 			Opened: func() {
@@ -104,13 +114,21 @@
 		return err
 	}
 	srv := s.HTTP(log)
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	parts.Go(func() {
 		if err := l.Run(inner); err != nil {
 			failed <- err
 		}
 	})
 	parts.Go(func() { up.Run(inner) })
+	staffed := &staff{loop: l, figures: l.Figures, ready: s.Ready.Load}
+	if desk != nil {
+		parts.Go(func() {
+			if err := serveDoor(inner, desk, staffed, log); err != nil {
+				failed <- err
+			}
+		})
+	}
 	disc.Tell(cfg.Known, balance.ListCached)
 	parts.Go(disc.Run)
 	parts.Go(func() { follow(inner, hup, cfg.path, disc.Move, log) })
@@ -143,6 +161,7 @@
 	case fault = <-failed:
 	case <-ctx.Done():
 		log.Info("stopping")
+		staffed.stops.Store(true)
 		answerBy := time.Now().Add(cfg.answerBy)
 		cutOff = answerBy.Add(killMargin / 2)
 		l.Post(func() { l.Stopping(answerBy) })
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -21,6 +21,7 @@
 	Name      string
 	Listen    netip.AddrPort
 	Discovery netip.AddrPort
+	Control   netip.AddrPort // where staff call; invalid: nowhere
 	Seed      uint64
 	MemoryMB  int64 // limit on memory; 0: none told
 	Sockets   int   // limit on file descriptors; 0: none told
@@ -63,6 +64,7 @@
 		Name      string         `json:"name"`
 		Listen    netip.AddrPort `json:"listen"`
 		Discovery netip.AddrPort `json:"discovery"`
+		Control   netip.AddrPort `json:"control"`
 		Seed      string         `json:"seed"`
 		Limits    struct {
 			MemoryMB int64 `json:"memory_mb"`
@@ -89,7 +91,7 @@
 	case f.Limits.Sockets > 0 && f.Limits.Sockets < 2*reservedSockets:
 		return nil, fmt.Errorf("limits: %d sockets are too few, %d needed", f.Limits.Sockets, 2*reservedSockets)
 	}
-	cfg := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+	cfg := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		PeerListen: f.PeerListen, Peers: f.Peers, PeersAll: f.PeersAll, Known: f.Known}
 	var err error
--- a/internal/agent/diameter_test.go
+++ b/internal/agent/diameter_test.go
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	said := make(lines, 100)
 	done := make(chan error, 1)
-	go func() { done <- serve(ctx, cfg, bal, ln, nil, nil, slog.New(slog.NewTextHandler(said, nil))) }()
+	go func() { done <- serve(ctx, cfg, bal, ln, nil, nil, nil, slog.New(slog.NewTextHandler(said, nil))) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := await(t, done); err != nil {
--- /dev/null
+++ b/internal/agent/door_test.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"lemonrail/balance"
+	"lemonrail/internal/scripted"
+)
+
+// withDoor runs an agent with a door and returns where its clients and its staff call.
+func withDoor(t *testing.T, bal *decider, backends ...string) (clients, staff string) {
+	t.Helper()
+	cfg := testConfig(t, backends...)
+	desk := listen(t)
+	cfg.Control = netip.MustParseAddrPort(desk.Addr().String())
+	ln := listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		if bal != nil {
+			serve(ctx, cfg, bal, ln, desk, nil, nil, quiet)
+			return
+		}
+		real, _ := balance.New(cfg.Settings, cfg.Seed)
+		serve(ctx, cfg, real, ln, desk, nil, nil, quiet)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		await(t, finished)
+		desk.Close()
+	})
+	return "http://" + ln.Addr().String(), "http://" + desk.Addr().String()
+}
+
+func call(t *testing.T, method, url string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := newClient(t).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// A backend that is taken out is told to the module as draining before the caller has its yes, and is not
+// brought back by anything but the call back; then it counts as started anew.
+func TestDoorExcludesAndIncludes(t *testing.T) {
+	bal := newScripted(func(balance.Event) []balance.Action { return nil })
+	_, staff := withDoor(t, bal, deadAddr(t))
+	if l := next[balance.List](t, bal); l.Kind != balance.ListCached {
+		t.Fatal(l)
+	}
+	for _, c := range []struct {
+		method, path string
+		status       int
+		told         string // what the module is told: d draining, u up, empty for nothing
+	}{
+		{"PUT", "/api/exclude/nobody", 404, ""},
+		{"PUT", "/api/include/nobody", 404, ""},
+		{"GET", "/api/exclude/h0", 405, ""},
+		{"PUT", "/api/exclude/h0", 200, "d"},
+		{"PUT", "/api/exclude/h0", 200, ""},
+		{"PUT", "/api/include/h0", 200, "u"},
+		{"PUT", "/api/include/h0", 200, ""},
+		{"GET", "/api/nothing", 404, ""},
+	} {
+		before := time.Duration(time.Now().UnixNano())
+		if status, body := call(t, c.method, staff+c.path); status != c.status {
+			t.Errorf("%s %s: %d %s", c.method, c.path, status, body)
+		}
+		told := ""
+		select {
+		case e := <-bal.seen:
+			b := e.(balance.List).Backends[0]
+			told = map[balance.BackendState]string{balance.Up: "u", balance.Draining: "d"}[b.State]
+			if told == "u" && b.Started < before {
+				t.Errorf("put back as started at %v, before %v", b.Started, before)
+			}
+		default:
+		}
+		if told != c.told {
+			t.Errorf("%s %s: told %q", c.method, c.path, told)
+		}
+	}
+}
+
+// The figures tell what clients got, and come though callers hold connections and say nothing.
+func TestDoorFigures(t *testing.T) {
+	clients, staff := withDoor(t, nil, backend(t, scripted.Always(scripted.Hello)))
+	for range 40 {
+		nc, err := net.Dial("tcp", strings.TrimPrefix(staff, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+	}
+	if status, _ := call(t, "GET", staff+"/api/ready"); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+	client := newClient(t)
+	for _, id := range []string{"1", "2", "3"} {
+		if resp, body, err := ask(client, clients, id); err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, body, err)
+		}
+	}
+	// The answer is counted once it is out, which the client may see first.
+	want := []string{`svc_responses{kind="read",result="ok"} 3`, "svc_tries 3", "svc_active 0", "svc_pool_size 1", "svc_pool_ejected 0"}
+	for end := time.Now().Add(patience); ; {
+		_, text := call(t, "GET", staff+"/api/telemetry")
+		missing := ""
+		for _, w := range want {
+			if !strings.Contains(text, w+"\n") {
+				missing = w
+			}
+		}
+		if missing == "" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no %q in\n%s", missing, text)
+		}
+	}
+}
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -79,7 +79,7 @@
 	ended := make(chan error, 1)
 	finished := make(chan struct{})
 	go func() {
-		ended <- serve(ctx, cfg, bal, ln, nil, nil, quiet)
+		ended <- serve(ctx, cfg, bal, ln, nil, nil, nil, quiet)
 		close(finished)
 	}()
 	t.Cleanup(func() {
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -49,7 +49,7 @@
 	h := stopLog{quiet.Handler(), make(chan struct{})}
 	ctx, stop := context.WithCancel(context.Background())
 	ln, done := listen(t), make(chan error, 1)
-	go func() { done <- serve(ctx, cfg, stepFunc(sendAll), ln, nil, nil, slog.New(h)) }()
+	go func() { done <- serve(ctx, cfg, stepFunc(sendAll), ln, nil, nil, nil, slog.New(h)) }()
 	client := newClient(t)
 	base := "http://" + ln.Addr().String()
 	if resp, body, err := ask(client, base, "before"); err != nil || body != "hello" || resp.Close {
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -64,6 +64,7 @@
 	reports        bool  // probes bring them
 	maxReply       int64 // bytes of an answer's body
 	log            *slog.Logger
+	tries          *atomic.Int64 // attempts written whole
 
 	mu   sync.Mutex
 	idle map[core.Target][]*conn // the newest last
@@ -77,6 +78,7 @@
 	r     *bufio.Reader
 	since time.Time // idle since
 	most  int64     // bytes of an answer's body
+	tries *atomic.Int64
 }
 
 // New returns an upstream whose answers take a bounded part of the memory, if that is bounded.
@@ -90,9 +92,12 @@
 		reply = min(reply, max(leastReply, memory/replyPart))
 	}
 	return &Upstream{connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, maxReply: reply, log: log, reports: s.Reports != balance.ReportsOff,
-		idle: map[core.Target][]*conn{}, busy: map[core.Target]int{}}
+		tries: new(atomic.Int64), idle: map[core.Target][]*conn{}, busy: map[core.Target]int{}}
 }
 
+// CountTries counts attempts that are written whole in n.
+func (u *Upstream) CountTries(n *atomic.Int64) { u.tries = n }
+
 // Exchange makes one attempt: one request (an *http1.Request) on one connection, written once.
 func (u *Upstream) Exchange(ctx context.Context, to core.Target, request any) core.Response {
 	out := request.(*http1.Request)
@@ -209,6 +214,7 @@
 		}
 		return core.Response{Result: balance.ConnectFailed}, false
 	}
+	c.tries.Add(1)
 	resp, body, err := c.answer(ctx, out.Method)
 	switch {
 	case err == nil:
@@ -394,7 +400,7 @@
 		return nil, fmt.Errorf("dial backend: %w", err)
 	}
 	limit := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, limit: limit, r: bufio.NewReaderSize(limit, maxHead), most: u.maxReply}, nil
+	return &conn{Conn: nc, limit: limit, r: bufio.NewReaderSize(limit, maxHead), most: u.maxReply, tries: u.tries}, nil
 }
 
 func (u *Upstream) close(c *conn) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,12 +10,14 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/figures"
 	"lemonrail/internal/membership"
 )
 
@@ -46,6 +48,9 @@
 	Payload  any          // with OK: the answer, for the front
 }
 
+// ErrEnded is why nothing more is done once the loop has ended.
+var ErrEnded = errors.New("the loop has ended")
+
 // Backend makes attempts. Each is written once: nothing is sent again by itself.
 type Backend interface {
 	Exchange(ctx context.Context, to Target, request any) Response
@@ -118,15 +123,17 @@
 	Backend Backend
 	Lists   Lists
 	Peers   Peers // nil where agents don't talk
+	Figures *figures.Figures
 	s       *balance.Settings
 
-	events []balance.Event  // for the next step
-	calls  map[string]*Call // in hand, or answered with attempts still out
-	past   *past
-	addrs  map[string]string
-	pool   *membership.Pool
-	timers timers
-	stopBy time.Time // by which all must have been answered; zero: no stop is planned
+	events  []balance.Event  // for the next step
+	calls   map[string]*Call // in hand, or answered with attempts still out
+	past    *past
+	addrs   map[string]string
+	pool    *membership.Pool
+	timers  timers
+	counted time.Time // when the figures of the list were last brought up to date
+	stopBy  time.Time // by which all must have been answered; zero: no stop is planned
 }
 
 // past holds the ids of the calls that ended last, a bounded number of them.
@@ -198,6 +205,11 @@
 				l.do(a)
 			}
 		}
+		for _, f := range l.after {
+			f()
+		}
+		l.after = l.after[:0]
+		l.Count(countEvery)
 		if len(l.timers) > 0 {
 			alarm.Reset(time.Until(l.timers[0].at))
 		}
@@ -314,6 +326,46 @@
 	}
 }
 
+// Exclude takes a backend out by hand: the module is told that it drains, until Include.
+func (l *Loop) Exclude(id string) error {
+	c, err := l.pool.Exclude(id)
+	l.changed(c)
+	return err
+}
+
+// Include puts a backend back. It counts as started now.
+func (l *Loop) Include(id string) error {
+	c, err := l.pool.Include(id, l.clock.now())
+	l.changed(c)
+	return err
+}
+
+// Then has f called once the module has been told of all that has come, and what it decided has been done. f
+// must not wait.
+func (l *Loop) Then(f func()) { l.after = append(l.after, f) }
+
+// countEvery is how old the loop's figures may be.
+const countEvery = 100 * time.Millisecond
+
+// Count brings the figures of the list up to date, if they are older than that.
+func (l *Loop) Count(old time.Duration) {
+	now := time.Now()
+	if l.Figures == nil || now.Sub(l.counted) < old {
+		return
+	}
+	l.counted = now
+	ejected := len(l.pool.ListedOut())
+	if b, ok := l.bal.(interface{ Ejected(time.Duration) []string }); ok {
+		for _, id := range b.Ejected(l.clock.at(now)) {
+			if !l.pool.IsOut(id) {
+				ejected++
+			}
+		}
+	}
+	l.Figures.Pool.Store(int64(l.pool.Size()))
+	l.Figures.Ejected.Store(int64(ejected))
+}
+
 // due turns the timers that have run out into events.
 func (l *Loop) due(now time.Time) {
 	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,131 @@
+// Package door is where staff reach a running agent: a listener of its own, HTTP/1.1, one call to a
+// connection. 2xx is yes, 4xx and 5xx are no.
+//
+// Bounds: callsMost connections, of which the oldest unfinished one gives way to one more; each call is
+// answered within callLimit of its last byte, or by a no.
+package door
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"lemonrail/internal/membership"
+)
+
+const (
+	callsMost = 16                     // connections; those who run the agent are few
+	callLimit = 900 * time.Millisecond // a caller waits for 1 s
+	readLimit = 5 * time.Second        // for a call to come in
+	headBytes = 4 << 10
+)
+
+// Agent is what the door opens on.
+type Agent interface {
+	Ready() bool                                       // whether it serves
+	Telemetry(ctx context.Context) []byte              // the figures
+	Exclude(ctx context.Context, backend string) error // leaves a backend out
+	Include(ctx context.Context, backend string) error // takes it in again
+}
+
+// Handler answers the calls.
+func Handler(a Agent, log *slog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !a.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		w.Write(a.Telemetry(r.Context()))
+	})
+	change := func(what string, do func(context.Context, string) error) {
+		mux.HandleFunc("PUT /api/"+what+"/{id}", func(w http.ResponseWriter, r *http.Request) {
+			id := r.PathValue("id")
+			switch err := do(r.Context(), id); {
+			case err == nil:
+				log.Info("by hand", "call", what, "backend", id)
+				fmt.Fprintln(w, "ok")
+			case errors.Is(err, membership.ErrUnknown):
+				http.Error(w, err.Error(), http.StatusNotFound)
+			default:
+				log.Warn("by hand", "call", what, "backend", id, "err", err)
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			}
+		})
+	}
+	change("exclude", a.Exclude)
+	change("include", a.Include)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), callLimit)
+		defer cancel()
+		w.Header().Set("Connection", "close")
+		mux.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// Serve answers calls until ctx ends, and returns nil then.
+func Serve(ctx context.Context, ln net.Listener, a Agent, log *slog.Logger) error {
+	srv := &http.Server{Handler: Handler(a, log), ReadTimeout: readLimit, WriteTimeout: readLimit + callLimit, MaxHeaderBytes: headBytes,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	srv.SetKeepAlivesEnabled(false)
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.Serve(&crowded{Listener: ln}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("operators' door: %w", err)
+	}
+	return nil
+}
+
+// crowded is a listener with room for callsMost connections. Guards against callers who connect and finish
+// no call: they would keep out those who do.
+type crowded struct {
+	net.Listener
+	mu   sync.Mutex
+	open list.List // of *caller, the oldest first
+}
+
+type caller struct {
+	net.Conn
+	l    *crowded
+	at   *list.Element
+	once sync.Once
+}
+
+// Accept takes the next caller; the oldest goes where there is no room.
+func (l *crowded) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &caller{Conn: nc, l: l}
+	l.mu.Lock()
+	var oldest *caller
+	if l.open.Len() >= callsMost {
+		oldest = l.open.Front().Value.(*caller)
+	}
+	c.at = l.open.PushBack(c)
+	l.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+	return c, nil
+}
+
+// Close frees the caller's place.
+func (c *caller) Close() error {
+	c.once.Do(func() {
+		c.l.mu.Lock()
+		defer c.l.mu.Unlock()
+		c.l.open.Remove(c.at)
+	})
+	return c.Conn.Close()
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -18,6 +18,7 @@
 	"lemonrail/balance"
 	"lemonrail/internal/admission"
 	"lemonrail/internal/core"
+	"lemonrail/internal/figures"
 	"lemonrail/internal/http1"
 	"lemonrail/internal/wire"
 )
@@ -46,6 +47,7 @@
 	Settings *balance.Settings
 	Names    wire.Names
 	Ready    atomic.Bool // what /up answers
+	Figures  *figures.Figures
 }
 
 // HTTP returns the server of clients' connections. Its limits guard against clients that
@@ -76,6 +78,8 @@
 		return
 	}
 	conn.Taken()
+	s.Figures.Active.Add(1)
+	defer s.Figures.Active.Add(-1)
 	s.Loop.Post(func() { s.Loop.Arrived(c) })
 	var a core.Answer
 	select {
@@ -95,8 +99,13 @@
 	}
 	last(conn, w)
 	write(w, a)
+	s.Figures.Ended(c.Event.Class, results[a.Kind])
 }
 
+// results are under what an answer counts.
+var results = map[core.Kind]figures.Result{core.Served: figures.OK, core.Refused: figures.Shed,
+	core.Failed: figures.Errors, core.Duplicate: figures.Errors}
+
 // last notes that an answer is about to be written, and says in it if it is its connection's last.
 // A client that doesn't read it holds the connection no longer than for writeLimit.
 func last(conn *admission.Conn, w http.ResponseWriter) {
@@ -188,6 +197,7 @@
 		if after := s.ComeBack(); after > 0 {
 			w.Header().Set("Retry-After", seconds(after))
 		}
+		s.Figures.Ended(class, figures.Shed)
 		return nil, http.StatusServiceUnavailable, errors.New("too many bodies in hand")
 	}
 	body := make([]byte, r.ContentLength)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -149,8 +149,10 @@
 // IsOut reports whether a backend is out by hand.
 func (p *Pool) IsOut(id string) bool { return p.out[id] }
 
-// Has reports whether a backend is listed.
-func (p *Pool) Has(id string) bool { _, known := p.listed[id]; return known }
+// ListedOut lists those of them that the list names.
+func (p *Pool) ListedOut() []string {
+	return slices.DeleteFunc(p.Out(), func(id string) bool { _, known := p.listed[id]; return !known })
+}
 
 // Size is how many backends are listed.
 func (p *Pool) Size() int { return len(p.listed) }
