--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,6 +133,7 @@
 	pool    *membership.Pool
 	timers  timers
 	counted time.Time // when the figures of the list were last brought up to date
+	after   []func()  // to be called once the module has been told of all that has come
 	stopBy  time.Time // by which all must have been answered; zero: no stop is planned
 }
 
