--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"lemonrail/internal/agent"
@@ -52,6 +53,12 @@
 			return fmt.Errorf("LB_CONTROL: %w", err)
 		}
 	}
+	if fd := os.Getenv("LB_FD"); fd != "" { // the platform holds the clients' listener and may start a successor
+		if cfg.ListenFD, err = strconv.Atoi(fd); err != nil || cfg.ListenFD < 3 {
+			return fmt.Errorf("LB_FD: %q is no descriptor of a listener", fd)
+		}
+		cfg.SharedDir = os.TempDir()
+	}
 	if explained != "" {
 		if cfg.Explain, err = explain.ReadConfig(explained); err != nil {
 			return err
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -134,6 +134,7 @@
 	pausedAt time.Duration // when the newcomer at the head of the backlog began to wait
 	paused   bool
 	draining bool
+	lasting  bool // idle connections stay all the same
 }
 
 // New returns a Governor without connections.
@@ -324,10 +325,10 @@
 		return false
 	}
 	g.move(e, Idle, now)
-	if g.draining {
+	if g.draining && !g.lasting {
 		g.ask(e)
 	}
-	return g.draining
+	return e.asked
 }
 
 func (g *Governor) release(e *Entry) {
@@ -387,17 +388,21 @@
 // Turned ends a Turn.
 func (g *Governor) Turned() { g.counts.TurnedNow-- }
 
+// Last has each answer end its connection from now on. Idle ones stay: a request that is on its way to one
+// is read and answered, where a close would cross it.
+func (g *Governor) Last() { g.draining, g.lasting = true, true }
+
 // Drain begins a planned stop: answers end their connections, idle ones are asked to go. Those
 // returned are to be woken.
 func (g *Governor) Drain() []*Entry {
-	g.draining = true
+	g.draining, g.lasting = true, false
 	return g.askAll(Idle)
 }
 
 // Finish ends it: nothing is accepted any longer, so those on which nothing has come are asked as
 // well.
 func (g *Governor) Finish() []*Entry {
-	g.draining = true
+	g.draining, g.lasting = true, false
 	return append(g.askAll(New), g.askAll(Idle)...)
 }
 
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -228,6 +228,15 @@
 	return l.Listener.Close()
 }
 
+// Leave ends accepting, where another process goes on with it, and has each answer end its connection. What
+// was accepted is served; idle connections stay until Drain.
+func (l *Listener) Leave() {
+	l.mu.Lock()
+	l.gov.Last()
+	l.mu.Unlock()
+	l.Listener.Close()
+}
+
 // Drain begins a planned stop: each answer ends its connection, and idle ones are closed.
 func (l *Listener) Drain() { l.rouseAll((*Governor).Drain) }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lemonrail/balance"
@@ -25,9 +26,18 @@
 
 const reservedSockets = 32 // for standard streams, listeners, discovery, peers and the poller
 
+const listPatience = 1500 * time.Millisecond // for discovery, before this process says that it serves
+
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
 // With each hup it reads its configuration again.
 func Run(ctx context.Context, cfg *Config, hup <-chan os.Signal, log *slog.Logger) error {
+	if cfg.ListenFD > 0 {
+		ln, err := Inherit(cfg.ListenFD)
+		if err != nil {
+			return err
+		}
+		return RunOn(ctx, ln, cfg, hup, log)
+	}
 	ln, err := net.Listen("tcp", cfg.Listen.String())
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
@@ -93,8 +103,14 @@
 		defer dia.back.Close() // once no attempt begins any more
 		defer dia.ln.Close()
 	}
+	var fresh atomic.Bool // discovery has spoken
 	disc := roster.New(inner, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, func(list balance.List, addrs map[string]string) {
-		l.Post(func() { l.Listed(list, addrs) })
+		l.Post(func() {
+			l.Listed(list, addrs)
+			if list.Kind == balance.ListFull || list.Kind == balance.ListDelta {
+				l.Then(func() { fresh.Store(true) })
+			}
+		})
 	}, log)
 	l.Lists = disc
 
@@ -121,13 +137,18 @@
 		}
 	})
 	parts.Go(func() { up.Run(inner) })
-	staffed := &staff{loop: l, figures: l.Figures, ready: s.Ready.Load}
-	if desk != nil {
-		parts.Go(func() {
-			if err := serveDoor(inner, desk, staffed, log); err != nil {
-				failed <- err
-			}
-		})
+	begun := time.Now()
+	staffed := &staff{loop: l, figures: l.Figures, ready: func() bool {
+		// Guards against a yes that rests on the list that was known, of any age; but discovery may be down.
+		return s.Ready.Load() && (fresh.Load() || time.Since(begun) > listPatience)
+	}}
+	var home *household
+	if place, shared := claim(cfg, log); place != nil {
+		defer place.Close()
+		home = &household{claim: place, loop: l, memory: cfg.MemoryMB << 20, log: log}
+		l.Post(func() { home.adopt(shared) }) // ahead of the known list
+		staffed.home = home
+		parts.Go(func() { home.look(inner) })
 	}
 	disc.Tell(cfg.Known, balance.ListCached)
 	parts.Go(disc.Run)
@@ -142,7 +163,16 @@
 			failed <- fmt.Errorf("clients: %w", err)
 		}
 	})
-	l.Post(func() { s.Ready.Store(true) }) // behind the known list
+	l.Post(func() { // behind the known list
+		l.Then(func() { s.Ready.Store(true) })
+	})
+	if desk != nil {
+		parts.Go(func() {
+			if err := serveDoor(inner, desk, staffed, log); err != nil {
+				failed <- err
+			}
+		})
+	}
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "backends", len(cfg.Known.Hosts))
 
 	diaDone, endDia := context.WithCancel(context.Background())
@@ -165,6 +195,11 @@
 		answerBy := time.Now().Add(cfg.answerBy)
 		cutOff = answerBy.Add(killMargin / 2)
 		l.Post(func() { l.Stopping(answerBy) })
+		if home.heir() {
+			log.Info("a successor serves: new connections are its own")
+			door.Leave()
+			l.Post(func() { l.Peers = nil }) // it speaks for this agent
+		}
 		if fault = pause(cfg.stay, failed); fault == nil {
 			endDia()
 			door.Drain()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -22,6 +22,8 @@
 	Listen    netip.AddrPort
 	Discovery netip.AddrPort
 	Control   netip.AddrPort // where staff call; invalid: nowhere
+	ListenFD  int            // descriptor of the clients' listener, where the platform holds it; 0: Listen says where
+	SharedDir string         // folder that the processes of this agent share, one replacing the other; empty: there is one only
 	Seed      uint64
 	MemoryMB  int64 // limit on memory; 0: none told
 	Sockets   int   // limit on file descriptors; 0: none told
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -6,10 +6,13 @@
 	"log/slog"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"lemonrail/internal/core"
 	"lemonrail/internal/door"
 	"lemonrail/internal/figures"
+	"lemonrail/internal/membership"
+	"lemonrail/internal/takeover"
 )
 
 // staff is what the operators' door opens on.
@@ -18,9 +21,48 @@
 	figures *figures.Figures
 	ready   func() bool
 	stops   atomic.Bool
+	home    *household  // nil: this process is the only one of its agent
+	told    atomic.Bool // the others know that this one serves
 }
 
-func (s *staff) Ready() bool { return s.ready() && !s.stops.Load() }
+// Ready reports whether this process serves. Its yes ends the process before it, so that one that waits for
+// this has to know it first.
+func (s *staff) Ready() bool {
+	if !s.ready() || s.stops.Load() {
+		return false
+	}
+	if s.home != nil && !s.told.Load() {
+		if err := s.home.claim.Ready(); err != nil {
+			s.home.log.Error("the process before this one is not told", "err", err)
+		}
+		s.told.Store(true)
+	}
+	return true
+}
+
+// change has the loop note what staff did; where several processes are one agent, by way of what they share.
+func (s *staff) change(ctx context.Context, backend string, alone func(string) error, shared func(*takeover.State) error) error {
+	if s.home == nil {
+		return s.ask(ctx, func() error { return alone(backend) })
+	}
+	known := func() error {
+		if !s.loop.Known(backend) {
+			return fmt.Errorf("%q: %w", backend, membership.ErrUnknown)
+		}
+		return nil
+	}
+	if err := s.ask(ctx, known); err != nil {
+		return err
+	}
+	state, err := s.home.claim.Change(shared)
+	if err != nil {
+		return err
+	}
+	return s.ask(ctx, func() error {
+		s.home.adopt(state)
+		return nil
+	})
+}
 
 // ask has the loop do something, and waits for it while ctx lasts.
 func (s *staff) ask(ctx context.Context, do func() error) error {
@@ -42,11 +84,14 @@
 func (s *staff) Telemetry(context.Context) []byte { return s.figures.Text() }
 
 func (s *staff) Exclude(ctx context.Context, backend string) error {
-	return s.ask(ctx, func() error { return s.loop.Exclude(backend) })
+	return s.change(ctx, backend, s.loop.Exclude, func(t *takeover.State) error { return t.Exclude(backend) })
 }
 
 func (s *staff) Include(ctx context.Context, backend string) error {
-	return s.ask(ctx, func() error { return s.loop.Include(backend) })
+	return s.change(ctx, backend, s.loop.Include, func(t *takeover.State) error {
+		t.Include(backend, time.Now())
+		return nil
+	})
 }
 
 // openDoor listens where staff call; nil where they don't.
--- a/internal/agent/door_test.go
+++ b/internal/agent/door_test.go
@@ -55,6 +55,19 @@
 	return resp.StatusCode, string(body)
 }
 
+// untilReady asks until a process says that it serves.
+func untilReady(t *testing.T, staff string) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if status, _ := call(t, "GET", staff+"/api/ready"); status == 200 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("never ready")
+		}
+	}
+}
+
 // A backend that is taken out is told to the module as draining before the caller has its yes, and is not
 // brought back by anything but the call back; then it counts as started anew.
 func TestDoorExcludesAndIncludes(t *testing.T) {
@@ -107,9 +120,7 @@
 		}
 		t.Cleanup(func() { nc.Close() })
 	}
-	if status, _ := call(t, "GET", staff+"/api/ready"); status != 200 {
-		t.Errorf("ready: %d", status)
-	}
+	untilReady(t, staff)
 	client := newClient(t)
 	for _, id := range []string{"1", "2", "3"} {
 		if resp, body, err := ask(client, clients, id); err != nil || resp.StatusCode != 200 {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
 
 	"lemonrail/balance"
 )
@@ -37,10 +38,15 @@
 	if !cfg.Settings.Peers || !cfg.PeerListen.IsValid() {
 		return nil, nil
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.PeerListen))
+	var lc net.ListenConfig
+	if cfg.SharedDir != "" { // the process before this one has the address yet; what comes goes to the one bound last
+		lc.Control = reuseAddr
+	}
+	pc, err := lc.ListenPacket(context.Background(), "udp", cfg.PeerListen.String())
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
+	conn := pc.(*net.UDPConn)
 	p := &peers{conn: conn, addrs: cfg.Peers, all: cfg.PeersAll, self: cfg.Settings.Self,
 		numbers: map[netip.AddrPort]int{}, out: make(chan datagram, peerQueue), log: log}
 	for i, a := range cfg.Peers {
@@ -49,6 +55,14 @@
 	return p, nil
 }
 
+func reuseAddr(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	})
+	return errors.Join(err, failed)
+}
+
 // run passes what other agents send to heard, until ctx ends.
 func (p *peers) run(ctx context.Context, heard func(balance.PeerMessage)) {
 	context.AfterFunc(ctx, func() { p.conn.Close() })
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -341,6 +341,18 @@
 	return err
 }
 
+// Known reports whether a backend is listed or out by hand.
+func (l *Loop) Known(id string) bool { return l.pool.Known(id) }
+
+// Adopt takes over which backends are out by hand, and when others were put back (Unix time, nanoseconds).
+func (l *Loop) Adopt(out []string, back map[string]int64) {
+	at := map[string]time.Duration{}
+	for id, t := range back {
+		at[id] = time.Duration(t)
+	}
+	l.changed(l.pool.Adopt(out, at))
+}
+
 // Then has f called once the module has been told of all that has come, and what it decided has been done. f
 // must not wait.
 func (l *Loop) Then(f func()) { l.after = append(l.after, f) }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -31,6 +31,7 @@
 	leaves map[string]bool            // of these, servers that said themselves that they want nothing new
 	out    map[string]bool            // taken out by hand, listed or not
 	back   map[string]time.Duration   // of those listed, put back by hand, and when
+	backs  map[string]time.Duration   // the same as adopted, listed or not
 }
 
 // New returns an empty pool.
@@ -55,6 +56,9 @@
 			delete(p.leaves, b.ID)
 		}
 		p.listed[b.ID] = b
+		if at := p.backs[b.ID]; at > p.back[b.ID] {
+			p.back[b.ID] = at
+		}
 		seen[i] = p.seen(b)
 	}
 	for id := range before {
@@ -136,6 +140,36 @@
 	return nil, nil
 }
 
+// Known reports whether a backend is listed or out.
+func (p *Pool) Known(id string) bool {
+	_, known := p.listed[id]
+	return known || p.out[id]
+}
+
+// Adopt takes over which backends are out, where several processes act as one: those in out are, whether listed
+// or not, and no others. Back says when some were put back.
+func (p *Pool) Adopt(out []string, back map[string]time.Duration) (c Change) {
+	before := p.out
+	p.out = map[string]bool{}
+	for _, id := range out {
+		if p.out[id] = true; !before[id] {
+			c = append(c, p.change(id)...)
+		}
+	}
+	for id, at := range back {
+		if _, known := p.listed[id]; known && p.back[id] < at {
+			p.back[id] = at
+		}
+	}
+	p.backs = back
+	for id := range before {
+		if !p.out[id] {
+			c = append(c, p.change(id)...)
+		}
+	}
+	return c
+}
+
 // Out lists the backends that are out by hand, sorted.
 func (p *Pool) Out() []string {
 	ids := make([]string, 0, len(p.out))
--- /dev/null
+++ b/internal/takeover/claim.go
@@ -0,0 +1,189 @@
+package takeover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	lockTries = 30 // for the lock on the state: whoever holds it writes one small file
+	lockPause = 10 * time.Millisecond
+)
+
+// Claim is a process's place among those of one agent.
+type Claim struct {
+	base  string // of the files' names
+	alive *os.File
+
+	mu   sync.Mutex
+	gen  int
+	last State // as last read or written
+}
+
+// Take takes the next generation of the agent of a name, in a folder that its processes share. A state that
+// makes no sense is dropped, with an error beside the claim: to serve comes first.
+func Take(dir, name string) (*Claim, State, error) {
+	c := &Claim{base: filepath.Join(dir, "lemonrail-"+url.PathEscape(name))}
+	var broken error
+	s, err := c.change(func(s *State) error {
+		s.Generation++
+		c.gen = s.Generation
+		// Guards against a leftover of the same number, where the state was lost: that process may live.
+		for {
+			f, err := os.OpenFile(c.aliveName(c.gen), os.O_CREATE|os.O_RDWR, 0o600)
+			if err != nil {
+				return err
+			}
+			if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+				c.alive = f
+				break
+			}
+			f.Close()
+			s.Generation++
+			c.gen = s.Generation
+		}
+		return nil
+	}, &broken)
+	if err != nil {
+		if c.alive != nil {
+			c.alive.Close()
+		}
+		return nil, State{}, fmt.Errorf("takeover: %w", err)
+	}
+	return c, s, broken
+}
+
+func (c *Claim) aliveName(gen int) string { return fmt.Sprintf("%s.%d.alive", c.base, gen) }
+
+// Generation is this process's.
+func (c *Claim) Generation() int { return c.gen }
+
+// Change changes the state for all processes and returns what it is then.
+func (c *Claim) Change(f func(*State) error) (State, error) { return c.change(f, nil) }
+
+func (c *Claim) change(f func(*State) error, broken *error) (State, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lock, err := os.OpenFile(c.base+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return State{}, err
+	}
+	defer lock.Close() // and with it the lock
+	for n := 1; ; n++ {
+		if err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
+			break
+		}
+		if n == lockTries {
+			return State{}, fmt.Errorf("lock: %w", err)
+		}
+		time.Sleep(lockPause)
+	}
+	s, err := c.read()
+	if err != nil {
+		if broken == nil {
+			return State{}, err
+		}
+		*broken = err
+		s = State{}
+	}
+	if err := f(&s); err != nil {
+		return State{}, err
+	}
+	s.Version++
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return State{}, err
+	}
+	if err := os.WriteFile(c.base+".new", raw, 0o600); err != nil {
+		return State{}, err
+	}
+	if err := os.Rename(c.base+".new", c.base+".state"); err != nil {
+		return State{}, err
+	}
+	c.last = s
+	return s, nil
+}
+
+func (c *Claim) read() (State, error) {
+	raw, err := os.ReadFile(c.base + ".state")
+	if errors.Is(err, fs.ErrNotExist) {
+		return State{}, nil
+	}
+	if err != nil {
+		return State{}, err
+	}
+	return Parse(raw)
+}
+
+// Look reads the state as it is now.
+func (c *Claim) Look() (State, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, err := c.read()
+	if err == nil {
+		c.last = s
+	}
+	return s, err
+}
+
+// Ready notes that this process has begun to serve.
+func (c *Claim) Ready() error {
+	_, err := c.Change(func(s *State) error {
+		s.Ready = max(s.Ready, c.gen)
+		return nil
+	})
+	return err
+}
+
+// View says which other processes live. What those that have ended left behind is removed.
+func (c *Claim) View() View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := View{Generation: c.gen, Ready: c.last.Ready}
+	if s, err := c.read(); err == nil {
+		v.Ready = s.Ready
+	}
+	names, _ := filepath.Glob(escape(c.base) + ".*.alive")
+	for _, name := range names {
+		gen, err := strconv.Atoi(strings.TrimSuffix(strings.TrimPrefix(name, c.base+"."), ".alive"))
+		if err != nil || gen == c.gen {
+			continue
+		}
+		f, err := os.OpenFile(name, os.O_RDWR, 0)
+		if err != nil {
+			continue
+		}
+		if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+			if gen < c.gen { // a later one may be about to lock it
+				os.Remove(name)
+			}
+		} else if gen < c.gen {
+			v.Earlier = true
+		} else {
+			v.Later = true
+		}
+		f.Close()
+	}
+	return v
+}
+
+// escape takes the meaning from what filepath.Match reads in a name.
+func escape(name string) string {
+	return strings.NewReplacer(`\`, `\\`, "*", `\*`, "?", `\?`, "[", `\[`).Replace(name)
+}
+
+// Close gives the place up.
+func (c *Claim) Close() {
+	os.Remove(c.aliveName(c.gen))
+	c.alive.Close()
+}
--- /dev/null
+++ b/internal/takeover/state.go
@@ -0,0 +1,122 @@
+// Package takeover lets two processes be one agent while one replaces the other: they share a folder, in which
+// they keep one state and tell each other that they live. State and Plan are decisions without I/O; Claim
+// reads and writes the files.
+//
+// Files: NAME.state holds the state and is replaced whole, under a lock on NAME.lock; NAME.N.alive is locked by
+// the process of generation N for as long as it lives.
+//
+// Bounds: of what staff did to backends membership.MaxOut entries each are kept, those of returns for backFor.
+package takeover
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"lemonrail/internal/membership"
+)
+
+const (
+	backFor  = 10 * time.Minute // longer than any backend takes to become warm
+	maxBytes = 1 << 20
+)
+
+// State is what processes of one agent share.
+type State struct {
+	Version    int64            `json:"version"`        // rises with every change
+	Generation int              `json:"generation"`     // of the process that started last
+	Ready      int              `json:"ready"`          // the latest generation that has begun to serve
+	Out        []string         `json:"out"`            // backends out by hand
+	Back       map[string]int64 `json:"back,omitempty"` // backends put back, and when: Unix time in nanoseconds
+}
+
+// Parse reads a state and refuses one that makes no sense.
+func Parse(raw []byte) (State, error) {
+	var s State
+	if len(raw) > maxBytes {
+		return s, fmt.Errorf("state of %d bytes", len(raw))
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return State{}, fmt.Errorf("state: %w", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return State{}, errors.New("state: more behind it")
+	}
+	switch {
+	case s.Version < 0 || s.Generation < 0:
+		return State{}, errors.New("state: negative")
+	case s.Ready < 0 || s.Ready > s.Generation:
+		return State{}, fmt.Errorf("state: ready %d of generation %d", s.Ready, s.Generation)
+	case len(s.Out) > membership.MaxOut || len(s.Back) > membership.MaxOut:
+		return State{}, errors.New("state: too many backends")
+	}
+	for _, id := range s.Out {
+		if id == "" {
+			return State{}, errors.New("state: a backend without a name is out")
+		}
+	}
+	return s, nil
+}
+
+// Exclude notes that a backend is out.
+func (s *State) Exclude(id string) error {
+	switch {
+	case slices.Contains(s.Out, id):
+		return nil
+	case len(s.Out) >= membership.MaxOut:
+		return membership.ErrTooMany
+	}
+	s.Out = append(s.Out, id)
+	slices.Sort(s.Out)
+	delete(s.Back, id)
+	return nil
+}
+
+// Include notes that a backend is back.
+func (s *State) Include(id string, now time.Time) {
+	at := slices.Index(s.Out, id)
+	if at < 0 {
+		return
+	}
+	s.Out = slices.Delete(s.Out, at, at+1)
+	if s.Back == nil {
+		s.Back = map[string]int64{}
+	}
+	oldest := ""
+	for other, t := range s.Back {
+		if now.Sub(time.Unix(0, t)) > backFor {
+			delete(s.Back, other)
+		} else if oldest == "" || t < s.Back[oldest] {
+			oldest = other
+		}
+	}
+	if len(s.Back) >= membership.MaxOut {
+		delete(s.Back, oldest)
+	}
+	s.Back[id] = now.UnixNano()
+}
+
+// View is what one process knows of the others.
+type View struct {
+	Generation int  // its own
+	Earlier    bool // a process of an earlier generation lives
+	Later      bool // one of a later generation lives
+	Ready      int  // the latest generation that has begun to serve
+}
+
+// Plan is what follows for it.
+type Plan struct {
+	Alone bool // no other lives: memory is its own
+	Heir  bool // a successor serves: a stop leaves new connections to it
+}
+
+// Plan says how this process is to act.
+func (v View) Plan() Plan {
+	return Plan{Alone: !v.Earlier && !v.Later, Heir: v.Later && v.Ready > v.Generation}
+}
--- /dev/null
+++ b/internal/takeover/takeover_test.go
@@ -0,0 +1,189 @@
+package takeover
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"lemonrail/internal/membership"
+)
+
+func TestPlan(t *testing.T) {
+	for _, c := range []struct {
+		v    View
+		want Plan
+	}{
+		{View{Generation: 1}, Plan{Alone: true}},
+		{View{Generation: 1, Ready: 1}, Plan{Alone: true}},
+		{View{Generation: 1, Later: true, Ready: 1}, Plan{}},                          // it has only started
+		{View{Generation: 1, Later: true, Ready: 2}, Plan{Heir: true}},                // it serves
+		{View{Generation: 1, Ready: 2}, Plan{Alone: true}},                            // it served, and has ended
+		{View{Generation: 2, Earlier: true, Ready: 2}, Plan{}},                        // the one before is still there
+		{View{Generation: 2, Earlier: true, Ready: 1}, Plan{}},                        //
+		{View{Generation: 3, Later: true, Ready: 2}, Plan{}},                          // neither serves yet
+		{View{Generation: 2, Earlier: true, Later: true, Ready: 3}, Plan{Heir: true}}, //
+	} {
+		if got := c.v.Plan(); got != c.want {
+			t.Errorf("%+v: %+v", c.v, got)
+		}
+	}
+}
+
+func TestStateOfBackends(t *testing.T) {
+	var s State
+	now := time.Unix(1000, 0)
+	for _, id := range []string{"b", "a", "b"} {
+		if err := s.Exclude(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !slices.Equal(s.Out, []string{"a", "b"}) {
+		t.Errorf("out %v", s.Out)
+	}
+	s.Include("b", now)
+	s.Include("x", now)
+	if !slices.Equal(s.Out, []string{"a"}) || len(s.Back) != 1 || s.Back["b"] != now.UnixNano() {
+		t.Errorf("%+v", s)
+	}
+	s.Include("a", now.Add(2*backFor))
+	if len(s.Back) != 1 || len(s.Out) != 0 {
+		t.Errorf("an old return is kept: %+v", s)
+	}
+	s.Exclude("a")
+	if len(s.Back) != 0 {
+		t.Errorf("out and back: %+v", s)
+	}
+	for i := range membership.MaxOut + 1 {
+		if err := s.Exclude(fmt.Sprint("n", i)); (err != nil) != (i >= membership.MaxOut-1) {
+			t.Fatalf("%d: %v", i, err)
+		}
+	}
+	for i := range 2 * membership.MaxOut {
+		s.Out = []string{fmt.Sprint("n", i)}
+		s.Include(s.Out[0], now.Add(time.Duration(i)))
+	}
+	if len(s.Back) > membership.MaxOut || s.Back[fmt.Sprint("n", 2*membership.MaxOut-1)] == 0 {
+		t.Errorf("%d returns are kept", len(s.Back))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{`{"version":3,"generation":2,"ready":1,"out":["a"],"back":{"b":5}}`, `{}`, `{"ready":1}`,
+		`{"version":1}{}`, `{"out":[""]}`, `{"more":1}`, ``} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := Parse(raw)
+		if err != nil {
+			return
+		}
+		if s.Ready > s.Generation || s.Ready < 0 || len(s.Out) > membership.MaxOut || slices.Contains(s.Out, "") {
+			t.Errorf("%q makes %+v", raw, s)
+		}
+	})
+}
+
+// Two processes of one agent: each knows whether the other lives and serves, and both see one state.
+func TestSuccession(t *testing.T) {
+	dir := t.TempDir()
+	first, s, err := Take(dir, "n/0")
+	if err != nil || s.Generation != 1 {
+		t.Fatal(s, err)
+	}
+	first.Ready()
+	if _, err := first.Change(func(s *State) error { return s.Exclude("a") }); err != nil {
+		t.Fatal(err)
+	}
+	stranger, _, err := Take(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	second, s, err := Take(dir, "n/0")
+	if err != nil || s.Generation != 2 || !slices.Equal(s.Out, []string{"a"}) {
+		t.Fatal(s, err)
+	}
+	check := func(c *Claim, want Plan) {
+		t.Helper()
+		if got := c.View().Plan(); got != want {
+			t.Errorf("generation %d: %+v, not %+v", c.Generation(), got, want)
+		}
+	}
+	check(first, Plan{})
+	check(second, Plan{})
+	second.Ready()
+	check(first, Plan{Heir: true})
+	second.alive.Close() // as at its sudden end
+	check(first, Plan{Alone: true})
+	third, _, err := Take(dir, "n/0")
+	if err != nil || third.Generation() != 3 {
+		t.Fatal(err)
+	}
+	first.Close()
+	check(third, Plan{Alone: true})
+	if left, _ := filepath.Glob(filepath.Join(dir, "lemonrail-n%2F0.*.alive")); len(left) != 1 {
+		t.Errorf("left behind: %v", left)
+	}
+	third.Close()
+	check(stranger, Plan{Alone: true})
+}
+
+// A state that can't be read keeps no process from serving, and generations go on though their number is lost.
+func TestBrokenState(t *testing.T) {
+	dir := t.TempDir()
+	first, _, err := Take(dir, "n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	if err := os.WriteFile(first.base+".state", []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Look(); err == nil {
+		t.Error("no error")
+	}
+	second, _, err := Take(dir, "n")
+	if err == nil || second == nil {
+		t.Fatal("no error beside the claim")
+	}
+	defer second.Close()
+	if second.Generation() != 2 {
+		t.Errorf("generation %d beside the first", second.Generation())
+	}
+	if _, _, err := Take(filepath.Join(dir, "none"), "n"); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("no folder: %v", err)
+	}
+}
+
+// Changes from many sides at once are all kept.
+func TestChangesAtOnce(t *testing.T) {
+	dir := t.TempDir()
+	var wg sync.WaitGroup
+	for p := range 4 {
+		c, _, err := Take(dir, "n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		wg.Go(func() {
+			for i := range 10 {
+				for {
+					if _, err := c.Change(func(s *State) error { return s.Exclude(fmt.Sprint(p, "-", i)) }); err == nil {
+						break
+					}
+				}
+			}
+		})
+	}
+	wg.Wait()
+	c, s, err := Take(dir, "n")
+	if err != nil || len(s.Out) != 40 || s.Version != 45 {
+		t.Errorf("%d out, version %d, %v", len(s.Out), s.Version, err)
+	}
+	c.Close()
+}
