--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -91,7 +91,7 @@
 	if peers != nil {
 		l.Peers = peers
 	}
-	up := upstream.New(&cfg.Settings, socks, cfg.MemoryMB<<20, log)
+	up := upstream.New(&cfg.Settings, socks, log)
 	l.Backend = up
 	l.Figures = figures.New(cfg.Names.Classes)
 	up.CountTries(&l.Figures.Tries)
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -27,9 +28,8 @@
 )
 
 const (
-	leastReply = 64 << 10 // bytes of an answer's body that are always passed on
-	mostReply  = 1 << 20  // bytes of an answer's body at the most; PROTOCOL names 64 KiB, which backends surpass
-	replyPart  = 128      // of the memory that one answer may take, as 1 over it
+	wholeReply = 64 << 10 // bytes of an answer's body that are waited for: shorter ones can go to another backend when they are spoilt
+	mostReply  = 64 << 20 // bytes of an answer's body at the most; peers send up to 32 MB
 	maxHead    = 8 << 10  // bytes of an answer's head
 	maxInfos   = 8        // 1xx answers ahead of the final one
 
@@ -37,6 +37,9 @@
 	stallLimit = 100 * time.Millisecond
 	bodyPart   = 16 << 10 // bytes of a body that must come within it
 
+	// Behind the first part of a long one a backend may take its time, but not for ever.
+	streamStall = 10 * time.Second
+
 	// What a backend sends behind an answer shows by then; until it has rested for so long, a
 	// connection takes no request, which could be given those bytes for its answer.
 	restTime = 10 * time.Millisecond
@@ -61,8 +64,7 @@
 	connectTimeout time.Duration
 	idleTime       time.Duration // an idle connection is dropped after it
 	sockets        *Sockets
-	reports        bool  // probes bring them
-	maxReply       int64 // bytes of an answer's body
+	reports        bool // probes bring them
 	log            *slog.Logger
 	tries          *atomic.Int64 // attempts written whole
 
@@ -77,21 +79,16 @@
 	limit *io.LimitedReader
 	r     *bufio.Reader
 	since time.Time // idle since
-	most  int64     // bytes of an answer's body
 	tries *atomic.Int64
 }
 
-// New returns an upstream whose answers take a bounded part of the memory, if that is bounded.
-func New(s *balance.Settings, socks *Sockets, memory int64, log *slog.Logger) *Upstream {
+// New returns an upstream.
+func New(s *balance.Settings, socks *Sockets, log *slog.Logger) *Upstream {
 	idle := time.Duration(idleShare * float64(s.IdleClose))
 	if idle == 0 {
 		idle = maxIdleTime
 	}
-	reply := int64(mostReply)
-	if memory > 0 { // Guards against a few long answers that take a small machine's memory.
-		reply = min(reply, max(leastReply, memory/replyPart))
-	}
-	return &Upstream{connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, maxReply: reply, log: log, reports: s.Reports != balance.ReportsOff,
+	return &Upstream{connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, log: log, reports: s.Reports != balance.ReportsOff,
 		tries: new(atomic.Int64), idle: map[core.Target][]*conn{}, busy: map[core.Target]int{}}
 }
 
@@ -157,6 +154,27 @@
 	u.count(to, 1)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	r, reusable := c.roundTrip(ctx, out)
+	if a, ok := r.Payload.(*http1.Answer); ok && a.More != nil {
+		// The rest of a long answer outlives the attempt.
+		if s := a.More.(*stream); stop() && c.SetDeadline(time.Time{}) == nil {
+			s.end = func() {
+				u.count(to, -1)
+				if s.whole && c.r.Buffered() == 0 && reusable && c.SetDeadline(time.Time{}) == nil {
+					u.keep(to, c)
+				} else {
+					u.close(c)
+				}
+			}
+			if !r.Load.Valid {
+				r.Load = balance.NoLoad()
+			}
+			return r
+		}
+		r, reusable = core.Response{Result: balance.TimedOut}, false
+		if errors.Is(ctx.Err(), context.Canceled) {
+			r.Result = balance.Cancelled
+		}
+	}
 	u.count(to, -1)
 	// Guards against a kept connection whose deadline has passed: once stop is too late, the
 	// deadline may strike at any time.
@@ -215,7 +233,7 @@
 		return core.Response{Result: balance.ConnectFailed}, false
 	}
 	c.tries.Add(1)
-	resp, body, err := c.answer(ctx, out.Method)
+	resp, body, whole, err := c.answer(ctx, out.Method)
 	switch {
 	case err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -227,18 +245,50 @@
 	default:
 		return core.Response{Result: balance.Reset}, false
 	}
-	r = core.Response{Result: result(resp), Payload: &http1.Answer{Header: resp.Header, Body: body}}
+	a := &http1.Answer{Header: resp.Header, Body: body}
+	if !whole {
+		a.Length, a.More = resp.ContentLength, &stream{c: c, body: resp.Body}
+	}
+	r = core.Response{Result: result(resp), Payload: a}
 	if report := resp.Header[http1.Load]; len(report) == 1 {
 		if l, err := wire.ParseLoad([]byte(report[0])); err == nil {
 			r.Load = l
 		}
 	}
-	return r, resp.ContentLength >= 0 && !resp.Close && c.r.Buffered() == 0
+	return r, !resp.Close && (!whole || c.r.Buffered() == 0)
+}
+
+// stream is the rest of a long answer.
+type stream struct {
+	c     *conn
+	body  io.Reader
+	whole bool
+	end   func()
+	once  sync.Once
 }
 
-// answer reads the final answer. An error that is no errSpoilt comes from a connection that
-// broke before the answer began, or from the end of ctx.
-func (c *conn) answer(ctx context.Context, method string) (resp *http.Response, body []byte, err error) {
+// Read reads what comes next.
+func (s *stream) Read(p []byte) (int, error) {
+	s.c.SetReadDeadline(time.Now().Add(streamStall))
+	n, err := s.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		if s.c.limit.N <= 0 {
+			return n, io.ErrUnexpectedEOF // the bound, not the end
+		}
+		s.whole = true
+	}
+	return n, err
+}
+
+// Close gives the connection back, or up if the answer has not been read to its end.
+func (s *stream) Close() error {
+	s.once.Do(s.end)
+	return nil
+}
+
+// answer reads the final answer, of a long one the first part. An error that is no errSpoilt comes from a
+// connection that broke before the answer began, or from the end of ctx.
+func (c *conn) answer(ctx context.Context, method string) (resp *http.Response, body []byte, whole bool, err error) {
 	begun := false
 	defer func() {
 		// What breaks once bytes have come is a spoilt answer, unless the connection was reset.
@@ -246,18 +296,18 @@
 			err = fmt.Errorf("%w: %w", errSpoilt, err)
 		}
 	}()
-	c.limit.N = int64(maxInfos*maxHead) + c.most
+	c.limit.N = int64(maxInfos*maxHead) + mostReply
 	for range maxInfos {
 		if _, err := c.r.Peek(1); err != nil {
-			return nil, nil, err
+			return nil, nil, false, err
 		}
 		begun = true
 		if err := c.head(ctx); err != nil {
-			return nil, nil, err
+			return nil, nil, false, err
 		}
 		resp, err = http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, false, err
 		}
 		if resp.StatusCode >= 200 {
 			break
@@ -266,44 +316,41 @@
 	}
 	switch {
 	case resp.StatusCode < 200:
-		return nil, nil, errors.New("no final answer")
+		return nil, nil, false, errors.New("no final answer")
 	case resp.StatusCode != http.StatusOK && resp.ContentLength < 0:
-		return resp, nil, nil // the status says it all, and the connection is of no further use
-	case resp.ContentLength > c.most:
-		return nil, nil, errors.New("too long") // and not read first
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		// Guards against an answer cut short: nothing tells its end from that of the connection.
-		return nil, nil, errors.New("no length")
-	}
-	body, err = c.body(ctx, resp)
-	if err == nil && int64(len(body)) > c.most {
-		err = errors.New("too long")
+		resp.Close = true // the status says it all, and the connection is of no further use
+		return resp, nil, true, nil
+	case resp.ContentLength > mostReply:
+		return nil, nil, false, errors.New("too long") // and not read first
 	}
-	if resp.ContentLength < 0 { // chunks: whole once they have been read
-		resp.ContentLength = int64(len(body))
-	}
-	return resp, body, err
+	body, whole, err = c.body(ctx, resp)
+	return resp, body, whole, err
 }
 
-// body reads an answer's body. Each part may take stallLimit, so that a long one over a slow line is
-// no spoilt one.
-func (c *conn) body(ctx context.Context, resp *http.Response) ([]byte, error) {
-	size := max(0, resp.ContentLength)
+// body reads an answer's body, of a long one the first part. Each part of it may take stallLimit, so that one
+// over a slow line is no spoilt one. One without a length ends with its connection; what was cut short ends
+// with a reset or not at all.
+func (c *conn) body(ctx context.Context, resp *http.Response) (body []byte, whole bool, err error) {
+	long := resp.ContentLength > wholeReply
+	size := resp.ContentLength
+	if size < 0 || long {
+		size = bodyPart
+	}
 	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
 	part := io.LimitedReader{R: resp.Body}
-	for left := c.most + 1; left > 0; {
+	for buf.Len() <= wholeReply {
 		c.within(ctx, stallLimit)
-		part.N = min(left, bodyPart)
-		n, err := buf.ReadFrom(&part)
-		left -= n
-		if err != nil {
-			return buf.Bytes(), err
-		}
-		if part.N > 0 { // the body has ended
-			break
+		part.N = min(int64(wholeReply+1-buf.Len()), bodyPart)
+		switch _, err := buf.ReadFrom(&part); {
+		case err != nil && long && buf.Len() > 0 && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
+			return buf.Bytes(), false, nil // the first bytes are what is waited for
+		case err != nil:
+			return buf.Bytes(), false, err
+		case part.N > 0: // the body has ended
+			return buf.Bytes(), true, nil
 		}
 	}
-	return buf.Bytes(), nil
+	return buf.Bytes(), false, nil
 }
 
 // within bounds the wait for what is read next of an answer; 0 lifts the bound. The end of ctx
@@ -400,7 +447,7 @@
 		return nil, fmt.Errorf("dial backend: %w", err)
 	}
 	limit := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, limit: limit, r: bufio.NewReaderSize(limit, maxHead), most: u.maxReply, tries: u.tries}, nil
+	return &conn{Conn: nc, limit: limit, r: bufio.NewReaderSize(limit, maxHead), tries: u.tries}, nil
 }
 
 func (u *Upstream) close(c *conn) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -258,8 +258,22 @@
 	}
 }
 
+// Discarder is a payload that holds something until its owner has done with it.
+type Discarder interface{ Discard() }
+
+func discard(payload any) {
+	if d, ok := payload.(Discarder); ok {
+		d.Discard()
+	}
+}
+
 // Left takes note that a client has gone.
 func (l *Loop) Left(c *Call) {
+	select {
+	case a := <-c.Reply: // it crossed with the client's leave
+		discard(a.Payload)
+	default:
+	}
 	if l.calls[c.Event.ID] == c && !c.answered {
 		c.answered = true
 		l.Event(balance.Abandoned{Request: c.Event.ID})
@@ -270,6 +284,7 @@
 // answer gives a call its final answer, once.
 func (l *Loop) answer(c *Call, a Answer) {
 	if c.answered {
+		discard(a.Payload)
 		return
 	}
 	c.answered = true
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/textproto"
@@ -12,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -98,8 +100,14 @@
 		}
 	}
 	last(conn, w)
-	write(w, a)
-	s.Figures.Ended(c.Event.Class, results[a.Kind])
+	result := results[a.Kind]
+	if err := write(conn, w, a); err != nil && a.Kind == core.Served {
+		result = figures.Errors
+	}
+	s.Figures.Ended(c.Event.Class, result)
+	if result == figures.Errors && a.Kind == core.Served {
+		panic(http.ErrAbortHandler) // the client can tell: neither the length nor the last chunk has come
+	}
 }
 
 // results are under what an answer counts.
@@ -279,15 +287,16 @@
 	core.Duplicate: http.StatusBadRequest,
 }
 
-// write passes the final answer on. What fails here is the client's loss of its own connection.
-func write(w http.ResponseWriter, a core.Answer) {
+// write passes the final answer on. An error means that a client has not got all of a served one: it has gone,
+// or the backend broke off.
+func write(conn *admission.Conn, w http.ResponseWriter, a core.Answer) error {
 	h := w.Header()
 	if a.RetryAfter > 0 {
 		h.Set("Retry-After", seconds(a.RetryAfter))
 	}
 	if a.Kind != core.Served {
 		http.Error(w, http.StatusText(statuses[a.Kind]), statuses[a.Kind])
-		return
+		return nil
 	}
 	served := a.Payload.(*http1.Answer)
 	for _, name := range []string{"Content-Type", "Content-Encoding"} { // what a client needs to read the body
@@ -295,6 +304,51 @@
 			h[name] = v
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(served.Body)))
-	w.Write(served.Body)
+	if served.More == nil {
+		h.Set("Content-Length", strconv.Itoa(len(served.Body)))
+		w.Write(served.Body) // what fails here is the client's loss of its own connection
+		return nil
+	}
+	defer served.Discard()
+	if served.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(served.Length, 10))
+	}
+	return pass(conn, w, served)
+}
+
+const (
+	passBuffer = 16 << 10
+	passStall  = 10 * time.Second // for a client to take as much: peers take seconds
+)
+
+var passBuffers = sync.Pool{New: func() any { return new([passBuffer]byte) }}
+
+// pass hands a long answer on as it comes.
+func pass(conn *admission.Conn, w http.ResponseWriter, a *http1.Answer) error {
+	out := http.NewResponseController(w)
+	part := a.Body
+	a.Body = nil // it may be gone before the rest has come
+	buf := passBuffers.Get().(*[passBuffer]byte)
+	defer passBuffers.Put(buf)
+	for {
+		for len(part) > 0 {
+			n := min(len(part), passBuffer)
+			conn.SetWriteDeadline(time.Now().Add(passStall))
+			if _, err := w.Write(part[:n]); err != nil {
+				return err
+			}
+			part = part[n:]
+		}
+		if err := out.Flush(); err != nil {
+			return err
+		}
+		n, err := a.More.Read(buf[:])
+		if part = buf[:n]; err == nil || n > 0 && errors.Is(err, io.EOF) {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		return fmt.Errorf("backend: %w", err)
+	}
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -22,10 +22,19 @@
 	NotRun   = "X-Unprocessed"
 )
 
-// Answer is a backend's answer.
+// Answer is a backend's answer. What is long comes in two parts: Body is what has come so far, More the rest.
 type Answer struct {
 	Header http.Header
 	Body   []byte
+	More   io.ReadCloser // nil: Body is all. Its owner must close it; an error but io.EOF: what came is not whole
+	Length int64         // of all of it, with More; -1: not known
+}
+
+// Discard gives up the rest of an answer that nobody gets.
+func (a *Answer) Discard() {
+	if a != nil && a.More != nil {
+		a.More.Close()
+	}
 }
 
 // Request is a client's request as it goes on to a backend, but for the time left, which
