--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -287,9 +287,9 @@
 // Stall is how long a body's next bytes may take: less while a newcomer waits for room.
 func (g *Governor) Stall() time.Duration {
 	if g.paused {
-		return g.cfg.Stall / 2
+		return g.cfg.Stall
 	}
-	return 2 * g.cfg.Stall
+	return 3 * g.cfg.Stall
 }
 
 // Taken notes that a whole request has been read.
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -284,6 +284,8 @@
 	mu       sync.Mutex
 	deadline time.Time // for reads, as the server has set it
 	roused   bool      // the deadline in force is past, to wake the reader
+	head     []byte    // what has come of the next head
+	headless bool      // what comes is none of it
 
 	got   atomic.Bool // something of a request has come
 	wrote atomic.Bool // something of its answer has gone out
@@ -353,6 +355,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
+			c.keepHead(p[:n])
 			c.got.Store(true)
 			c.decide(func(g *Governor, e *Entry, now time.Duration) { g.Arrived(e, now) })
 			c.calm()
@@ -466,37 +469,58 @@
 }
 
 // Taken notes that a whole request has been read.
-func (c *Conn) Taken() { c.decide((*Governor).Taken) }
+func (c *Conn) Taken() {
+	c.keepHeads()
+	c.decide((*Governor).Taken)
+}
 
 // Answer notes that an answer is about to be written and reports whether the connection is kept;
 // if not, the answer must say that it is the last.
 func (c *Conn) Answer() (keep bool) {
+	c.keepHeads()
 	c.decide(func(g *Governor, e *Entry, now time.Duration) { keep = g.Answer(e, now) })
 	return keep
 }
 
-// ReadBody fills buf from a request's body until a time; a client that sends nothing for a while
-// is given up sooner.
-func (c *Conn) ReadBody(body io.Reader, buf []byte, until time.Time) error {
-	for at := 0; at < len(buf); {
-		var stall time.Duration
-		c.decide(func(g *Governor, _ *Entry, _ time.Duration) { stall = g.Stall() })
-		next := time.Now().Add(stall)
-		if next.After(until) {
-			next = until
-		}
-		if err := c.SetReadDeadline(next); err != nil {
-			return err
-		}
-		n, err := body.Read(buf[at:min(len(buf), at+bodyChunk)])
-		if at += n; err != nil && at < len(buf) {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return err
-		}
+// ReadBody reads a part of a request's body, until a time; a client that sends nothing for a while is given up
+// sooner.
+func (c *Conn) ReadBody(body io.Reader, buf []byte, until time.Time) (int, error) {
+	var stall time.Duration
+	c.decide(func(g *Governor, _ *Entry, _ time.Duration) { stall = g.Stall() })
+	if next := time.Now().Add(stall); next.Before(until) {
+		until = next
+	}
+	if err := c.SetReadDeadline(until); err != nil {
+		return 0, err
+	}
+	return body.Read(buf[:min(len(buf), bodyChunk)])
+}
+
+const headMost = 20 << 10 // bytes of a head that are kept as they came
+
+// keepHead keeps what comes before a head is whole.
+func (c *Conn) keepHead(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headless && len(c.head) < headMost {
+		c.head = append(c.head, p[:min(len(p), headMost-len(c.head))]...)
 	}
-	return nil
+}
+
+// TakeHead returns the bytes of the head that has been read, with what came behind it, as they came. Nothing is
+// kept then until the request has been taken or answered.
+func (c *Conn) TakeHead() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	head := c.head
+	c.head, c.headless = nil, true
+	return head
+}
+
+func (c *Conn) keepHeads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headless = false
 }
 
 type connKey struct{}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -114,7 +114,7 @@
 	}, log)
 	l.Lists = disc
 
-	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names, Figures: l.Figures}
+	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names, Figures: l.Figures, Memory: cfg.MemoryMB << 20}
 	door, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
 		admission.Hooks{
 			Opened: func() {
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -220,18 +220,37 @@
 // roundTrip writes the request and reads the whole answer. Whatever breaks before the last
 // byte is written proves that the request never ran; after that it may have.
 func (c *conn) roundTrip(ctx context.Context, out *http1.Request) (r core.Response, reusable bool) {
-	buf := make([]byte, 0, len(out.Head)+len(out.Rest)+len(http1.TimeLeft)+24)
+	buf := make([]byte, 0, len(out.Head)+len(out.Rest)+len(http1.TimeLeft)+24+joined)
 	buf = append(buf, out.Head...)
-	if deadline, ok := ctx.Deadline(); ok {
+	if out.Stream != nil {
+		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.TimeLeft, out.Stream.Left.Microseconds())
+	} else if deadline, ok := ctx.Deadline(); ok {
 		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.TimeLeft, max(0, time.Until(deadline).Microseconds()))
 	}
 	buf = append(buf, out.Rest...)
-	if _, err := c.Write(buf); err != nil {
+	if err := c.send(buf, out); err != nil {
 		if ctx.Err() != nil {
 			return core.Response{Result: dialResult(ctx, err)}, false
 		}
+		if errors.Is(err, http1.ErrTaken) || errors.Is(err, http1.ErrBody) {
+			return core.Response{Result: balance.NotSent}, false
+		}
 		return core.Response{Result: balance.ConnectFailed}, false
 	}
+	var sent time.Time
+	if out.Stream != nil { // its time counts from here
+		sent = time.Now()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, out.Stream.Left)
+		defer cancel()
+		stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
+		defer func() {
+			if !stop() {
+				reusable = false
+			}
+		}()
+		defer func() { r.Sent = sent }()
+	}
 	c.tries.Add(1)
 	resp, body, whole, err := c.answer(ctx, out.Method)
 	switch {
@@ -258,6 +277,54 @@
 	return r, !resp.Close && (!whole || c.r.Buffered() == 0)
 }
 
+const (
+	joined     = 16 << 10 // bytes of a body that are written together with its head
+	streamPart = 16 << 10
+)
+
+var streamBuffers = sync.Pool{New: func() any { return new([streamPart]byte) }}
+
+// send writes a request whose head is in buf.
+func (c *conn) send(buf []byte, out *http1.Request) error {
+	chunked := out.Stream != nil && out.Stream.Length < 0
+	if chunked && len(out.Body) > 0 {
+		buf = fmt.Appendf(buf, "%x\r\n", len(out.Body))
+	}
+	body := out.Body
+	if len(body) <= joined {
+		buf, body = append(buf, body...), nil
+	}
+	if _, err := c.Write(buf); err != nil {
+		return err
+	}
+	if len(body) > 0 {
+		if _, err := c.Write(body); err != nil {
+			return err
+		}
+	}
+	if out.Stream == nil {
+		return nil
+	}
+	part := streamBuffers.Get().(*[streamPart]byte)
+	defer streamBuffers.Put(part)
+	tail := ""
+	if chunked && len(out.Body) > 0 {
+		tail = "\r\n"
+	}
+	err := out.Stream.Copy(part[:], func(p []byte) error {
+		if chunked {
+			framed := fmt.Appendf(make([]byte, 0, len(p)+16), "%s%x\r\n", tail, len(p))
+			p, tail = append(framed, p...), "\r\n"
+		}
+		_, err := c.Write(p)
+		return err
+	})
+	if err == nil && chunked {
+		_, err = io.WriteString(c, tail+"0\r\n\r\n")
+	}
+	return err
+}
+
 // stream is the rest of a long answer.
 type stream struct {
 	c     *conn
@@ -414,7 +481,7 @@
 	if u.reports {
 		path = "/metrics/load"
 	}
-	out, err := http1.Render(http.MethodGet, path, to.Addr, http.Header{}, nil)
+	out, err := http1.Render(http.MethodGet, path, to.Addr, http.Header{}, nil, nil)
 	if err != nil {
 		return core.Response{Result: balance.NotSent, Load: balance.NoLoad()}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	Load     balance.Load // not Valid: none came
 	Standing bool         // with Reset and ConnectFailed: other connections to the backend still stand
 	Payload  any          // with OK: the answer, for the front
+	Sent     time.Time    // when its last byte was written, where that took long; zero: at once
 }
 
 // ErrEnded is why nothing more is done once the loop has ended.
@@ -90,7 +91,8 @@
 	Event    balance.Request // but for Left
 	Request  any             // for the backend
 	Deadline time.Time
-	Reply    chan Answer // with room for the one final answer
+	Upload   time.Duration // of the time until then, what the rest of its body may take to come
+	Reply    chan Answer   // with room for the one final answer
 
 	attempts []*attempt // in the order of their Send
 	open     int        // of these, still out
@@ -231,7 +233,7 @@
 	}
 	l.calls[c.Event.ID] = c
 	e := c.Event
-	e.Left = time.Until(c.Deadline)
+	e.Left = time.Until(c.Deadline) - c.Upload
 	l.Event(e)
 	// Guards against an answer that is owed for ever: should the module still owe one when the
 	// grace is half over, the call fails here and the module is told, as on the bench.
@@ -307,8 +309,12 @@
 	if r.Result == balance.OK {
 		l.answer(c, Answer{Kind: Served, Payload: r.Payload})
 	}
+	sent := a.sent
+	if r.Sent.After(sent) {
+		sent = r.Sent
+	}
 	l.Event(balance.Outcome{Request: c.Event.ID, Attempt: n, Backend: backend, Result: r.Result,
-		Latency: time.Since(a.sent), Done: c.answered, Load: r.load(), Standing: r.Standing})
+		Latency: time.Since(sent), Done: c.answered, Load: r.load(), Standing: r.Standing})
 	l.forget(c)
 }
 
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -37,28 +37,39 @@
 	}
 }
 
-// Request is a client's request as it goes on to a backend, but for the time left, which
-// stands between its two parts. Attempts share it.
+// Request is a client's request as it goes on to a backend, but for the time left, which stands between Head and
+// Rest. Attempts share it.
 type Request struct {
-	Head, Rest []byte
+	Head, Rest []byte // Rest: the other headers and the empty line
+	Body       []byte // all of it, or with Stream its first part
+	Stream     *Stream
 	Method     string
 }
 
-// Render writes a request out. The headers must not tell the time left or the body's length.
-func Render(method, target, host string, header http.Header, body []byte) (*Request, error) {
+// Render writes a request out. The headers must not tell the time left or the body's length. The rest of a
+// body that is not held whole is stream's.
+func Render(method, target, host string, header http.Header, body []byte, stream *Stream) (*Request, error) {
 	u, err := url.ParseRequestURI(target)
 	if err != nil {
 		return nil, fmt.Errorf("target: %w", err)
 	}
-	req := &http.Request{Method: method, URL: u, Host: host, Header: header,
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
-	if len(body) == 0 {
-		req.Body = http.NoBody
-	}
+	// Only the head is wanted of this: it is checked, and written in the order of the standard library.
+	req := &http.Request{Method: method, URL: u, Host: host, Header: header, Body: http.NoBody}
 	var buf bytes.Buffer
 	if err := req.Write(&buf); err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
 	_, rest, _ := bytes.Cut(buf.Bytes(), []byte("\r\n"))
-	return &Request{Head: fmt.Appendf(nil, "%s %s HTTP/1.1\r\n", method, target), Rest: rest, Method: method}, nil
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	if stream != nil {
+		length = fmt.Sprintf("Content-Length: %d\r\n", stream.Length)
+		if stream.Length < 0 {
+			length = "Transfer-Encoding: chunked\r\n"
+		}
+	}
+	if len(body) > 0 || stream != nil {
+		rest = bytes.Replace(rest, []byte("\r\nContent-Length: 0\r\n"), []byte("\r\n"), 1)
+		rest = append(rest[:len(rest)-len("\r\n")], length+"\r\n"...)
+	}
+	return &Request{Head: fmt.Appendf(nil, "%s %s HTTP/1.1\r\n", method, target), Rest: rest, Body: body, Stream: stream, Method: method}, nil
 }
