--- a/internal/backend/http1/standing_test.go
+++ b/internal/backend/http1/standing_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"lemonrail/balance"
 	"lemonrail/internal/http1"
@@ -88,6 +89,38 @@
 	}
 }
 
+// What goes on coming slowly is passed on: neither spoilt nor waited for, also where its length isn't told.
+func TestSlowAnswerPassedOn(t *testing.T) {
+	for _, head := range []string{"Content-Length: 100000", "Transfer-Encoding: chunked", "X-Until: close"} {
+		u := newTestUpstream(t)
+		over := make(chan struct{})
+		addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+			receive(r)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n", head)
+			if head[0] == 'T' {
+				io.WriteString(c, "186A0\r\n")
+			}
+			for {
+				if _, err := io.WriteString(c, "hello"); err != nil {
+					return
+				}
+				select {
+				case <-over:
+					return
+				case <-time.After(time.Millisecond):
+				}
+			}
+		})
+		r := attemptOf(t, u, addr, read)
+		close(over)
+		if a, ok := r.Payload.(*http1.Answer); !ok || r.Result != balance.OK || a.More == nil || len(a.Body) == 0 {
+			t.Errorf("%s: %+v", head, r)
+		} else {
+			a.Discard()
+		}
+	}
+}
+
 // What is long and not read to its end, or is not whole, ends its connection.
 func TestLongAnswerGivenUp(t *testing.T) {
 	for _, head := range []string{"Content-Length: 9999999", "Transfer-Encoding: chunked", "X-Until: close"} {
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -33,9 +33,11 @@
 	maxHead    = 8 << 10  // bytes of an answer's head
 	maxInfos   = 8        // 1xx answers ahead of the final one
 
-	// An answer that has begun comes in one go: one whose next part takes so long is spoilt.
+	// An answer that has begun goes on: one of which nothing comes for so long is spoilt.
 	stallLimit = 100 * time.Millisecond
-	bodyPart   = 16 << 10 // bytes of a body that must come within it
+	// One that may be long and is not there by then passes on as it comes: its first bytes are waited for.
+	firstWait = 10 * time.Millisecond
+	bodyPart  = 16 << 10 // bytes of a body that there is room for at first, where its length says no less
 
 	// Behind the first part of a long one a backend may take its time, but not for ever.
 	streamStall = 10 * time.Second
@@ -390,34 +392,46 @@
 	case resp.ContentLength > mostReply:
 		return nil, nil, false, errors.New("too long") // and not read first
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = io.NopCloser(http1.NewChunkReader(c.r))
+	}
 	body, whole, err = c.body(ctx, resp)
 	return resp, body, whole, err
 }
 
-// body reads an answer's body, of a long one the first part. Each part of it may take stallLimit, so that one
-// over a slow line is no spoilt one. One without a length ends with its connection; what was cut short ends
-// with a reset or not at all.
+// body reads an answer's body, of a long one the first part. What goes on coming is no spoilt one, however slow:
+// a long one, or one of unknown length, is passed on when it is not there soon. One without a length ends with
+// its connection; what was cut short ends with a reset or not at all.
 func (c *conn) body(ctx context.Context, resp *http.Response) (body []byte, whole bool, err error) {
-	long := resp.ContentLength > wholeReply
-	size := resp.ContentLength
-	if size < 0 || long {
-		size = bodyPart
-	}
-	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	part := io.LimitedReader{R: resp.Body}
-	for buf.Len() <= wholeReply {
+	long, unknown := resp.ContentLength > wholeReply, resp.ContentLength < 0
+	room := int(resp.ContentLength)
+	if unknown || long {
+		room = bodyPart
+	}
+	body = make([]byte, 0, room)
+	began := time.Now()
+	for len(body) <= wholeReply {
+		if len(body) == cap(body) {
+			if len(body) == room && !unknown && !long {
+				return body, true, nil
+			}
+			body = slices.Grow(body, cap(body))
+		}
 		c.within(ctx, stallLimit)
-		part.N = min(int64(wholeReply+1-buf.Len()), bodyPart)
-		switch _, err := buf.ReadFrom(&part); {
-		case err != nil && long && buf.Len() > 0 && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
-			return buf.Bytes(), false, nil // the first bytes are what is waited for
+		n, err := resp.Body.Read(body[len(body):min(cap(body), wholeReply+1)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil && long && len(body) > 0 && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
+			return body, false, nil
 		case err != nil:
-			return buf.Bytes(), false, err
-		case part.N > 0: // the body has ended
-			return buf.Bytes(), true, nil
+			return body, false, err
+		case (long || unknown) && time.Since(began) >= firstWait:
+			return body, false, nil
 		}
 	}
-	return buf.Bytes(), false, nil
+	return body, false, nil
 }
 
 // within bounds the wait for what is read next of an answer; 0 lifts the bound. The end of ctx
