--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -56,6 +56,7 @@
 // Config bounds what clients may hold. Times are durations, sizes bytes.
 type Config struct {
 	Most    int // connections of clients, closing ones included; 0: no bound
+	Total   int // the same, where each with a request in hand counts twice: it may need another descriptor; 0: no bound
 	Spare   int // connections beyond Most that are being turned away at a time; at least 1
 	Reading int // requests whose body is being read at a time; 0: no bound
 	Bytes   int // bytes that bodies may hold together, from the first read to the answer; 0: no bound
@@ -64,16 +65,17 @@
 	Stall    time.Duration // one that began a request and sent nothing for so long doesn't go on
 	Granted  time.Duration // an idle one may be closed after so long (PROTOCOL: 2 s)
 	Patience time.Duration // how long a newcomer waits before it is turned away
+	Pressed  time.Duration // so long after one had to wait no connection is kept
 }
 
 // DefaultConfig is for a process that may hold so many descriptors for connections of all kinds,
-// and so many bytes of memory; 0 means no bound. Clients get two fifths of the descriptors: one
-// request in hand can need a connection to a backend, so half would leave none to spare.
+// and so many bytes of memory; 0 means no bound. Clients get three quarters of the descriptors, as far as their
+// requests in hand leave one for each to a backend.
 func DefaultConfig(descriptors int, memory int64) Config {
-	most := descriptors * 2 / 5
-	return Config{Most: most, Spare: max(1, min(16, descriptors/32)), Reading: (most + 1) / 2, Bytes: int(memory / 8),
+	most := descriptors * 3 / 4
+	return Config{Most: most, Total: descriptors, Spare: max(1, min(16, descriptors/32)), Reading: (most + 1) / 2, Bytes: int(memory / 8),
 		Fresh: 50 * time.Millisecond, Stall: 500 * time.Millisecond, Granted: 2 * time.Second,
-		Patience: 250 * time.Millisecond}
+		Patience: 250 * time.Millisecond, Pressed: time.Second}
 }
 
 // check names the first field that makes no sense.
@@ -82,9 +84,9 @@
 		name string
 		v    int
 		min  int
-	}{{"Most", c.Most, 0}, {"Spare", c.Spare, 1}, {"Reading", c.Reading, 0}, {"Bytes", c.Bytes, 0},
+	}{{"Most", c.Most, 0}, {"Total", c.Total, 0}, {"Spare", c.Spare, 1}, {"Reading", c.Reading, 0}, {"Bytes", c.Bytes, 0},
 		{"Fresh", int(c.Fresh), 0}, {"Stall", int(c.Stall), 0}, {"Granted", int(c.Granted), 0},
-		{"Patience", int(c.Patience), 0}} {
+		{"Patience", int(c.Patience), 0}, {"Pressed", int(c.Pressed), 0}} {
 		if f.v < f.min {
 			return fmt.Errorf("admission: %s: %d makes no sense", f.name, f.v)
 		}
@@ -133,6 +135,8 @@
 	counts   Counts
 	pausedAt time.Duration // when the newcomer at the head of the backlog began to wait
 	paused   bool
+	waitedAt time.Duration // when a newcomer last had to wait
+	waited   bool          // one ever had to
 	draining bool
 	lasting  bool // idle connections stay all the same
 }
@@ -159,13 +163,15 @@
 // Newcomer decides about one more connection. While it waits, all behind it wait in the
 // listener's backlog.
 func (g *Governor) Newcomer(now time.Duration) Verdict {
-	if g.cfg.Most == 0 || g.counts.Held < g.cfg.Most {
+	over := g.over()
+	if over < 0 {
 		g.paused = false
 		return Verdict{Admit: true}
 	}
 	var v Verdict
+	g.waited, g.waitedAt = true, now
 	// Closing ones are leaving, asked ones may be: as many as are needed are enough.
-	if need := g.counts.Held + 1 - g.cfg.Most - g.counts.By[Closing] - g.counts.Asked; need > 0 {
+	if need := over + 1 - g.counts.By[Closing] - g.counts.Asked; need > 0 {
 		v.Ask, v.Wait = g.pick(now, need)
 	}
 	if !g.paused {
@@ -185,6 +191,19 @@
 	return v
 }
 
+// over is by how many places more than are free are held; below 0: there is room for one more.
+func (g *Governor) over() int {
+	over := -1
+	if g.cfg.Most > 0 {
+		over = g.counts.Held - g.cfg.Most
+	}
+	if g.cfg.Total > 0 {
+		by := &g.counts.By
+		over = max(over, g.counts.Held+by[Body]+by[InHand]+by[Answering]+2*g.cfg.Spare-g.cfg.Total)
+	}
+	return over
+}
+
 // pick chooses up to need connections that may give way: those that never asked, then those that
 // began a request and don't go on, then those idle for longer than they are granted, the longest
 // first. It also returns how long it is until one more may; 0: not known.
@@ -308,7 +327,8 @@
 		g.move(e, Answering, now)
 	}
 	crowded := g.cfg.Most > 0 && 2*g.counts.Held >= g.cfg.Most && 4*g.counts.By[Idle] >= g.cfg.Most
-	return !g.draining && !g.paused && !crowded
+	lately := g.waited && now-g.waitedAt < g.cfg.Pressed
+	return !g.draining && !g.paused && !crowded && !lately
 }
 
 // Answered notes that an answer is out and its connection is kept. It reports whether the
@@ -374,7 +394,7 @@
 	g.counts.By[Closing]--
 	g.counts.Held--
 	e.state = states
-	if g.counts.Held < g.cfg.Most {
+	if g.over() < 0 {
 		g.paused = false
 	}
 }
--- a/internal/admission/governor_test.go
+++ b/internal/admission/governor_test.go
@@ -386,3 +386,58 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// A head under way holds one place, a request in hand two; so there is room for more of the former.
+func TestPlacesByWhatTheyNeed(t *testing.T) {
+	g, err := NewGovernor(Config{Most: 15, Total: 20, Spare: 1, Patience: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	open := func(inHand int) (n int) {
+		for g.Newcomer(0).Admit {
+			e := g.Open(0, nil)
+			if n < inHand {
+				g.Arrived(e, 0)
+				g.HeadWhole(e, 0)
+				g.Taken(e, 0)
+			}
+			n++
+		}
+		return n
+	}
+	if n := open(0); n != 15 {
+		t.Errorf("%d new ones", n)
+	}
+	g, _ = NewGovernor(Config{Most: 15, Total: 20, Spare: 1, Patience: time.Hour})
+	if n := open(15); n != 9 { // 18 places, and two for who is turned away
+		t.Errorf("%d in hand", n)
+	}
+}
+
+// While newcomers have to wait no connection is kept, and for a while after.
+func TestNothingIsKeptUnderPressure(t *testing.T) {
+	g, err := NewGovernor(Config{Most: 2, Spare: 1, Patience: time.Hour, Pressed: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := g.Open(0, nil), g.Open(0, nil)
+	take := func(e *Entry, now time.Duration) bool {
+		g.Arrived(e, now)
+		g.HeadWhole(e, now)
+		g.Taken(e, now)
+		keep := g.Answer(e, now)
+		g.Answered(e, now)
+		return keep
+	}
+	if !take(a, 0) {
+		t.Error("not kept though nobody waits")
+	}
+	g.Newcomer(time.Second)
+	g.Close(b, time.Second)
+	g.Gone(b, time.Second)
+	for now, want := range map[time.Duration]bool{1500 * time.Millisecond: false, 2 * time.Second: true} {
+		if got := take(a, now); got != want {
+			t.Errorf("at %v: kept %v", now, got)
+		}
+	}
+}
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -132,7 +132,7 @@
 		<-release
 		io.WriteString(c, hello)
 	}))
-	cfg.Sockets = reservedSockets + 12 // four for clients
+	cfg.Sockets = reservedSockets + 7 // four for clients while one is in hand, and two for those that are turned away
 	bal := newScripted(sendAll)
 	base, _, _ := running(t, cfg, bal)
 	busy := dial(t, base)
