--- a/internal/agent/crowd_test.go
+++ b/internal/agent/crowd_test.go
@@ -327,7 +327,7 @@
 func TestClientsThatStay(t *testing.T) {
 	c := newCrowd(t)
 	cfg := testConfig(t, c.backend(t, 10))
-	cfg.Sockets = reservedSockets + 50 // 20 for clients
+	cfg.Sockets = reservedSockets + 50 // 37 for clients at the most
 	base, _, _ := running(t, cfg, stepFunc(sendAll))
 	c.addr = strings.TrimPrefix(base, "http://")
 	for i := range 100 {
@@ -356,14 +356,14 @@
 // A kept connection's next request of which a part has come when newcomers fill the cap: it is
 // served on that connection, whatever was still to come.
 func TestHalfSentAtTheCap(t *testing.T) {
-	c := newCrowd(t)
-	cfg := testConfig(t, c.backend(t, 10))
-	cfg.Sockets = reservedSockets + 12 // four for clients
-	base, _, _ := running(t, cfg, stepFunc(sendAll))
 	whole := func(id string) string { return crowdSub(id, 20) + strings.Repeat("b", 20) }
 	for name, cut := range map[string]int{"part-of-the-head": 30, "the-head": len(whole("the-head-2")) - 20,
 		"half-of-the-body": len(whole("half-of-the-body-2")) - 10} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) { // each with an agent of its own: for a while after one nothing is kept
+			c := newCrowd(t)
+			cfg := testConfig(t, c.backend(t, 10))
+			cfg.Sockets = reservedSockets + 7 // four for clients and one in hand
+			base, _, _ := running(t, cfg, stepFunc(sendAll))
 			kept := dial(t, base)
 			r := bufio.NewReader(kept)
 			answered := func(id string) {
