--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -303,6 +303,23 @@
 	return true
 }
 
+// Hold asks for more room for a body, so that all of it is held where it could be streamed as well. Half of the
+// bytes are left to those who need room: else a few long bodies would turn away many short ones.
+func (g *Governor) Hold(e *Entry, bytes int) bool {
+	if g.cfg.Bytes > 0 && bytes > g.cfg.Bytes/2-g.counts.Bytes {
+		return false
+	}
+	return g.Reserve(e, bytes)
+}
+
+// Settle notes that a body has come to its end, and how long it is.
+func (g *Governor) Settle(e *Entry, bytes int) {
+	if over := e.bytes - bytes; over > 0 {
+		e.bytes -= over
+		g.counts.Bytes -= over
+	}
+}
+
 // Stall is how long a body's next bytes may take: less while a newcomer waits for room.
 func (g *Governor) Stall() time.Duration {
 	if g.paused {
--- a/internal/admission/governor_test.go
+++ b/internal/admission/governor_test.go
@@ -441,3 +441,32 @@
 		}
 	}
 }
+
+// Long bodies that are held leave half of the bytes to others, and what turns out shorter gives back the rest.
+func TestHeldBodiesLeaveRoom(t *testing.T) {
+	g, err := NewGovernor(Config{Most: 10, Spare: 1, Bytes: 100, Patience: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e [4]*Entry
+	for i := range e {
+		e[i] = g.Open(0, nil)
+		g.HeadWhole(e[i], 0)
+	}
+	for i, step := range []struct {
+		do   func(*Entry, int) bool
+		who  int
+		n    int
+		want bool
+	}{{g.Reserve, 0, 10, true}, {g.Hold, 0, 41, false}, {g.Hold, 0, 40, true}, {g.Hold, 1, 1, false}, {g.Reserve, 1, 50, true},
+		{g.Reserve, 2, 1, false}} {
+		if got := step.do(e[step.who], step.n); got != step.want {
+			t.Errorf("step %d: %v", i, got)
+		}
+	}
+	g.Settle(e[1], 5)
+	g.Settle(e[1], 50)
+	if !g.Reserve(e[2], 45) || g.Reserve(e[3], 1) || g.Counts().Bytes != 100 {
+		t.Errorf("%d bytes held", g.Counts().Bytes)
+	}
+}
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -468,6 +468,17 @@
 	return ok
 }
 
+// Hold asks for more, where the rest of the body could be streamed as well.
+func (c *Conn) Hold(bytes int) (ok bool) {
+	c.decide(func(g *Governor, e *Entry, _ time.Duration) { ok = g.Hold(e, bytes) })
+	return ok
+}
+
+// Settle notes how long the whole body is.
+func (c *Conn) Settle(bytes int) {
+	c.decide(func(g *Governor, e *Entry, _ time.Duration) { g.Settle(e, bytes) })
+}
+
 // Taken notes that a whole request has been read.
 func (c *Conn) Taken() {
 	c.keepHeads()
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -311,7 +311,7 @@
 	}
 	reader := &bodyReader{conn: conn, r: r.Body, began: time.Now()}
 	size := first
-	if length > first && length <= s.hold() && conn.Reserve(int(length-first)) {
+	if length > first && length <= s.hold() && conn.Hold(int(length-first)) {
 		size = length
 	}
 	body = make([]byte, 0, size)
@@ -324,13 +324,14 @@
 				return nil, nil, http.StatusBadRequest, errors.New("the body ends too soon")
 			}
 			conn.SetReadDeadline(time.Time{})
+			conn.Settle(len(body))
 			return body, nil, 0, nil
 		case err != nil:
 			return nil, nil, http.StatusRequestTimeout, fmt.Errorf("body: %w", err)
 		case size == length:
 			conn.SetReadDeadline(time.Time{})
 			return body, nil, 0, nil
-		case length < 0 && 2*size <= s.hold() && conn.Reserve(int(size)):
+		case length < 0 && 2*size <= s.hold() && conn.Hold(int(size)):
 			body = append(make([]byte, 0, 2*size), body...)
 			size *= 2
 			continue
