--- a/cmd/lemonrail/upgrade_test.go
+++ b/cmd/lemonrail/upgrade_test.go
@@ -48,7 +48,8 @@
 	 "known":{"seq":1,"whole":true,"hosts":[%s]},
 	 "settings":{"Balancers":1,"Dcs":["a"],"Kinds":["m"],"PolicyLimits":{"TryLimit":3,"ConnectTimeoutMs":1000,"IdleCloseMs":10000},
 	 "Contract":{"ColdFrom":0.3,"GraceToAnswerMs":20,"RampTimeMs":1000,"FallMultiple":3,"FallMs":1500,"DrainGraceMs":500},
-	 "Profiles":[{"Name":"read","AimMs":1000,"DeadlineMs":3000,"Worth":1,"Semantics":"repeatable"}]}}`,
+	 "Profiles":[{"Name":"read","AimMs":1000,"DeadlineMs":3000,"Worth":1,"Semantics":"repeatable"},
+	  {"Name":"sub","AimMs":1000,"DeadlineMs":3000,"Worth":1,"Semantics":"by_key","Group":"all","WindowMs":1000}]}}`,
 		ln.Addr().String(), strings.TrimPrefix(hosts, ",")))
 	ln.Close() // held is what listens on
 	return p
