Two processes of one agent share its limit, its retry tokens and its voice to peers

Each had the whole limit, a full bucket, and spoke under the same number while both lived. Their parts follow from what each has in hand, the successor half at the least once it serves (takeover.View.Part); the module takes its part by an event. Tests: parts come to one over any numbers, the limit and the bucket by parts, successions.

--- a/balance/api.go
+++ b/balance/api.go
@@ -220,6 +220,9 @@
 	}
 	// TimerFired says that a SetTimer has come due.
 	TimerFired struct{ Token int64 }
+	// Part says which part of this agent's limit and retry tokens is this process's, where one process
+	// replaces another and both serve: over 0, and 1 where it is the only one.
+	Part struct{ Of float64 }
 	// PeerMessage carries bytes from another agent.
 	PeerMessage struct {
 		From int
@@ -319,6 +322,7 @@
 func (ProbeResult) event()   {}
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
+func (Part) event()          {}
 
 func (Send) action()        {}
 func (Cancel) action()      {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,6 +21,7 @@
 	retryCost     = 5.0   // tokens for a retry ...
 	timeoutCost   = 10.0  // ... and for one after a time-out, which may mean a deeper trouble
 	successRefill = 1.0   // tokens that a served attempt brings back
+	leastPart     = 0.05  // of what is this agent's, that one of its processes has
 
 	backoffUnit    = 1.0 / 32 // of the class's aim: a one-second unit would outlast most aims
 	backoffCeiling = 8.0      // the longest backoff, in units
@@ -86,6 +87,7 @@
 	timers   map[int64]*request
 	token    int64 // last timer token given out
 
+	portion   float64 // of what is this agent's, that this process may use
 	tokens    float64 // the retry bucket
 	classes   []classState
 	inFlight  int
@@ -215,7 +217,7 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), advice: rand.New(rand.NewPCG(seed, 1)),
-		tokens: bucketCap, base: aimedDelay / aimedRise, delay: aimedLeast,
+		portion: 1, tokens: bucketCap, base: aimedDelay / aimedRise, delay: aimedLeast,
 		perBack: startPerBack, stale: 1, workLeft: 1,
 		byID: map[string]*backend{}, kinds: map[int]*speed{}, requests: map[string]*request{},
 		timers: map[int64]*request{}, fraction: 1 / float64(s.Balancers),
@@ -249,6 +251,9 @@
 		case PeerMessage:
 			b.onPeer(e)
 			b.divide()
+		case Part:
+			b.portion = min(max(e.Of, leastPart), 1)
+			b.tokens = min(b.tokens, bucketCap*b.portion)
 		case List:
 			b.onList(e)
 			b.measure()
@@ -318,7 +323,7 @@
 	b.hear(a.b, e.Load)
 	b.observe(r, a, e)
 	if e.Result == OK && !r.ended {
-		b.tokens = min(bucketCap, b.tokens+successRefill)
+		b.tokens = min(bucketCap*b.portion, b.tokens+successRefill)
 	}
 	if e.Done || e.Result == OK || r.ended {
 		b.close(r)
--- /dev/null
+++ b/balance/part_test.go
@@ -0,0 +1,93 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lemonrail/balance"
+)
+
+// sends counts the attempts that a step starts.
+func sends(actions []balance.Action) (n int) {
+	for _, a := range actions {
+		if _, ok := a.(balance.Send); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// A process that shares its agent with another keeps to its part of the limit, and to all of it once it is alone.
+func TestPartOfTheLimit(t *testing.T) {
+	fill := func(parts ...float64) int {
+		b, err := balance.New(balance.Settings{Balancers: 1, MaxAttempts: 3, RampTime: time.Second,
+			Classes: []balance.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var list []balance.Backend
+		for i := range 10 {
+			list = append(list, balance.Backend{ID: fmt.Sprint("h", i)})
+		}
+		events := []balance.Event{balance.List{Kind: balance.ListFull, Backends: list}}
+		for _, p := range parts {
+			events = append(events, balance.Part{Of: p})
+		}
+		b.Step(time.Second, events)
+		events = nil
+		for i := range 200 {
+			events = append(events, balance.Request{ID: fmt.Sprint("r", i), Left: 2 * time.Second})
+		}
+		return sends(b.Step(time.Second+time.Millisecond, events))
+	}
+	whole := fill()
+	if whole < 20 {
+		t.Fatalf("only %d attempts of one that is alone", whole)
+	}
+	if got := fill(0.5); got < whole/2-1 || got > whole/2+1 {
+		t.Errorf("half: %d of %d", got, whole)
+	}
+	if got := fill(0.5, 1); got != whole {
+		t.Errorf("alone again: %d of %d", got, whole)
+	}
+	if got := fill(0); got < 1 || got > whole/10 {
+		t.Errorf("as good as none: %d of %d", got, whole)
+	}
+}
+
+// The retry tokens of two processes come to those of one.
+func TestPartOfTheBucket(t *testing.T) {
+	retries := func(part float64) (n int) {
+		b, err := balance.New(balance.Settings{Balancers: 1, MaxAttempts: 2, RampTime: time.Second,
+			Classes: []balance.Class{{Aim: time.Second, Deadline: 20 * time.Second, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Second
+		b.Step(now, []balance.Event{balance.Part{Of: part}, balance.List{Kind: balance.ListFull,
+			Backends: []balance.Backend{{ID: "a"}, {ID: "b"}}}})
+		for i := range 100 { // each fails once, one after the other; a retry shows in the timer that it waits for
+			now += time.Millisecond
+			id := fmt.Sprint("r", i)
+			for _, a := range b.Step(now, []balance.Event{balance.Request{ID: id, Left: 20 * time.Second}}) {
+				s, ok := a.(balance.Send)
+				if !ok {
+					continue
+				}
+				for _, after := range b.Step(now, []balance.Event{balance.Outcome{Request: id, Backend: s.Backend,
+					Result: balance.Full, Load: balance.NoLoad()}}) {
+					if _, waits := after.(balance.SetTimer); waits {
+						n++
+					}
+				}
+			}
+			now += time.Minute // what was full is so no longer
+		}
+		return n
+	}
+	whole, half := retries(1), retries(0.5)
+	if whole == 0 || half != whole/2 {
+		t.Errorf("%d retries of %d", half, whole)
+	}
+}
--- a/balance/share.go
+++ b/balance/share.go
@@ -63,7 +63,7 @@
 // divide works out this agent's part of the limit. Agents that have not been heard of lately keep
 // their even parts; the rest is split by what is wanted, but for a share that is split evenly.
 func (b *Balancer) divide() {
-	even := 1 / float64(b.s.Balancers)
+	even := b.portion / float64(b.s.Balancers)
 	b.fraction = even
 	if !b.talks() {
 		return
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -145,7 +145,11 @@
 	var home *household
 	if place, shared := claim(cfg, log); place != nil {
 		defer place.Close()
-		home = &household{claim: place, loop: l, memory: cfg.MemoryMB << 20, log: log}
+		home = &household{claim: place, loop: l, peers: l.Peers, inHand: func() int { return int(l.Figures.Active.Load()) },
+			memory: cfg.MemoryMB << 20, log: log}
+		if place.View().Plan().Mute {
+			l.Post(func() { home.speak(false) })
+		}
 		l.Post(func() { home.adopt(shared) }) // ahead of the known list
 		staffed.home = home
 		parts.Go(func() { home.look(inner) })
@@ -199,7 +203,7 @@
 		if home.heir() {
 			log.Info("a successor serves: new connections are its own")
 			door.Leave()
-			l.Post(func() { l.Peers = nil }) // it speaks for this agent
+			l.Post(home.leave)
 		}
 		if fault = pause(cfg.stay, failed); fault == nil {
 			endDia()
--- a/internal/agent/heirs.go
+++ b/internal/agent/heirs.go
@@ -12,11 +12,15 @@
 
 	"golang.org/x/sys/unix"
 
+	"lemonrail/balance"
 	"lemonrail/internal/core"
 	"lemonrail/internal/takeover"
 )
 
-const lookEvery = 100 * time.Millisecond // at what other processes of this agent have written
+const (
+	lookEvery = 100 * time.Millisecond // at what other processes of this agent have written
+	lookOften = 20 * time.Millisecond  // the same while there are any
+)
 
 // Inherit makes a listener of a descriptor that the platform hands to each process of an agent. It has to
 // listen where the configuration says.
@@ -57,10 +61,14 @@
 type household struct {
 	claim  *takeover.Claim
 	loop   *core.Loop
-	memory int64 // bytes that all may use together; 0: not told
+	peers  core.Peers // nil where agents don't talk
+	inHand func() int // requests of this process
+	memory int64      // bytes that all may use together; 0: not told
 	log    *slog.Logger
 
-	version int64 // of the state that was adopted last; the loop's
+	version int64   // of the state that was adopted last; the loop's
+	leaves  bool    // a successor speaks for the agent from now on; the loop's
+	part    float64 // of the agent's budget, as told last
 }
 
 // adopt takes a state over, unless a later one has been. It belongs to the loop.
@@ -76,6 +84,7 @@
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	alone, broken := true, false
+	h.part = 1
 	for {
 		if s, err := h.claim.Look(); err != nil {
 			if !broken {
@@ -86,10 +95,21 @@
 			broken = false
 			h.loop.Post(func() { h.adopt(s) })
 		}
-		if p := h.claim.View().Plan(); p.Alone != alone {
+		mine := h.inHand()
+		if err := h.claim.Tell(mine); err != nil {
+			h.log.Warn("requests in hand are not told", "err", err)
+		}
+		v := h.claim.View()
+		if p := v.Plan(); p.Alone != alone {
 			alone = p.Alone
 			h.log.Info("other processes of this agent", "alone", alone)
 			h.limit(alone)
+			h.loop.Post(func() { h.speak(!p.Mute) })
+			tick.Reset(map[bool]time.Duration{true: lookEvery, false: lookOften}[alone])
+		}
+		if part := v.Part(mine); part != h.part {
+			h.part = part
+			h.loop.Post(func() { h.loop.Event(balance.Part{Of: part}) })
 		}
 		select {
 		case <-tick.C:
@@ -99,6 +119,22 @@
 	}
 }
 
+// speak lets this process speak to peers, or not: others would hear two voices under one number. It belongs to
+// the loop.
+func (h *household) speak(may bool) {
+	if may && !h.leaves {
+		h.loop.Peers = h.peers
+	} else {
+		h.loop.Peers = nil
+	}
+}
+
+// leave is called at a stop once a successor serves. It belongs to the loop.
+func (h *household) leave() {
+	h.leaves = true
+	h.speak(false)
+}
+
 // limit divides the memory among the processes that live.
 func (h *household) limit(alone bool) {
 	switch {
--- a/internal/takeover/claim.go
+++ b/internal/takeover/claim.go
@@ -177,14 +177,35 @@
 			}
 		} else if gen < c.gen {
 			v.Earlier = true
+			v.Before += told(f)
 		} else {
 			v.Later = true
+			v.After += told(f)
 		}
 		f.Close()
 	}
 	return v
 }
 
+// Tell lets the others know how many requests this process has in hand.
+func (c *Claim) Tell(inHand int) error {
+	_, err := c.alive.WriteAt(fmt.Appendf(nil, "%9d\n", min(max(inHand, 0), 999_999_999)), 0)
+	return err
+}
+
+// told is what a process has told; 0 where it has not.
+func told(f *os.File) int {
+	var text [9]byte
+	if _, err := f.ReadAt(text[:], 0); err != nil {
+		return 0
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(string(text[:])))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
 // escape takes the meaning from what filepath.Match reads in a name.
 func escape(name string) string {
 	return strings.NewReplacer(`\`, `\\`, "*", `\*`, "?", `\?`, "[", `\[`).Replace(name)
--- a/internal/takeover/state.go
+++ b/internal/takeover/state.go
@@ -125,15 +125,39 @@
 	Earlier    bool // a process of an earlier generation lives
 	Later      bool // one of a later generation lives
 	Ready      int  // the latest generation that has begun to serve
+	Before     int  // requests that processes of earlier generations have in hand
+	After      int  // and those of later ones
 }
 
 // Plan is what follows for it.
 type Plan struct {
 	Alone bool // no other lives: memory is its own
 	Heir  bool // a successor serves: a stop leaves new connections to it
+	Mute  bool // the one before it speaks for the agent
 }
 
 // Plan says how this process is to act.
 func (v View) Plan() Plan {
-	return Plan{Alone: !v.Earlier && !v.Later, Heir: v.Later && v.Ready > v.Generation}
+	return Plan{Alone: !v.Earlier && !v.Later, Heir: v.Later && v.Ready > v.Generation,
+		Mute: v.Earlier}
+}
+
+// Part is the part of what is the agent's that this process may use, with so many requests in hand. Processes
+// that see the same numbers come to one together, where they are two.
+func (v View) Part(inHand int) float64 {
+	switch {
+	case v.Later:
+		return 1 - later(v.Ready > v.Generation, inHand+v.Before, v.After)
+	case v.Earlier:
+		return later(v.Ready >= v.Generation, v.Before, inHand)
+	}
+	return 1
+}
+
+// later is the successor's part. Once it serves it has half at the least: the traffic is about to come to it.
+func later(ready bool, before, after int) float64 {
+	if !ready {
+		return 0
+	}
+	return max(0.5, float64(after+1)/float64(before+after+1))
 }
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"lemonrail/internal/membership"
 )
 
@@ -22,13 +24,13 @@
 	}{
 		{View{Generation: 1}, Plan{Alone: true}},
 		{View{Generation: 1, Ready: 1}, Plan{Alone: true}},
-		{View{Generation: 1, Later: true, Ready: 1}, Plan{}},                          // it has only started
-		{View{Generation: 1, Later: true, Ready: 2}, Plan{Heir: true}},                // it serves
-		{View{Generation: 1, Ready: 2}, Plan{Alone: true}},                            // it served, and has ended
-		{View{Generation: 2, Earlier: true, Ready: 2}, Plan{}},                        // the one before is still there
-		{View{Generation: 2, Earlier: true, Ready: 1}, Plan{}},                        //
-		{View{Generation: 3, Later: true, Ready: 2}, Plan{}},                          // neither serves yet
-		{View{Generation: 2, Earlier: true, Later: true, Ready: 3}, Plan{Heir: true}}, //
+		{View{Generation: 1, Later: true, Ready: 1}, Plan{}},                                      // it has only started
+		{View{Generation: 1, Later: true, Ready: 2}, Plan{Heir: true}},                            // it serves
+		{View{Generation: 1, Ready: 2}, Plan{Alone: true}},                                        // it served, and has ended
+		{View{Generation: 2, Earlier: true, Ready: 2}, Plan{Mute: true}},                          // the one before is still there
+		{View{Generation: 2, Earlier: true, Ready: 1}, Plan{Mute: true}},                          // and serves alone
+		{View{Generation: 3, Later: true, Ready: 2}, Plan{}},                                      // neither serves yet
+		{View{Generation: 2, Earlier: true, Later: true, Ready: 3}, Plan{Heir: true, Mute: true}}, // two upgrades at once
 	} {
 		if got := c.v.Plan(); got != c.want {
 			t.Errorf("%+v: %+v", c.v, got)
@@ -36,6 +38,26 @@
 	}
 }
 
+// Whatever two processes have in hand, their parts come to one, and one that is alone has all.
+func TestPartsComeToOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hands := rapid.IntRange(0, 1000)
+		old, fresh := hands.Draw(t, "old"), hands.Draw(t, "fresh")
+		ready := rapid.IntRange(1, 2).Draw(t, "ready")
+		a := View{Generation: 1, Later: true, Ready: ready, After: fresh}.Part(old)
+		b := View{Generation: 2, Earlier: true, Ready: ready, Before: old}.Part(fresh)
+		if a+b > 1+1e-9 || a+b < 1-1e-9 || a < 0 || b < 0 {
+			t.Fatalf("%v and %v", a, b)
+		}
+		if ready == 2 && b < 0.5 || ready == 1 && a < 1 {
+			t.Fatalf("ready %d: %v and %v", ready, a, b)
+		}
+		if got := (View{Generation: 2, Ready: ready}).Part(fresh); got != 1 {
+			t.Fatalf("alone: %v", got)
+		}
+	})
+}
+
 func TestStateOfBackends(t *testing.T) {
 	var s State
 	now := time.Unix(1000, 0)
@@ -126,9 +148,18 @@
 		}
 	}
 	check(first, Plan{})
-	check(second, Plan{})
+	check(second, Plan{Mute: true})
 	second.Ready()
 	check(first, Plan{Heir: true})
+	first.Tell(30)
+	second.Tell(9)
+	if a, b := first.View().Part(30), second.View().Part(9); a != 0.5 || b != 0.5 {
+		t.Errorf("parts %v and %v", a, b)
+	}
+	first.Tell(0)
+	if a, b := first.View().Part(0), second.View().Part(9); a != 0 || b != 1 {
+		t.Errorf("parts %v and %v", a, b)
+	}
 	second.alive.Close() // as at its sudden end
 	check(first, Plan{Alone: true})
 	third, _, err := Take(dir, "n/0")
