Diameter clients get a DPR at a planned stop, and what they are owed before their connection ends

They lost their connections without a word and could not tell a stop from a crash (RFC 6733, 5.4). The goodbye goes out when accepting ends; a connection whose client has agreed is kept until nothing is in hand, at the stop's end at the latest. Tests: idle and busy clients, one that never answers.

--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,7 @@
 	conns map[uint64]*conn
 	next  uint64
 	calls uint64
+	leave bool // a stop is planned: clients have been told, what is in hand is answered yet
 	done  bool
 }
 
@@ -73,12 +75,13 @@
 	writes chan []byte
 	ended  chan struct{}
 
-	mu    sync.Mutex
-	peer  *diameter.Peer
-	name  string // the client's identity, once known
-	timer *time.Timer
-	ids   uint32
-	gone  bool
+	mu     sync.Mutex
+	peer   *diameter.Peer
+	name   string // the client's identity, once known
+	timer  *time.Timer
+	ids    uint32
+	gone   bool
+	agreed bool // the client knows that we leave: it has answered our DPR
 }
 
 // Serve takes connections until ctx ends; then it ends them, once what is in hand has been answered or by
@@ -97,11 +100,12 @@
 		}
 		f.accept(nc)
 	}
+	told := f.sayGoodbye()
 	for end := by(); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		f.mu.Lock()
 		n := f.table.InHand()
 		f.mu.Unlock()
-		if n == 0 {
+		if n == 0 && !slices.ContainsFunc(told, (*conn).waits) {
 			break
 		}
 	}
@@ -115,6 +119,46 @@
 	return fault
 }
 
+// sayGoodbye asks the clients that are known to end their connections (DPR, RFC 6733, 5.4) and returns theirs. What
+// they still send is taken, what they are owed they get: the connections end once all is answered.
+func (f *Front) sayGoodbye() (told []*conn) {
+	f.mu.Lock()
+	f.leave = true
+	for _, c := range f.conns {
+		told = append(told, c)
+	}
+	f.mu.Unlock()
+	for _, c := range told { // outside the lock: a connection takes it within its own
+		c.mu.Lock()
+		switch {
+		case c.gone:
+		case c.name == "":
+			c.Close()
+		default:
+			c.step(diameter.Event{Input: diameter.Stop, Cause: rebooting})
+		}
+		c.mu.Unlock()
+	}
+	return told
+}
+
+// rebooting is the Disconnect-Cause that lets a client come back soon (RFC 6733, 5.4.3).
+const rebooting = 0
+
+// waits reports whether a client has not yet answered our DPR, and has not gone.
+func (c *conn) waits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.gone && !c.agreed
+}
+
+// leaving reports whether a stop is planned and something is in hand yet.
+func (f *Front) leaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leave && f.table.InHand() > 0
+}
+
 func (f *Front) accept(nc net.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -336,8 +380,20 @@
 			if raw, err := m.Append(nil); err == nil {
 				c.enqueue(raw)
 			}
+		case diameter.SendDPR:
+			c.ids++
+			m := diameter.Message{Flags: diameter.FlagRequest, Command: diameter.DisconnectPeer, HopByHop: c.ids, EndToEnd: c.ids,
+				AVPs: []diameter.AVP{diameter.Str(diameter.CodeOriginHost, c.f.cfg.Identity), diameter.Str(diameter.CodeOriginRealm, c.f.cfg.Realm),
+					diameter.U32(diameter.CodeDisconnectCause, rebooting)}}
+			if raw, err := m.Append(nil); err == nil {
+				c.enqueue(raw)
+			}
 		case diameter.Disconnect, diameter.Reject:
-			c.Close()
+			c.agreed = true
+			// Guards against an answer that is owed on a connection whose client has agreed to its end.
+			if act.Act == diameter.Reject || !c.f.leaving() {
+				c.Close()
+			}
 		}
 	}
 	if c.timer != nil {
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -33,6 +33,9 @@
 	nodes []*standin.DiameterNode
 	list  func(state ...balance.BackendState)
 	ids   atomic.Uint32
+	leave context.CancelFunc // begins a planned stop of the front
+	left  chan struct{}      // closed at its end
+	by    time.Duration      // that it may take
 }
 
 func newSite(t testing.TB, window int, scripts ...func(c *standin.DiameterConn, m *diameter.Message)) *relaySite {
@@ -57,7 +60,7 @@
 		Window: window, Peer: diameter.DefaultPeerConfig(), Log: log,
 		Leaves: func(id string, leaves bool) { loop.Post(func() { loop.Leaves(id, leaves) }) }})
 	loop.Backend = b
-	site := &relaySite{t: t, loop: loop}
+	site := &relaySite{t: t, loop: loop, left: make(chan struct{}), by: 5 * time.Second}
 	for i, script := range scripts {
 		n, err := standin.NewDiameterNode(fmt.Sprintf("s%d.example.net", i), script)
 		if err != nil {
@@ -91,7 +94,11 @@
 		Peer: diameter.DefaultPeerConfig(), Connections: 8, Hello: 10 * time.Second, Log: log}, loop)
 	var parts sync.WaitGroup
 	parts.Go(func() { loop.Run(inner) })
-	parts.Go(func() { front.Serve(ctx, ln, func() time.Time { return time.Now().Add(5 * time.Second) }) })
+	site.leave = cancel
+	parts.Go(func() {
+		defer close(site.left)
+		front.Serve(ctx, ln, func() time.Time { return time.Now().Add(site.by) })
+	})
 	site.list()
 	t.Cleanup(func() {
 		stop() // answers what is in hand as failed
@@ -419,3 +426,49 @@
 		served++
 	}
 }
+
+// At a planned stop clients are told so, are owed what they asked for, and then lose their connection.
+func TestGoodbyeToClients(t *testing.T) {
+	arrived, give := make(chan struct{}), make(chan struct{})
+	site := newSite(t, 8, func(c *standin.DiameterConn, m *diameter.Message) {
+		if !m.Request() {
+			return
+		}
+		close(arrived)
+		<-give
+		c.Answer(m, diameter.Success)
+	})
+	idle, busy := site.client(), site.client()
+	busy.Send(site.ask(4, 2))
+	scripted.Await(t, arrived)
+	site.leave()
+	for _, c := range []*standin.DiameterConn{idle, busy} {
+		if cause := scripted.Await(t, c.Goodbye); cause != 0 {
+			t.Errorf("cause %d, want REBOOTING", cause)
+		}
+	}
+	close(give)
+	if m := scripted.Await(t, busy.Got); code(m) != diameter.Success {
+		t.Errorf("got %+v", m)
+	}
+	for _, c := range []*standin.DiameterConn{idle, busy} {
+		if m := scripted.Await(t, c.Got); m != nil {
+			t.Errorf("more came: %+v", m)
+		}
+	}
+	scripted.Await(t, site.left)
+}
+
+// A client that never answers the goodbye holds the stop up for no longer than it may take.
+func TestStubbornClient(t *testing.T) {
+	site := newSite(t, 8, good)
+	site.by = 100 * time.Millisecond
+	c := site.client()
+	c.Stubborn = true
+	site.leave()
+	scripted.Await(t, c.Goodbye)
+	scripted.Await(t, site.left)
+	if m := scripted.Await(t, c.Got); m != nil {
+		t.Errorf("more came: %+v", m)
+	}
+}
--- a/internal/standin/diameter.go
+++ b/internal/standin/diameter.go
@@ -25,6 +25,8 @@
 	identity string
 	mu       sync.Mutex
 	Got      chan *diameter.Message // of a client: all but what was asked of it
+	Goodbye  chan uint32            // of a client: the causes of the DPRs that it got
+	Stubborn bool                   // answers no DPR; to be set before one can come
 }
 
 // NewDiameterNode starts one on a loopback address.
@@ -92,6 +94,16 @@
 		}
 		if m.Request() && m.Application == diameter.AppBase && (m.Command == diameter.CapabilitiesExchange ||
 			m.Command == diameter.DeviceWatchdog || m.Command == diameter.DisconnectPeer) {
+			if m.Command == diameter.DisconnectPeer && c.Goodbye != nil {
+				cause := uint32(0)
+				if a := diameter.Find(m.AVPs, diameter.CodeDisconnectCause, 0); a != nil {
+					cause, _ = a.Uint32()
+				}
+				c.Goodbye <- cause
+				if c.Stubborn {
+					continue
+				}
+			}
 			c.Answer(m, diameter.Success)
 			continue
 		}
@@ -128,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &DiameterConn{Conn: nc, identity: identity, Got: make(chan *diameter.Message, 256)}
+	c := &DiameterConn{Conn: nc, identity: identity, Got: make(chan *diameter.Message, 256), Goodbye: make(chan uint32, 8)}
 	c.Send(&diameter.Message{Flags: diameter.FlagRequest, Command: diameter.CapabilitiesExchange, HopByHop: 1, EndToEnd: 1,
 		AVPs: []diameter.AVP{diameter.Str(diameter.CodeOriginHost, identity), diameter.Str(diameter.CodeOriginRealm, "example.net"),
 			diameter.U32(diameter.CodeAuthApplication, application)}})
