--- a/cmd/lemonrail/upgrade_test.go
+++ b/cmd/lemonrail/upgrade_test.go
@@ -267,6 +267,58 @@
 	}
 }
 
+// The old process is told to stop before the new one has said yes, or is killed: the new one goes on, and no request
+// that comes behind is refused or reset.
+func TestOldProcessGoesFirst(t *testing.T) {
+	for _, how := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		t.Run(how.String(), func(t *testing.T) {
+			p := newPlatform(t, scripted.Backend(t, scripted.Always(scripted.Hello)))
+			old := p.start(p.config).ready()
+			fresh := p.start(p.config)
+			old.cmd.Process.Signal(how)
+			scripted.Await(t, old.done)
+			if how == syscall.SIGTERM && old.err != nil {
+				t.Errorf("ended with %v", old.err)
+			}
+			for range 20 { // the first ones wait in the listener's queue until the new process serves
+				if err := p.ask(http.DefaultClient); err != nil {
+					t.Error(err)
+				}
+			}
+			fresh.ready()
+			fresh.cmd.Process.Signal(syscall.SIGTERM)
+			fresh.ended()
+		})
+	}
+}
+
+// An upgrade in a crowd that connects and says nothing, with a backend out by hand meanwhile.
+func TestUpgradeInACrowd(t *testing.T) {
+	p := newPlatform(t, scripted.Backend(t, scripted.Always(scripted.Hello)), scripted.Backend(t, scripted.Always(scripted.Hello)))
+	old := p.start(p.config).ready()
+	for i := range 400 { // more than there are places for
+		nc, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if i%2 == 0 {
+			io.WriteString(nc, "GET /re")
+		}
+	}
+	fresh := p.start(p.config).ready()
+	if status := fresh.call("PUT", "/api/exclude/h1"); status != http.StatusOK {
+		t.Errorf("exclude: %d", status)
+	}
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	for range 50 {
+		if err := p.ask(&http.Client{Timeout: scripted.Patience, Transport: &http.Transport{DisableKeepAlives: true}}); err != nil {
+			t.Error(err)
+		}
+	}
+	old.ended()
+}
+
 // A long answer that is under way when the process is replaced comes whole.
 func TestUpgradeDuringLongAnswer(t *testing.T) {
 	const size = 8 << 20
