Twins made one: memory share, part buffers, body time, Diameter base requests; no new behaviour

Found on reading the whole change once more: - cmd/lemonrail worked out the collector's share of the memory beside internal/agent: agent.CollectAt serves both. - Front and backend each had a pool of 16 KiB buffers: http1.TakePart and GivePart. - The time that a body may take stood twice in the front: bodyTime. A deadline that the reader had lifted was lifted again. - DWR and DPR to clients were built by two copies of one block: tell.

--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -74,7 +74,7 @@
 		}
 	}
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 3 / 4) // the rest is for what the collector does not count
+		debug.SetMemoryLimit(agent.CollectAt(cfg.MemoryMB << 20))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"lemonrail/balance"
 	"lemonrail/internal/admission"
 	upstream "lemonrail/internal/backend/http1"
+	"lemonrail/internal/control"
 	"lemonrail/internal/core"
 	"lemonrail/internal/explain"
 	"lemonrail/internal/figures"
@@ -173,7 +174,7 @@
 	})
 	if desk != nil {
 		parts.Go(func() {
-			if err := serveDoor(inner, desk, staffed, log); err != nil {
+			if err := control.Serve(inner, desk, staffed, log); err != nil {
 				failed <- err
 			}
 		})
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
 
-	"lemonrail/internal/control"
 	"lemonrail/internal/core"
 	"lemonrail/internal/figures"
 	"lemonrail/internal/membership"
@@ -110,7 +108,3 @@
 	}
 	return ln, nil
 }
-
-func serveDoor(ctx context.Context, ln net.Listener, s *staff, log *slog.Logger) error {
-	return control.Serve(ctx, ln, s, log)
-}
--- a/internal/agent/heirs.go
+++ b/internal/agent/heirs.go
@@ -86,7 +86,8 @@
 	alone, broken := true, false
 	h.part = 1
 	for {
-		if s, err := h.claim.Look(); err != nil {
+		s, v, err := h.claim.Look()
+		if err != nil {
 			if !broken {
 				h.log.Warn("state shared with other processes is left aside", "err", err)
 			}
@@ -99,7 +100,6 @@
 		if err := h.claim.Tell(mine); err != nil {
 			h.log.Warn("requests in hand are not told", "err", err)
 		}
-		v := h.claim.View()
 		if p := v.Plan(); p.Alone != alone {
 			alone = p.Alone
 			h.log.Info("other processes of this agent", "alone", alone)
@@ -140,14 +140,14 @@
 	switch {
 	case h.memory == 0:
 	case alone:
-		debug.SetMemoryLimit(collectAt(h.memory))
+		debug.SetMemoryLimit(CollectAt(h.memory))
 	default:
-		debug.SetMemoryLimit(collectAt(h.memory) / 2)
+		debug.SetMemoryLimit(CollectAt(h.memory) / 2)
 	}
 }
 
-// collectAt is the memory above which the collector works harder; the rest is for what it does not count.
-func collectAt(memory int64) int64 { return memory * 3 / 4 }
+// CollectAt is the memory above which the collector works harder; the rest is for what it does not count.
+func CollectAt(memory int64) int64 { return memory * 3 / 4 }
 
 // heir reports whether a successor serves.
 func (h *household) heir() bool { return h != nil && h.claim.View().Plan().Heir }
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -237,7 +237,7 @@
 			s.base(s.own(diameter.DeviceWatchdog))
 		case diameter.SendDPR:
 			m := s.own(diameter.DisconnectPeer)
-			m.AVPs = append(m.AVPs, diameter.U32(diameter.CodeDisconnectCause, 0)) // REBOOTING: we are leaving
+			m.AVPs = append(m.AVPs, diameter.U32(diameter.CodeDisconnectCause, diameter.Rebooting))
 			s.base(m)
 		case diameter.Disconnect:
 			if s.conn != nil {
@@ -429,7 +429,7 @@
 		if m.Request() {
 			rest := leaveRest
 			if a := diameter.Find(m.AVPs, diameter.CodeDisconnectCause, 0); a != nil {
-				if cause, err := a.Uint32(); err == nil && cause != rebooting {
+				if cause, err := a.Uint32(); err == nil && cause != diameter.Rebooting {
 					rest = leaveLong
 				}
 			}
@@ -456,8 +456,6 @@
 	return true
 }
 
-const rebooting = 0 // Disconnect-Cause
-
 // left tells that the server takes leave, or is back. Not under its lock: who is told may wait, and in the
 // order in which it happened.
 func (s *server) left(leaves bool) {
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -279,12 +279,7 @@
 	return r, !resp.Close && (!whole || c.r.Buffered() == 0)
 }
 
-const (
-	joined     = 16 << 10 // bytes of a body that are written together with its head
-	streamPart = 16 << 10
-)
-
-var streamBuffers = sync.Pool{New: func() any { return new([streamPart]byte) }}
+const joined = 16 << 10 // bytes of a body that are written together with its head
 
 // send writes a request whose head is in buf.
 func (c *conn) send(buf []byte, out *http1.Request) error {
@@ -307,8 +302,8 @@
 	if out.Stream == nil {
 		return nil
 	}
-	part := streamBuffers.Get().(*[streamPart]byte)
-	defer streamBuffers.Put(part)
+	part := http1.TakePart()
+	defer http1.GivePart(part)
 	tail := ""
 	if chunked && len(out.Body) > 0 {
 		tail = "\r\n"
--- a/internal/diameter/peer.go
+++ b/internal/diameter/peer.go
@@ -82,6 +82,9 @@
 	Tick     // time has passed: see Peer.Due
 )
 
+// Rebooting is the Disconnect-Cause that lets a peer come back soon (RFC 6733, 5.4.3).
+const Rebooting = 0
+
 // Event is an input with what belongs to it.
 type Event struct {
 	Input  Input
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -135,16 +135,13 @@
 		case c.name == "":
 			c.Close()
 		default:
-			c.step(diameter.Event{Input: diameter.Stop, Cause: rebooting})
+			c.step(diameter.Event{Input: diameter.Stop, Cause: diameter.Rebooting})
 		}
 		c.mu.Unlock()
 	}
 	return told
 }
 
-// rebooting is the Disconnect-Cause that lets a client come back soon (RFC 6733, 5.4.3).
-const rebooting = 0
-
 // waits reports whether a client has not yet answered our DPR, and has not gone.
 func (c *conn) waits() bool {
 	c.mu.Lock()
@@ -368,26 +365,25 @@
 	return found
 }
 
+// tell sends a request of the base protocol. The lock is held.
+func (c *conn) tell(command uint32, more ...diameter.AVP) {
+	c.ids++
+	m := diameter.Message{Flags: diameter.FlagRequest, Command: command, HopByHop: c.ids, EndToEnd: c.ids,
+		AVPs: append([]diameter.AVP{diameter.Str(diameter.CodeOriginHost, c.f.cfg.Identity), diameter.Str(diameter.CodeOriginRealm, c.f.cfg.Realm)}, more...)}
+	if raw, err := m.Append(nil); err == nil {
+		c.enqueue(raw)
+	}
+}
+
 // step takes an event and carries out what the peer's machine wants; answers of the base protocol have been
 // written already. The lock is held.
 func (c *conn) step(e diameter.Event) {
 	for _, act := range c.peer.Step(c.f.now(), e) {
 		switch act.Act {
 		case diameter.SendDWR:
-			c.ids++
-			m := diameter.Message{Flags: diameter.FlagRequest, Command: diameter.DeviceWatchdog, HopByHop: c.ids, EndToEnd: c.ids,
-				AVPs: []diameter.AVP{diameter.Str(diameter.CodeOriginHost, c.f.cfg.Identity), diameter.Str(diameter.CodeOriginRealm, c.f.cfg.Realm)}}
-			if raw, err := m.Append(nil); err == nil {
-				c.enqueue(raw)
-			}
+			c.tell(diameter.DeviceWatchdog)
 		case diameter.SendDPR:
-			c.ids++
-			m := diameter.Message{Flags: diameter.FlagRequest, Command: diameter.DisconnectPeer, HopByHop: c.ids, EndToEnd: c.ids,
-				AVPs: []diameter.AVP{diameter.Str(diameter.CodeOriginHost, c.f.cfg.Identity), diameter.Str(diameter.CodeOriginRealm, c.f.cfg.Realm),
-					diameter.U32(diameter.CodeDisconnectCause, rebooting)}}
-			if raw, err := m.Append(nil); err == nil {
-				c.enqueue(raw)
-			}
+			c.tell(diameter.DisconnectPeer, diameter.U32(diameter.CodeDisconnectCause, diameter.Rebooting))
 		case diameter.Disconnect, diameter.Reject:
 			c.agreed = true
 			// Guards against an answer that is owed on a connection whose client has agreed to its end.
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -14,7 +14,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -284,7 +283,12 @@
 	if length < 0 {
 		length = MaxBody
 	}
-	return min(bodyGrace+time.Duration(float64(length-int64(read))/slowest*float64(time.Second)), uploadMost)
+	return min(bodyTime(length-int64(read)), uploadMost)
+}
+
+// bodyTime is the time that so many bytes of a body may take.
+func bodyTime(bytes int64) time.Duration {
+	return bodyGrace + time.Duration(float64(bytes)/slowest*float64(time.Second))
 }
 
 // hold is how much of one body is held.
@@ -323,7 +327,6 @@
 			if length >= 0 && int64(len(body)) < length {
 				return nil, nil, http.StatusBadRequest, errors.New("the body ends too soon")
 			}
-			conn.SetReadDeadline(time.Time{})
 			conn.Settle(len(body))
 			return body, nil, 0, nil
 		case err != nil:
@@ -350,8 +353,7 @@
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
-	until := b.began.Add(bodyGrace + time.Duration(float64(b.read)/slowest*float64(time.Second)))
-	n, err := b.conn.ReadBody(b.r, p, until)
+	n, err := b.conn.ReadBody(b.r, p, b.began.Add(bodyTime(b.read)))
 	if b.read += int64(n); b.read > MaxBody {
 		return n, fmt.Errorf("body over %d bytes", MaxBody)
 	}
@@ -452,23 +454,18 @@
 	return pass(conn, w, served)
 }
 
-const (
-	passBuffer = 16 << 10
-	passStall  = 10 * time.Second // for a client to take as much: peers take seconds
-)
-
-var passBuffers = sync.Pool{New: func() any { return new([passBuffer]byte) }}
+const passStall = 10 * time.Second // for a client to take one part: peers take seconds
 
 // pass hands a long answer on as it comes.
 func pass(conn *admission.Conn, w http.ResponseWriter, a *http1.Answer) error {
 	out := http.NewResponseController(w)
 	part := a.Body
 	a.Body = nil // it may be gone before the rest has come
-	buf := passBuffers.Get().(*[passBuffer]byte)
-	defer passBuffers.Put(buf)
+	buf := http1.TakePart()
+	defer http1.GivePart(buf)
 	for {
 		for len(part) > 0 {
-			n := min(len(part), passBuffer)
+			n := min(len(part), http1.PartSize)
 			conn.SetWriteDeadline(time.Now().Add(passStall))
 			if _, err := w.Write(part[:n]); err != nil {
 				return err
--- a/internal/takeover/claim.go
+++ b/internal/takeover/claim.go
@@ -133,15 +133,22 @@
 	return Parse(raw)
 }
 
-// Look reads the state as it is now.
-func (c *Claim) Look() (State, error) {
+// Look reads the state as it is now, and says which other processes live. What those that have ended left
+// behind is removed. With an error the state is the last one that could be read.
+func (c *Claim) Look() (State, View, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, err := c.read()
 	if err == nil {
 		c.last = s
 	}
-	return s, err
+	return c.last, c.view(), err
+}
+
+// View is Look for the others alone.
+func (c *Claim) View() View {
+	_, v, _ := c.Look()
+	return v
 }
 
 // Ready notes that this process has begun to serve.
@@ -153,14 +160,9 @@
 	return err
 }
 
-// View says which other processes live. What those that have ended left behind is removed.
-func (c *Claim) View() View {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// view is called with the lock held.
+func (c *Claim) view() View {
 	v := View{Generation: c.gen, Ready: c.last.Ready}
-	if s, err := c.read(); err == nil {
-		v.Ready = s.Ready
-	}
 	names, _ := filepath.Glob(escape(c.base) + ".*.alive")
 	for _, name := range names {
 		gen, err := strconv.Atoi(strings.TrimSuffix(strings.TrimPrefix(name, c.base+"."), ".alive"))
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -186,7 +186,7 @@
 	if err := os.WriteFile(first.base+".state", []byte("{"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := first.Look(); err == nil {
+	if _, _, err := first.Look(); err == nil {
 		t.Error("no error")
 	}
 	second, _, err := Take(dir, "n")
@@ -201,7 +201,7 @@
 	if s, err := second.Change(func(s *State) error { return s.Exclude("a") }); err != nil || !slices.Equal(s.Out, []string{"a"}) {
 		t.Errorf("%+v, %v", s, err)
 	}
-	if s, err := first.Look(); err != nil || s.Version < 2 {
+	if s, _, err := first.Look(); err != nil || s.Version < 2 {
 		t.Errorf("%+v, %v", s, err)
 	}
 	if second.Generation() != 2 {
