A planned stop leaves new connections alone for 300 ms; two tests no longer depend on luck

Ruled out: the listener's hand-over (the socket stays open), the takeover's state, requests already read. At fault: Governor.Finish asked every new connection at once, and the request that was on its way met a close. It now leaves those alone that came within Settle (300 ms, within the time that a planned stop leaves), and is called again. TestOutOfDescriptors let the listener run out of descriptors before its own client had spoken, whom Shed then picked; the stand-in listener now waits until that client has its answer.

--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -66,6 +66,7 @@
 	Granted  time.Duration // an idle one may be closed after so long (PROTOCOL: 2 s)
 	Patience time.Duration // how long a newcomer waits before it is turned away
 	Pressed  time.Duration // so long after one had to wait no connection is kept
+	Settle   time.Duration // at the end of a planned stop a new one is left alone for so long: its request is on its way
 }
 
 // DefaultConfig is for a process that may hold so many descriptors for connections of all kinds,
@@ -75,7 +76,7 @@
 	most := descriptors * 3 / 4
 	return Config{Most: most, Total: descriptors, Spare: max(1, min(16, descriptors/32)), Reading: (most + 1) / 2, Bytes: int(memory / 8),
 		Fresh: 50 * time.Millisecond, Stall: 500 * time.Millisecond, Granted: 2 * time.Second,
-		Patience: 250 * time.Millisecond, Pressed: time.Second}
+		Patience: 250 * time.Millisecond, Pressed: time.Second, Settle: 300 * time.Millisecond}
 }
 
 // check names the first field that makes no sense.
@@ -86,7 +87,8 @@
 		min  int
 	}{{"Most", c.Most, 0}, {"Total", c.Total, 0}, {"Spare", c.Spare, 1}, {"Reading", c.Reading, 0}, {"Bytes", c.Bytes, 0},
 		{"Fresh", int(c.Fresh), 0}, {"Stall", int(c.Stall), 0}, {"Granted", int(c.Granted), 0},
-		{"Patience", int(c.Patience), 0}, {"Pressed", int(c.Pressed), 0}} {
+		{"Patience", int(c.Patience), 0}, {"Pressed", int(c.Pressed), 0},
+		{"Settle", int(c.Settle), 0}} {
 		if f.v < f.min {
 			return fmt.Errorf("admission: %s: %d makes no sense", f.name, f.v)
 		}
@@ -431,20 +433,25 @@
 
 // Drain begins a planned stop: answers end their connections, idle ones are asked to go. Those
 // returned are to be woken.
-func (g *Governor) Drain() []*Entry {
+func (g *Governor) Drain(now time.Duration) []*Entry {
 	g.draining, g.lasting = true, false
-	return g.askAll(Idle)
+	return g.askAll(Idle, now)
 }
 
 // Finish ends it: nothing is accepted any longer, so those on which nothing has come are asked as
-// well.
-func (g *Governor) Finish() []*Entry {
+// well, but for those that came a moment ago. It is to be called again after wait; 0: there is no need.
+func (g *Governor) Finish(now time.Duration) (ask []*Entry, wait time.Duration) {
 	g.draining, g.lasting = true, false
-	return append(g.askAll(New), g.askAll(Idle)...)
+	ask = append(g.askAll(Idle, now), g.askAll(New, now-g.cfg.Settle)...)
+	if last := g.lists[New].Back(); last != nil {
+		wait = max(0, last.Value.(*Entry).since+g.cfg.Settle-now)
+	}
+	return ask, wait
 }
 
-func (g *Governor) askAll(s State) (ask []*Entry) {
-	for at := g.lists[s].Front(); at != nil; at = at.Next() {
+// askAll asks those that have been in a state since a time or longer.
+func (g *Governor) askAll(s State, since time.Duration) (ask []*Entry) {
+	for at := g.lists[s].Front(); at != nil && at.Value.(*Entry).since <= since; at = at.Next() {
 		if e := at.Value.(*Entry); !e.asked {
 			g.ask(e)
 			ask = append(ask, e)
--- a/internal/admission/governor_test.go
+++ b/internal/admission/governor_test.go
@@ -198,7 +198,7 @@
 	if !b.g.Answer(b.by["hand-4"], b.now) {
 		t.Error("not kept when there is room again")
 	}
-	b.g.Drain()
+	b.g.Drain(b.now)
 	if b.g.Answer(b.by["hand-5"], b.now) {
 		t.Error("kept at a planned stop")
 	}
@@ -212,11 +212,33 @@
 func TestPlannedStopAsks(t *testing.T) {
 	b := newBench(t, small())
 	b.come("new-1", "idle-1", "hand-1", "head-1")
-	if got := b.asked(Verdict{Ask: b.g.Drain()}); got != "idle-1" {
+	if got := b.asked(Verdict{Ask: b.g.Drain(b.now)}); got != "idle-1" {
 		t.Errorf("asked %q", got)
 	}
-	if got := b.asked(Verdict{Ask: b.g.Finish()}); got != "new-1" {
-		t.Errorf("asked %q", got)
+	ask, wait := b.g.Finish(b.now)
+	if got := b.asked(Verdict{Ask: ask}); got != "new-1" || wait != 0 {
+		t.Errorf("asked %q, wait %v", got, wait)
+	}
+}
+
+// The last phase of a planned stop leaves those alone that came a moment ago: a close would cross their request.
+func TestPlannedStopLetsNewcomersSpeak(t *testing.T) {
+	cfg := small()
+	cfg.Settle = 300 * ms
+	b := newBench(t, cfg)
+	b.come("new-1")
+	b.now += 200 * ms
+	b.come("new-2", "idle-1", "head-1")
+	for _, step := range []struct {
+		after time.Duration
+		asked string
+		wait  time.Duration
+	}{{0, "idle-1", 300 * ms}, {100 * ms, "new-1", 200 * ms}, {199 * ms, "", ms}, {ms, "new-2", 0}, {time.Second, "", 0}} {
+		b.now += step.after
+		ask, wait := b.g.Finish(b.now)
+		if got := b.asked(Verdict{Ask: ask}); got != step.asked || wait != step.wait {
+			t.Errorf("at %v asked %q, wait %v; want %q, %v", b.now, got, wait, step.asked, step.wait)
+		}
 	}
 }
 
@@ -347,8 +369,8 @@
 				turning--
 			},
 			"shed":   func(*rapid.T) { g.Shed(now) },
-			"drain":  func(*rapid.T) { g.Drain() },
-			"finish": func(*rapid.T) { g.Finish() },
+			"drain":  func(*rapid.T) { g.Drain(now) },
+			"finish": func(*rapid.T) { g.Finish(now) },
 			"bytes":  func(t *rapid.T) { g.Arrived(one(t, New, Head, Idle, InHand, Answering), now) },
 			"head":   func(t *rapid.T) { g.HeadWhole(one(t, New, Head, Idle, Body), now) },
 			"reserve": func(t *rapid.T) {
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -238,13 +238,14 @@
 }
 
 // Drain begins a planned stop: each answer ends its connection, and idle ones are closed.
-func (l *Listener) Drain() { l.rouseAll((*Governor).Drain) }
+func (l *Listener) Drain() {
+	l.rouseAll(func(g *Governor, now time.Duration) []*Entry { return g.Drain(now) })
+}
 
 // Finish closes the listener, lets the connections on which nothing has come go as well, and
 // waits until none is held or ctx ends; it returns how many are left then.
 func (l *Listener) Finish(ctx context.Context) int {
 	l.Close()
-	l.rouseAll((*Governor).Finish)
 	idle := make(chan struct{})
 	go func() {
 		defer close(idle)
@@ -252,12 +253,22 @@
 	}()
 	<-idle // bounded by turnTime
 	for {
+		var wait time.Duration
+		l.rouseAll(func(g *Governor, now time.Duration) (ask []*Entry) {
+			ask, wait = g.Finish(now)
+			return ask
+		})
 		held := l.Counts().Held
 		if held == 0 {
 			return 0
 		}
+		var again <-chan time.Time
+		if wait > 0 {
+			again = time.After(wait)
+		}
 		select {
 		case <-l.freed:
+		case <-again:
 		case <-ctx.Done():
 			l.lingers.Store(false)
 			return held
@@ -265,9 +276,9 @@
 	}
 }
 
-func (l *Listener) rouseAll(which func(*Governor) []*Entry) {
+func (l *Listener) rouseAll(which func(*Governor, time.Duration) []*Entry) {
 	l.mu.Lock()
-	ask := which(l.gov)
+	ask := which(l.gov, l.now())
 	l.mu.Unlock()
 	for _, e := range ask {
 		e.Tag.(*Conn).rouse()
--- a/internal/admission/listener_test.go
+++ b/internal/admission/listener_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -467,16 +468,19 @@
 	}
 }
 
-// scarce is a listener that is out of descriptors as often as it is told.
+// scarce is a listener that is out of descriptors as often as it is told, and not before it may be.
 type scarce struct {
 	net.Listener
 	left  atomic.Int64
 	calls atomic.Int64
+	may   chan struct{}
 }
 
 func (s *scarce) Accept() (net.Conn, error) {
+	out := s.left.Add(-1) >= 0
 	s.calls.Add(1)
-	if s.left.Add(-1) >= 0 {
+	if out {
+		<-s.may
 		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
 	}
 	return s.Listener.Accept()
@@ -489,15 +493,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	sc := &scarce{Listener: ln}
+	sc := &scarce{Listener: ln, may: make(chan struct{})}
 	s := newSiteOn(t, sc, Config{Most: 10, Spare: 1, Fresh: 0, Stall: time.Hour, Granted: time.Hour})
 	kept, silent := s.dial(t), s.dial(t)
 	kept.ask("before")
 	s.until(t, "both have come", func(c Counts) bool { return c.Held == 2 })
+	for sc.calls.Load() < 3 { // the third accept has seen that there are descriptors
+		runtime.Gosched()
+	}
 	sc.left.Store(3)
 	first := s.dial(t) // takes the accept that already waits
 	first.ask("first")
 	first.Close()
+	close(sc.may) // only now: a connection that has said nothing yet would be let go
 	calls := sc.calls.Load()
 	kept.ask("meanwhile")
 	s.dial(t).ask("after")
