--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,7 +56,7 @@
 	limitCut     = 0.9      // one cut of the in-flight limit
 	limitGrow    = 0.7      // and its growth, in attempts per backend for each round of answers
 	startPerBack = 6.0      // in-flight limit at the start, for all agents together per backend
-	floorPerBack = 4.0      // and the least it falls to: less would leave cores idle
+	floorPerBack = 5.0      // and the least it falls to: less would leave cores idle
 	floorPerWide = 1.5      // or so many times what a backend works on at once, where reports tell
 	backCap      = 3.0      // no backend holds more than so many mean shares of the limit
 	holdMargin   = 2.0      // a held request leaves when fewer than so many mean latencies remain to its aim
