--- a/cmd/lemonrail/upgrade_test.go
+++ b/cmd/lemonrail/upgrade_test.go
@@ -292,11 +292,18 @@
 	}
 }
 
-// An upgrade in a crowd that connects and says nothing, with a backend out by hand meanwhile.
+// descriptors is how many a process holds; 0 where it has ended.
+func (i *instance) descriptors() int {
+	open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", i.cmd.Process.Pid))
+	return len(open)
+}
+
+// An upgrade in a crowd that connects and says nothing, with a backend out by hand meanwhile. Both processes together
+// hold no more descriptors than one may.
 func TestUpgradeInACrowd(t *testing.T) {
 	p := newPlatform(t, scripted.Backend(t, scripted.Always(scripted.Hello)), scripted.Backend(t, scripted.Always(scripted.Hello)))
 	old := p.start(p.config).ready()
-	for i := range 400 { // more than there are places for
+	for i := range 700 { // more than two processes have places for
 		nc, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
@@ -311,12 +318,17 @@
 		t.Errorf("exclude: %d", status)
 	}
 	old.cmd.Process.Signal(syscall.SIGTERM)
+	most := 0
 	for range 50 {
 		if err := p.ask(&http.Client{Timeout: scripted.Patience, Transport: &http.Transport{DisableKeepAlives: true}}); err != nil {
 			t.Error(err)
 		}
+		most = max(most, old.descriptors()+fresh.descriptors())
 	}
 	old.ended()
+	if most > 384 {
+		t.Errorf("%d descriptors at one time", most)
+	}
 }
 
 // A long answer that is under way when the process is replaced comes whole.
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -151,6 +151,15 @@
 	return &Governor{cfg: cfg}, nil
 }
 
+// Resize puts other bounds in force. What is held beyond them stays until newcomers need the places.
+func (g *Governor) Resize(cfg Config) error {
+	if err := cfg.check(); err != nil {
+		return err
+	}
+	g.cfg = cfg
+	return nil
+}
+
 // Counts tells what is held now and what has passed.
 func (g *Governor) Counts() Counts { return g.counts }
 
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -94,6 +94,15 @@
 	return l.gov.Counts()
 }
 
+// Resize puts other bounds in force.
+func (l *Listener) Resize(cfg Config) error {
+	l.mu.Lock()
+	err := l.gov.Resize(cfg)
+	l.mu.Unlock()
+	l.wake()
+	return err
+}
+
 // wake lets a waiting Accept look again.
 func (l *Listener) wake() {
 	select {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -120,7 +120,7 @@
 		admission.Hooks{
 			Opened: func() {
 				socks.Open.Add(1)
-				if socks.Full() { // room for the next one
+				if socks.Tight() { // room for the next one
 					up.Evict()
 				}
 			},
@@ -147,7 +147,16 @@
 	if place, shared := claim(cfg, log); place != nil {
 		defer place.Close()
 		home = &household{claim: place, loop: l, peers: l.Peers, inHand: func() int { return int(l.Figures.Active.Load()) },
-			memory: cfg.MemoryMB << 20, log: log}
+			memory: cfg.MemoryMB << 20, log: log, most: int(socks.Limit), open: func() int { return int(socks.Open.Load()) },
+			room: func(connections int, memory int64) {
+				if err := door.Resize(admission.DefaultConfig(connections, memory)); err != nil {
+					log.Error("bounds stay as they were", "err", err)
+				}
+				if connections == int(socks.Limit) {
+					connections = 0
+				}
+				up.Room(connections)
+			}}
 		if place.View().Plan().Mute {
 			l.Post(func() { home.speak(false) })
 		}
--- a/internal/agent/heirs.go
+++ b/internal/agent/heirs.go
@@ -61,9 +61,12 @@
 type household struct {
 	claim  *takeover.Claim
 	loop   *core.Loop
-	peers  core.Peers // nil where agents don't talk
-	inHand func() int // requests of this process
-	memory int64      // bytes that all may use together; 0: not told
+	peers  core.Peers                          // nil where agents don't talk
+	inHand func() int                          // requests of this process
+	memory int64                               // bytes that all may use together; 0: not told
+	open   func() int                          // connections of this process
+	room   func(connections int, memory int64) // puts bounds in force
+	most   int                                 // connections that this process may hold where it is the only one; 0: not told
 	log    *slog.Logger
 
 	version int64   // of the state that was adopted last; the loop's
@@ -84,6 +87,7 @@
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	alone, broken := true, false
+	room := h.most
 	h.part = 1
 	for {
 		s, v, err := h.claim.Look()
@@ -97,16 +101,21 @@
 			h.loop.Post(func() { h.adopt(s) })
 		}
 		mine := h.inHand()
-		if err := h.claim.Tell(mine); err != nil {
+		if err := h.claim.Tell(mine, h.open()); err != nil {
 			h.log.Warn("requests in hand are not told", "err", err)
 		}
 		if p := v.Plan(); p.Alone != alone {
 			alone = p.Alone
 			h.log.Info("other processes of this agent", "alone", alone)
 			h.limit(alone)
+			room = 0
 			h.loop.Post(func() { h.speak(!p.Mute) })
 			tick.Reset(map[bool]time.Duration{true: lookEvery, false: lookOften}[alone])
 		}
+		if now := h.places(v); now != room {
+			room = now
+			h.room(now, h.share(alone))
+		}
 		if part := v.Part(mine); part != h.part {
 			h.part = part
 			h.loop.Post(func() { h.loop.Event(balance.Part{Of: part}) })
@@ -137,13 +146,25 @@
 
 // limit divides the memory among the processes that live.
 func (h *household) limit(alone bool) {
-	switch {
-	case h.memory == 0:
-	case alone:
-		debug.SetMemoryLimit(CollectAt(h.memory))
-	default:
-		debug.SetMemoryLimit(CollectAt(h.memory) / 2)
+	if h.memory > 0 {
+		debug.SetMemoryLimit(CollectAt(h.share(alone)))
+	}
+}
+
+// share is the memory that this process may use.
+func (h *household) share(alone bool) int64 {
+	if alone {
+		return h.memory
+	}
+	return h.memory / 2
+}
+
+// places is how many connections this process may hold. Another has descriptors of its own besides.
+func (h *household) places(v takeover.View) int {
+	if h.most == 0 || v.Plan().Alone {
+		return h.most
 	}
+	return v.Room(max(h.most-reservedSockets, reservedSockets))
 }
 
 // CollectAt is the memory above which the collector works harder; the rest is for what it does not count.
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -55,11 +55,20 @@
 type Sockets struct {
 	Limit int64 // 0: none
 	Open  atomic.Int64
+	room  atomic.Int64 // beyond which idle ones are let go; 0: Limit
 }
 
 // Full reports whether none is left.
 func (s *Sockets) Full() bool { return s.Limit > 0 && s.Open.Load() >= s.Limit }
 
+// Tight reports whether idle connections are to make room.
+func (s *Sockets) Tight() bool {
+	if room := s.room.Load(); room > 0 && s.Open.Load() >= room {
+		return true
+	}
+	return s.Full()
+}
+
 // Upstream makes attempts and keeps connections to backends. net/http's Transport would resend
 // by itself on a broken connection, which counts as an attempt; this does not.
 type Upstream struct {
@@ -567,8 +576,18 @@
 func (u *Upstream) keep(to core.Target, c *conn) {
 	c.since = time.Now()
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.idle[to] = append(u.idle[to], c)
+	u.mu.Unlock()
+	if u.sockets.room.Load() > 0 && u.sockets.Tight() {
+		u.Evict()
+	}
+}
+
+// Room sets beyond how many connections of the process idle ones are let go; 0: its limit.
+func (u *Upstream) Room(n int) {
+	u.sockets.room.Store(int64(n))
+	for u.sockets.Tight() && u.Evict() {
+	}
 }
 
 // silent reports whether an idle connection is open with nothing to read. Guards against a
--- a/internal/takeover/claim.go
+++ b/internal/takeover/claim.go
@@ -179,33 +179,39 @@
 			}
 		} else if gen < c.gen {
 			v.Earlier = true
-			v.Before += told(f)
+			inHand, open := told(f)
+			v.Before, v.Open = v.Before+inHand, v.Open+open
 		} else {
 			v.Later = true
-			v.After += told(f)
+			inHand, _ := told(f)
+			v.After += inHand
 		}
 		f.Close()
 	}
 	return v
 }
 
-// Tell lets the others know how many requests this process has in hand.
-func (c *Claim) Tell(inHand int) error {
-	_, err := c.alive.WriteAt(fmt.Appendf(nil, "%9d\n", min(max(inHand, 0), 999_999_999)), 0)
+// Tell lets the others know how many requests this process has in hand, and how many connections it holds.
+func (c *Claim) Tell(inHand, open int) error {
+	_, err := c.alive.WriteAt(fmt.Appendf(nil, "%9d %9d\n", told9(inHand), told9(open)), 0)
 	return err
 }
 
+// told9 is a number as it fits into nine digits.
+func told9(n int) int { return min(max(n, 0), 999_999_999) }
+
 // told is what a process has told; 0 where it has not.
-func told(f *os.File) int {
-	var text [9]byte
-	if _, err := f.ReadAt(text[:], 0); err != nil {
-		return 0
-	}
-	n, err := strconv.Atoi(strings.TrimSpace(string(text[:])))
-	if err != nil || n < 0 {
-		return 0
+func told(f *os.File) (inHand, open int) {
+	var text [19]byte
+	n, _ := f.ReadAt(text[:], 0)
+	for i, to := range []*int{&inHand, &open} {
+		if from := 10 * i; n >= from+9 {
+			if v, err := strconv.Atoi(strings.TrimSpace(string(text[from : from+9]))); err == nil {
+				*to = max(v, 0)
+			}
+		}
 	}
-	return n
+	return inHand, open
 }
 
 // escape takes the meaning from what filepath.Match reads in a name.
--- a/internal/takeover/state.go
+++ b/internal/takeover/state.go
@@ -127,6 +127,7 @@
 	Ready      int  // the latest generation that has begun to serve
 	Before     int  // requests that processes of earlier generations have in hand
 	After      int  // and those of later ones
+	Open       int  // connections that processes of earlier generations hold
 }
 
 // Plan is what follows for it.
@@ -161,3 +162,17 @@
 	}
 	return max(0.5, float64(after+1)/float64(before+after+1))
 }
+
+// Room is how many of so many connections, which the processes of one agent may hold together, this one may: the
+// one before keeps to three quarters, the successor to what is left of all, a quarter at the least.
+func (v View) Room(all int) int {
+	least := all / 4
+	room := all
+	if v.Later {
+		room -= least
+	}
+	if v.Earlier {
+		room = max(least, room-v.Open)
+	}
+	return room
+}
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -58,6 +58,46 @@
 	})
 }
 
+// Whatever the one before holds within its room, both together hold no more than there is; neither is ever left
+// without.
+func TestRoomOfTwo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.IntRange(4, 2000).Draw(t, "all")
+		first := View{Generation: 1, Later: true}.Room(all)
+		held := rapid.IntRange(0, first).Draw(t, "held")
+		second := View{Generation: 2, Earlier: true, Open: held}.Room(all)
+		if held+second > all || first < all/2 || second < all/4 {
+			t.Fatalf("of %d: %d, of which %d are held, and %d", all, first, held, second)
+		}
+		if alone := (View{Generation: 2}).Room(all); alone != all {
+			t.Fatalf("alone: %d of %d", alone, all)
+		}
+		between := View{Generation: 2, Earlier: true, Later: true, Open: held}.Room(all)
+		if between < all/4 || between > all-all/4 {
+			t.Fatalf("between two: %d of %d", between, all)
+		}
+	})
+}
+
+// A process of a build that tells its requests alone is understood.
+func TestToldBefore(t *testing.T) {
+	for text, want := range map[string][2]int{"": {}, "       12\n": {12, 0}, "       12        34\n": {12, 34}, "x": {}, "       -1        -2\n": {}} {
+		path := filepath.Join(t.TempDir(), "alive")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		inHand, open := told(f)
+		f.Close()
+		if inHand != want[0] || open != want[1] {
+			t.Errorf("%q tells %d and %d", text, inHand, open)
+		}
+	}
+}
+
 func TestStateOfBackends(t *testing.T) {
 	var s State
 	now := time.Unix(1000, 0)
@@ -151,12 +191,15 @@
 	check(second, Plan{Mute: true})
 	second.Ready()
 	check(first, Plan{Heir: true})
-	first.Tell(30)
-	second.Tell(9)
+	first.Tell(30, 70)
+	second.Tell(9, 20)
 	if a, b := first.View().Part(30), second.View().Part(9); a != 0.5 || b != 0.5 {
 		t.Errorf("parts %v and %v", a, b)
 	}
-	first.Tell(0)
+	if a, b := first.View().Room(200), second.View().Room(200); a != 150 || b != 130 {
+		t.Errorf("room for %d and %d connections", a, b)
+	}
+	first.Tell(0, 0)
 	if a, b := first.View().Part(0), second.View().Part(9); a != 0 || b != 1 {
 		t.Errorf("parts %v and %v", a, b)
 	}
