Diameter clients that heed reports of overload are told how much less to send

Change: internal/diameter/overload decides on the reduction, its validity and its end, without I/O or clock; relay puts the report into answers to requests that name OC-Supported-Features; the front counts final answers. With Diameter off nothing of it is made.

--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -12,6 +12,7 @@
 	http1back "lemonrail/internal/backend/http1"
 	"lemonrail/internal/core"
 	"lemonrail/internal/diameter"
+	"lemonrail/internal/diameter/overload"
 	"lemonrail/internal/diameter/relay"
 	diameterfront "lemonrail/internal/front/diameter"
 )
@@ -68,11 +69,16 @@
 		return nil, fmt.Errorf("diameter clients: %w", err)
 	}
 	p := &diameterParts{ln: ln}
+	p.front, err = diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
+		Limits: relay.DefaultLimits(), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections,
+		Hello: helloLimit, Log: log}, l)
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
 	p.back = diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
 		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
 		Leaves: func(id string, leaves bool) { l.Post(func() { l.Leaves(id, leaves) }) }})
-	p.front = diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
-		Limits: relay.DefaultLimits(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections, Hello: helloLimit, Log: log}, l)
 	l.Backend = &both{http1: up, diameter: p.back}
 	log.Info("serving diameter", "listen", ln.Addr().String())
 	return p, nil
--- /dev/null
+++ b/internal/diameter/relay/overload_test.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"bytes"
+	"testing"
+
+	"lemonrail/internal/diameter"
+	"lemonrail/internal/diameter/overload"
+)
+
+func TestWhoHeedsReports(t *testing.T) {
+	for name, tt := range map[string]struct {
+		avps []diameter.AVP
+		want bool
+	}{
+		"says nothing":     {nil, false},
+		"names none":       {[]diameter.AVP{diameter.Group(codeSupported)}, true},
+		"loss":             {[]diameter.AVP{diameter.Group(codeSupported, diameter.U64(codeFeatures, 3))}, true},
+		"another one":      {[]diameter.AVP{diameter.Group(codeSupported, diameter.U64(codeFeatures, 2))}, false},
+		"no features":      {[]diameter.AVP{diameter.Group(codeSupported, diameter.U32(codeFeatures, 1))}, false},
+		"no group":         {[]diameter.AVP{diameter.Str(codeSupported, "abc")}, false},
+		"another's vendor": {[]diameter.AVP{diameter.Of(9, diameter.Group(codeSupported))}, false},
+	} {
+		if got := Heeds(&diameter.Message{AVPs: tt.avps}); got != tt.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// A report goes behind what an answer holds; the answer reads whole, by the dictionary too.
+func TestReported(t *testing.T) {
+	m := &diameter.Message{Command: diameter.CreditControl, Application: diameter.AppCreditControl, Flags: diameter.FlagProxiable,
+		AVPs: []diameter.AVP{diameter.Str(diameter.CodeSessionID, "s;1"), diameter.U32(diameter.CodeResultCode, diameter.Success)}}
+	raw, err := m.Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := bytes.Clone(raw)
+	out := Reported(raw, overload.Report{Sequence: 9, Reduction: 40, Validity: 5})
+	if !bytes.Equal(raw, before) {
+		t.Error("the answer itself was changed")
+	}
+	got, err := diameter.Decode(out, diameter.DefaultLimits())
+	if err != nil || len(got.AVPs) != 4 || got.AVPs[2].Code != codeSupported || got.AVPs[3].Code != codeOLR {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	list, err := got.AVPs[3].Group(diameter.DefaultLimits(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for code, want := range map[uint32]uint32{codeType: 1, codeReduction: 40, codeValidity: 5} {
+		if a := diameter.Find(list, code, 0); a == nil || a.Flags&diameter.AVPMandatory != 0 {
+			t.Errorf("AVP %d: %+v", code, a)
+		} else if v, err := a.Uint32(); err != nil || v != want {
+			t.Errorf("AVP %d: %d, %v", code, v, err)
+		}
+	}
+	if a := diameter.Find(list, codeSequence, 0); a == nil {
+		t.Error("no sequence number")
+	} else if v, err := a.Uint64(); err != nil || v != 9 {
+		t.Errorf("sequence number %d, %v", v, err)
+	}
+	if again := Reported(out, overload.Report{Sequence: 10}); !bytes.Equal(again, out) {
+		t.Error("an answer that has its report got another")
+	}
+}
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -23,6 +23,7 @@
 	backend "lemonrail/internal/backend/diameter"
 	"lemonrail/internal/core"
 	"lemonrail/internal/diameter"
+	"lemonrail/internal/diameter/overload"
 	"lemonrail/internal/diameter/relay"
 )
 
@@ -33,6 +34,7 @@
 	Realm       string
 	Offset      int // of the rules' classes among the module's
 	Limits      relay.Limits
+	Overload    overload.Config // what clients that heed it are told of overload
 	Peer        diameter.PeerConfig
 	Connections int           // of clients; more are closed at once
 	Hello       time.Duration // for a client to make itself known
@@ -52,6 +54,7 @@
 	wait  sync.WaitGroup
 
 	mu    sync.Mutex
+	load  *overload.Reporter
 	table *relay.Table
 	conns map[uint64]*conn
 	next  uint64
@@ -61,8 +64,12 @@
 }
 
 // New returns a front for a loop.
-func New(cfg Config, loop *core.Loop) *Front {
-	return &Front{cfg: cfg, loop: loop, began: time.Now(), table: relay.NewTable(cfg.Limits), conns: map[uint64]*conn{}}
+func New(cfg Config, loop *core.Loop) (*Front, error) {
+	load, err := overload.New(cfg.Overload, uint64(time.Now().Unix())<<20) // above those of an earlier process
+	if err != nil {
+		return nil, err
+	}
+	return &Front{cfg: cfg, loop: loop, began: time.Now(), load: load, table: relay.NewTable(cfg.Limits), conns: map[uint64]*conn{}}, nil
 }
 
 func (f *Front) now() time.Duration { return time.Since(f.began) + time.Millisecond }
@@ -425,7 +432,10 @@
 	case relay.Joined:
 		return
 	case relay.Busy:
-		c.answer(m, &diameter.Error{Result: diameter.TooBusy, Text: "too many requests in hand"})
+		f.load.Ended(true, f.now())
+		if raw, err := f.cfg.Rules.Refusal(m, diameter.TooBusy, "too many requests in hand").Append(nil); err == nil {
+			c.enqueue(f.report(m, raw))
+		}
 		return
 	}
 	f.calls++
@@ -466,6 +476,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.load.Ended(a.Kind == core.Refused, f.now())
+	raw = f.report(m, raw)
 	for _, w := range f.table.Answer(origin, raw, a.Kind != core.Refused, f.now()) {
 		if c := f.conns[w.Conn]; c != nil {
 			c.enqueue(addressed(raw, w.HopByHop))
@@ -473,6 +485,14 @@
 	}
 }
 
+// report puts into an answer what its client, if it heeds such, is to know of overload. The lock is held.
+func (f *Front) report(m *diameter.Message, raw []byte) []byte {
+	if r, told := f.load.Report(f.now()); told && relay.Heeds(m) {
+		return relay.Reported(raw, r)
+	}
+	return raw
+}
+
 // addressed is a copy of an answer under a waiter's Hop-by-Hop id.
 func addressed(raw []byte, hop uint32) []byte {
 	out := append([]byte(nil), raw...)
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -18,6 +18,7 @@
 	backend "lemonrail/internal/backend/diameter"
 	"lemonrail/internal/core"
 	"lemonrail/internal/diameter"
+	"lemonrail/internal/diameter/overload"
 	"lemonrail/internal/diameter/relay"
 	"lemonrail/internal/scripted"
 	"lemonrail/internal/standin"
@@ -90,8 +91,12 @@
 	site.addr = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	inner, stop := context.WithCancel(context.Background())
-	front := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: relay.DefaultLimits(),
-		Peer: diameter.DefaultPeerConfig(), Connections: 8, Hello: 10 * time.Second, Log: log}, loop)
+	front, err := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: relay.DefaultLimits(),
+		Overload: overload.Config{Span: 100 * time.Millisecond, Validity: time.Second, Least: 8, Grow: 2, Step: 0.05, Most: 0.9},
+		Peer:     diameter.DefaultPeerConfig(), Connections: 8, Hello: 10 * time.Second, Log: log}, loop)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var parts sync.WaitGroup
 	parts.Go(func() { loop.Run(inner) })
 	site.leave = cancel
@@ -472,3 +477,69 @@
 		t.Errorf("more came: %+v", m)
 	}
 }
+
+// While requests are refused, clients that heed reports of overload are told by how much to send less; others get
+// their refusals as before. Once all is served again the report ends.
+func TestOverloadIsReported(t *testing.T) {
+	const supported, olr, reduction, validity = 621, 623, 627, 625
+	var busy atomic.Bool
+	busy.Store(true)
+	s := newSite(t, 16, func(c *standin.DiameterConn, m *diameter.Message) {
+		if busy.Load() {
+			c.Answer(m, diameter.TooBusy)
+		} else {
+			c.Answer(m, diameter.Success)
+		}
+	})
+	c := s.client()
+	const batch = 20 // at once: a refusal is held for as long as another server might yet have room
+	told := func(heeds bool) (result, percent, seconds uint32, told bool) {
+		t.Helper()
+		for range batch {
+			m := s.ask(4, 2)
+			if heeds {
+				m.AVPs = append(m.AVPs, diameter.Optional(diameter.Group(supported)))
+			}
+			c.Send(m)
+		}
+		for range batch {
+			a := scripted.Await(t, c.Got)
+			result = code(a)
+			report := diameter.Find(a.AVPs, olr, 0)
+			if report == nil {
+				continue
+			}
+			list, err := report.Group(diameter.DefaultLimits(), 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			percent, _ = diameter.Find(list, reduction, 0).Uint32()
+			seconds, _ = diameter.Find(list, validity, 0).Uint32()
+			told = true
+		}
+		return result, percent, seconds, told
+	}
+	until := func(what string, done func() bool) {
+		t.Helper()
+		for end := time.Now().Add(scripted.Patience); !done(); {
+			if time.Now().After(end) {
+				t.Fatal("never " + what)
+			}
+		}
+	}
+	until("told of overload", func() bool {
+		result, percent, seconds, told := told(true)
+		if told && (result != diameter.TooBusy || percent == 0 || seconds == 0) {
+			t.Errorf("%d with a reduction by %d %% for %d s", result, percent, seconds)
+		}
+		return told
+	})
+	if result, _, _, told := told(false); told || result != diameter.TooBusy {
+		t.Errorf("one that heeds no reports got %d, with one: %v", result, told)
+	}
+	busy.Store(false)
+	until("told of its end", func() bool {
+		result, percent, seconds, told := told(true)
+		return result == diameter.Success && told && percent == 0 && seconds == 0
+	})
+}
