Diameter requests that name a server go to that server alone

The front maps the name: from the file, else from what the server said of itself. Ruled out: a pick outside the module; the module decides which server, whether again and what is turned away. Result: tests in the module and on sockets, by case, for an unknown server (3002) and one that drains (3004).

--- a/balance/api.go
+++ b/balance/api.go
@@ -189,6 +189,7 @@
 		Work   time.Duration // expected work; 0: unknown
 		Repeat bool          // the client says that it tries again
 		Write  bool          // nothing reads it yet
+		Only   string        // the backend that alone may get it; empty: any
 	}
 	// Outcome ends one attempt. The agent passes on exactly one for each Send.
 	Outcome struct {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -195,6 +195,7 @@
 	work     float64  // expected work as told, ns; 0: unknown
 	key      uint64   // hash of what it is about; 0: nothing
 	home     *backend // of the key, for now
+	only     string   // the backend that alone may get it; empty: any
 	left     float64  // least share of its work that is left at a backend
 	attempts []*attempt
 	open     int      // attempts out
@@ -279,7 +280,7 @@
 	}
 	c := &b.classes[e.Class]
 	r := &request{id: e.ID, class: e.Class, came: b.now, aim: b.now + min(c.Aim, e.Left),
-		deadline: b.now + e.Left, repeat: e.Repeat}
+		deadline: b.now + e.Left, repeat: e.Repeat, only: e.Only}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
 	c.patience = cmp.Or(c.patience, e.Left)
@@ -299,6 +300,10 @@
 		c.work = blend(c.work, r.work)
 	}
 	b.requests[e.ID] = r
+	if t := b.byID[r.only]; r.only != "" && (t == nil || t.State != Up) {
+		b.finish(r, NoBackend)
+		return
+	}
 	b.hold(r)
 }
 
@@ -498,7 +503,7 @@
 	var idle, few, last *backend
 	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
 	for _, t := range b.backends {
-		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 ||
+		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 && r.only == "" ||
 			b.now < t.turned(r.class).till || float64(len(t.out)) >= b.backMost() || !b.coldRoom(t, r) {
 			continue
 		}
@@ -611,7 +616,8 @@
 
 // mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
 func (b *Balancer) mayRepeat(r *request, t *backend) bool {
-	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
+	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies ||
+		r.only != "" && r.only != t.ID {
 		return false
 	}
 	c := &b.classes[r.class]
--- a/balance/order_test.go
+++ b/balance/order_test.go
@@ -444,3 +444,36 @@
 		})
 	}
 }
+
+// A request that one backend alone may get goes nowhere else, not for a retry either, and is refused at once where that
+// one is not up.
+func TestRequestForOneBackend(t *testing.T) {
+	list := backends(4)
+	list[3].State = balance.Draining
+	retried := 0
+	for i := range 40 {
+		r := newRig(t, settings(), uint64(i), list)
+		id := fmt.Sprint("q", i)
+		r.step(balance.Request{ID: id, Class: safe, Left: 2000 * ms, Only: "b"})
+		r.outcome(id, balance.Errored, 10*ms)
+		r.advance(1000 * ms)
+		if len(r.sent[id]) > 1 {
+			retried++
+			r.outcome(id, balance.OK, 20*ms)
+		}
+		for _, to := range r.sent[id] {
+			if to != "b" {
+				t.Fatalf("%s: sent to %v", id, r.sent[id])
+			}
+		}
+	}
+	if retried < 20 {
+		t.Errorf("%d of 40 got another attempt", retried)
+	}
+	r := newRig(t, settings(), 1, list)
+	for _, missing := range []string{"d", "unknown"} { // one that drains, one that nobody has listed
+		if end := final(missing, r.step(balance.Request{ID: missing, Class: safe, Left: 2000 * ms, Only: missing})); end != "refuse" {
+			t.Errorf("for %s: %q", missing, end)
+		}
+	}
+}
--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -69,16 +69,17 @@
 		return nil, fmt.Errorf("diameter clients: %w", err)
 	}
 	p := &diameterParts{ln: ln}
+	p.back = diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
+		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
+		Leaves: func(id string, leaves bool) { l.Post(func() { l.Leaves(id, leaves) }) }})
 	p.front, err = diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
 		Limits: relay.DefaultLimits(), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections,
-		Hello: helloLimit, Log: log}, l)
+		Named: p.back.Named, Hello: helloLimit, Log: log}, l)
 	if err != nil {
+		p.back.Close()
 		ln.Close()
 		return nil, err
 	}
-	p.back = diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
-		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
-		Leaves: func(id string, leaves bool) { l.Post(func() { l.Leaves(id, leaves) }) }})
 	l.Backend = &both{http1: up, diameter: p.back}
 	log.Info("serving diameter", "listen", ln.Addr().String())
 	return p, nil
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,7 @@
 	open    bool
 	timer   *time.Timer
 	ids     uint32        // of our own requests
+	name    string        // its identity, once it has said so
 	leaves  bool          // took leave and has not been back
 	shun    time.Duration // no connection before
 	stopped bool
@@ -154,6 +156,24 @@
 	}
 }
 
+// Named is the backend whose server has an identity: by the rules, else as the servers said themselves.
+func (b *Backend) Named(identity string) (id string, ok bool) {
+	if id, ok = b.cfg.Rules.Named(identity); ok {
+		return id, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for to, s := range b.servers {
+		s.mu.Lock()
+		name := s.name
+		s.mu.Unlock()
+		if strings.EqualFold(name, identity) {
+			return to.ID, true
+		}
+	}
+	return "", false
+}
+
 // await waits until requests may be sent, for as long as a connection may take.
 func (s *server) await(ctx context.Context) (balance.Result, bool) {
 	s.mu.Lock()
@@ -420,6 +440,11 @@
 	switch {
 	case m.Application != diameter.AppBase:
 	case m.Command == diameter.CapabilitiesExchange && !m.Request():
+		if a := diameter.Find(m.AVPs, diameter.CodeOriginHost, 0); a != nil {
+			if name, err := a.Identity(); err == nil && result(m) == diameter.Success {
+				s.name = name
+			}
+		}
 		s.step(diameter.Event{Input: diameter.GotCEA, Result: result(m)})
 		return true
 	case m.Command == diameter.DeviceWatchdog:
--- a/internal/diameter/relay/relay.go
+++ b/internal/diameter/relay/relay.go
@@ -36,8 +36,9 @@
 
 // Server is where a backend of the list speaks Diameter, if not at its address in the list.
 type Server struct {
-	Host    string `toml:"host"`
-	Address string `toml:"address"`
+	Host     string `toml:"host"`
+	Address  string `toml:"address"`  // empty: that in the list
+	Identity string `toml:"identity"` // as requests name it in Destination-Host; empty: known once it has been connected to
 }
 
 const (
@@ -80,7 +81,8 @@
 // Rules are a checked Config.
 type Rules struct {
 	cfg     Config
-	servers map[string]string
+	servers map[string]string // addresses, by host
+	named   map[string]string // hosts, by identity
 	// Classes are the module's, in the order of the file. The last one is for what no class fits: unsafe.
 	Classes []balance.Class
 }
@@ -126,15 +128,24 @@
 		}
 	}
 	c.Connections, c.Window = cmp.Or(c.Connections, usualConnections), cmp.Or(c.Window, usualWindow)
-	r.servers = map[string]string{}
+	r.servers, r.named = map[string]string{}, map[string]string{}
 	for i, v := range c.Servers {
-		if _, err := netip.ParseAddrPort(v.Address); err != nil {
+		if _, err := netip.ParseAddrPort(v.Address); err != nil && v.Address != "" {
 			return nil, bad("server", i, "address", fmt.Sprintf("%q", v.Address), "is no address with a port")
 		}
-		if v.Host == "" || r.servers[v.Host] != "" {
+		if v.Host == "" || slices.ContainsFunc(c.Servers[:i], func(o Server) bool { return o.Host == v.Host }) {
 			return nil, bad("server", i, "host", fmt.Sprintf("%q", v.Host), "is empty or taken")
 		}
+		if v.Address == "" && v.Identity == "" {
+			return nil, bad("server", i, "host", fmt.Sprintf("%q", v.Host), "has neither address nor identity")
+		}
 		r.servers[v.Host] = v.Address
+		if name := strings.ToLower(v.Identity); v.Identity != "" {
+			if !identity(v.Identity) || r.named[name] != "" {
+				return nil, bad("server", i, "identity", fmt.Sprintf("%q", v.Identity), "is no host name, or taken")
+			}
+			r.named[name] = v.Host
+		}
 	}
 	for i, t := range c.Routes {
 		if !identity(t.Realm) {
@@ -201,6 +212,15 @@
 // Address is where a backend speaks Diameter, given its address in the list.
 func (r *Rules) Address(host, listed string) string { return cmp.Or(r.servers[host], listed) }
 
+// Named is the backend whose server has an identity, as far as the file tells.
+func (r *Rules) Named(identity string) (host string, ok bool) {
+	host, ok = r.named[strings.ToLower(identity)]
+	return host, ok
+}
+
+// Wanted is the server that a request names (Destination-Host); empty: any will do.
+func (r *Rules) Wanted(m *diameter.Message) string { return text(m, diameter.CodeDestinationHost) }
+
 // Applications are those that requests are routed by, for the capabilities exchange.
 func (r *Rules) Applications() (list []uint32) {
 	for _, t := range r.cfg.Routes {
--- a/internal/diameter/relay/relay_test.go
+++ b/internal/diameter/relay/relay_test.go
@@ -262,3 +262,30 @@
 		}
 	})
 }
+
+func TestServersHaveNames(t *testing.T) {
+	const head = "identity = \"r.example.net\"\nrealm = \"example.net\"\n"
+	r, err := ParseRules("f", []byte(head+"[[server]]\nhost = \"a\"\nidentity = \"Ocs1.example.net\"\n[[server]]\nhost = \"b\"\naddress = \"127.0.0.1:1\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if host, ok := r.Named("ocs1.EXAMPLE.net"); !ok || host != "a" {
+		t.Errorf("%q, %v", host, ok)
+	}
+	if _, ok := r.Named("b"); ok {
+		t.Error("a host without an identity has one")
+	}
+	if got := r.Address("a", "127.0.0.1:2"); got != "127.0.0.1:2" {
+		t.Errorf("address %q, not that in the list", got)
+	}
+	for text, want := range map[string]string{
+		"[[server]]\nhost = \"a\"\n":                                                               "neither address nor identity",
+		"[[server]]\nhost = \"a\"\nidentity = \"x y\"\n":                                           "server.identity",
+		"[[server]]\nhost = \"a\"\naddress = \"here\"\n":                                           "server.address",
+		"[[server]]\nhost = \"a\"\nidentity = \"x\"\n[[server]]\nhost = \"b\"\nidentity = \"X\"\n": "line 6: server.identity",
+	} {
+		if _, err := ParseRules("f", []byte(head+text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -36,8 +36,9 @@
 	Limits      relay.Limits
 	Overload    overload.Config // what clients that heed it are told of overload
 	Peer        diameter.PeerConfig
-	Connections int           // of clients; more are closed at once
-	Hello       time.Duration // for a client to make itself known
+	Named       func(identity string) (backend string, ok bool) // whose server has an identity
+	Connections int                                             // of clients; more are closed at once
+	Hello       time.Duration                                   // for a client to make itself known
 	Log         *slog.Logger
 }
 
@@ -421,6 +422,14 @@
 	if a := diameter.Find(m.AVPs, diameter.CodeOriginHost, 0); a != nil {
 		host, _ = a.Identity()
 	}
+	only := ""
+	if name := f.cfg.Rules.Wanted(m); name != "" {
+		known := false
+		if only, known = f.cfg.Named(name); !known {
+			c.answer(m, &diameter.Error{Result: diameter.UnableToDeliver, Text: "no server of that name is known"})
+			return
+		}
+	}
 	origin := relay.Origin{Host: strings.ToLower(host), EndToEnd: m.EndToEnd}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -442,7 +451,7 @@
 	class := f.cfg.Rules.Classify(m)
 	call := &core.Call{
 		// An id of its own for each: a request that was refused may come again under its old ids.
-		Event:    balance.Request{ID: fmt.Sprintf("diameter-%d", f.calls), Class: f.cfg.Offset + class},
+		Event:    balance.Request{ID: fmt.Sprintf("diameter-%d", f.calls), Class: f.cfg.Offset + class, Only: only},
 		Request:  &backend.Request{Message: m, From: c.name},
 		Deadline: time.Now().Add(f.cfg.Rules.Classes[class].Deadline),
 		Reply:    make(chan core.Answer, 1),
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -93,7 +93,7 @@
 	inner, stop := context.WithCancel(context.Background())
 	front, err := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: relay.DefaultLimits(),
 		Overload: overload.Config{Span: 100 * time.Millisecond, Validity: time.Second, Least: 8, Grow: 2, Step: 0.05, Most: 0.9},
-		Peer:     diameter.DefaultPeerConfig(), Connections: 8, Hello: 10 * time.Second, Log: log}, loop)
+		Peer:     diameter.DefaultPeerConfig(), Named: b.Named, Connections: 8, Hello: 10 * time.Second, Log: log}, loop)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -543,3 +543,53 @@
 		return result == diameter.Success && told && percent == 0 && seconds == 0
 	})
 }
+
+// A request that names a server goes to that one or to none: under the name that the server gives itself, once it has
+// been connected to.
+func TestDestinationHost(t *testing.T) {
+	var hits [2]atomic.Int64
+	script := func(i int) func(c *standin.DiameterConn, m *diameter.Message) {
+		return func(c *standin.DiameterConn, m *diameter.Message) {
+			hits[i].Add(1)
+			good(c, m)
+		}
+	}
+	s := newSite(t, 16, script(0), script(1))
+	c := s.client()
+	ask := func(server string) uint32 {
+		t.Helper()
+		m := s.ask(4, 2)
+		if server != "" {
+			m.AVPs = append(m.AVPs, diameter.Str(diameter.CodeDestinationHost, server))
+		}
+		c.Send(m)
+		return code(scripted.Await(t, c.Got))
+	}
+	for end := time.Now().Add(scripted.Patience); hits[0].Load() == 0 || hits[1].Load() == 0; {
+		if got := ask(""); got != diameter.Success {
+			t.Fatalf("got %d", got)
+		}
+		if time.Now().After(end) {
+			t.Fatal("one server gets nothing")
+		}
+	}
+	before := hits[0].Load()
+	for range 30 {
+		if got := ask("S1.Example.net"); got != diameter.Success { // names know no case
+			t.Errorf("got %d", got)
+		}
+	}
+	if got := hits[0].Load(); got != before {
+		t.Errorf("%d requests at another server", got-before)
+	}
+	if got := ask("s9.example.net"); got != diameter.UnableToDeliver {
+		t.Errorf("for a server that nobody knows: %d", got)
+	}
+	s.list(balance.Up, balance.Draining)
+	if got := ask("s1.example.net"); got != diameter.TooBusy {
+		t.Errorf("for a server that drains: %d", got)
+	}
+	if got := hits[0].Load(); got != before {
+		t.Errorf("%d requests at another server", got-before)
+	}
+}
