--- a/cmd/lemonctl/diameter_test.go
+++ b/cmd/lemonctl/diameter_test.go
@@ -5,9 +5,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"lemonrail/internal/diameter"
+	"lemonrail/internal/standin"
 )
 
 func TestDiameterDecode(t *testing.T) {
@@ -42,3 +44,61 @@
 		t.Errorf("cut off: %d %s", code, complaints)
 	}
 }
+
+// Clients against a server that answers each request, one in some busily and one in some twice.
+func TestDiameterSend(t *testing.T) {
+	var n atomic.Int64
+	node, err := standin.NewDiameterNode("s0.example.net", func(c *standin.DiameterConn, m *diameter.Message) {
+		result := uint32(diameter.Success)
+		if n.Add(1)%5 == 0 {
+			result = diameter.TooBusy
+		}
+		c.Answer(m, result)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Stop)
+	code, out, complaints := call(t, "", "diameter", "send", "--target", node.Addr(), "--clients", "4", "--each", "25", "--json")
+	var got struct {
+		Requests, Answered, Twice int
+		Results                   map[string]int
+	}
+	if err := json.Unmarshal([]byte(out), &got); code != 0 || err != nil || got.Answered != 100 || got.Results["2001"] != 80 || got.Results["3004"] != 20 {
+		t.Errorf("%d %v: %s%s", code, err, out, complaints)
+	}
+	code, out, complaints = call(t, "", "diameter", "send", "--target", node.Addr(), "--each", "10")
+	if code != 0 || !strings.Contains(out, "10 requests of 1 clients") || !strings.Contains(out, "Result-Code 2001: 8") {
+		t.Errorf("%d: %s%s", code, out, complaints)
+	}
+	twice, err := standin.NewDiameterNode("s1.example.net", func(c *standin.DiameterConn, m *diameter.Message) {
+		c.Answer(m, diameter.Success)
+		c.Answer(m, diameter.Success)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(twice.Stop)
+	if code, _, complaints := call(t, "", "diameter", "send", "--target", twice.Addr(), "--each", "10", "--out", "1"); code != 1 || !strings.Contains(complaints, "answered once more") {
+		t.Errorf("answered twice: %d %s", code, complaints)
+	}
+}
+
+func TestDiameterServe(t *testing.T) {
+	code, out, complaints := call(t, "", "diameter", "serve", "--listen", "127.0.0.1:0", "--for", "10ms", "--json")
+	if code != 0 || !strings.Contains(out, `"requests": 0`) || !strings.Contains(complaints, "serves Diameter at 127.0.0.1:") {
+		t.Errorf("%d: %s%s", code, out, complaints)
+	}
+	for want, args := range map[string][]string{
+		"--busy":   {"--busy", "1.5"},
+		"more":     {"--busy", "0.6", "--silent", "0.6"},
+		"loopback": {"--listen", "192.0.2.1:3868"},
+	} {
+		if code, _, complaints := call(t, "", append([]string{"diameter", "serve"}, args...)...); code != 1 || !strings.Contains(complaints, want) {
+			t.Errorf("%v: %d %s", args, code, complaints)
+		}
+	}
+	if code, _, complaints := call(t, "", "diameter", "send", "--target", "192.0.2.1:3868"); code != 1 || !strings.Contains(complaints, "loopback") {
+		t.Errorf("%d %s", code, complaints)
+	}
+}
--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -32,7 +32,9 @@
 	} `cmd:"" help:"Stand-in days: what agents make of trouble, measured."`
 	Diameter struct {
 		Decode diameterDecodeCmd `cmd:"" help:"Print the messages of a capture as trees."`
-	} `cmd:"" help:"Diameter messages."`
+		Send   diameterSendCmd   `cmd:"" help:"Send requests as many clients do, and tell what came back."`
+		Serve  diameterServeCmd  `cmd:"" help:"Answer requests as a server does, with faults."`
+	} `cmd:"" help:"Diameter messages, clients and servers."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
 	BareProxy bareProxyCmd `cmd:"" hidden:"" help:"The proxy that overhead compares with."`
 	Try       tryCmd       `cmd:"" help:"Start a stand-in site with agents, play a log against them, and report."`
--- a/internal/standin/diameter.go
+++ b/internal/standin/diameter.go
@@ -35,6 +35,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return NewDiameterNodeOn(ln, identity, handle), nil
+}
+
+// NewDiameterNodeOn starts one on a listener, which it closes at its end.
+func NewDiameterNodeOn(ln net.Listener, identity string, handle func(c *DiameterConn, m *diameter.Message)) *DiameterNode {
 	n := &DiameterNode{Identity: identity, ln: ln, handle: handle, conns: map[*DiameterConn]bool{}}
 	n.wait.Go(func() {
 		for {
@@ -57,7 +62,7 @@
 			})
 		}
 	})
-	return n, nil
+	return n
 }
 
 // Addr is where it listens.
