--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -593,3 +593,43 @@
 		t.Errorf("%d requests at another server", got-before)
 	}
 }
+
+// A server that ends its connection in the middle of an answer may have run the request: what may be repeated goes to
+// another, marked; what may not has failed. Nobody gets the half.
+func TestHalfAnAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		kind, action uint32
+		want         uint32
+	}{{"safe", 4, 2, diameter.Success}, {"of no class", 0, 0, diameter.UnableToComply}} {
+		t.Run(tt.name, func(t *testing.T) {
+			var n atomic.Int64
+			var marked atomic.Bool
+			script := func(c *standin.DiameterConn, m *diameter.Message) {
+				if n.Add(1) > 1 {
+					marked.Store(m.Flags&diameter.FlagRetransmitted != 0)
+					good(c, m)
+					return
+				}
+				a := m.Answer()
+				a.AVPs = []diameter.AVP{diameter.U32(diameter.CodeResultCode, diameter.Success)}
+				raw, err := a.Append(nil)
+				if err != nil {
+					t.Error(err)
+				}
+				c.Write(raw[:len(raw)-4])
+				c.Close()
+			}
+			s := newSite(t, 16, script, script)
+			c := s.client()
+			m := s.ask(tt.kind, tt.action)
+			c.Send(m)
+			if a := scripted.Await(t, c.Got); code(a) != tt.want || a.EndToEnd != m.EndToEnd {
+				t.Errorf("got %d", code(a))
+			}
+			if again := tt.want == diameter.Success; n.Load() != map[bool]int64{true: 2, false: 1}[again] || marked.Load() != again {
+				t.Errorf("%d attempts, the last one marked: %v", n.Load(), marked.Load())
+			}
+		})
+	}
+}
