A list of servers from a file where there is no discovery, read again at SIGHUP

Change: roster.File takes discovery's place behind lemonrail -servers; what a file can't tell, when a server started, Next decides from the list before. Strict: unknown keys and nonsense are refused with file, line and key. Off by default. The Diameter clients of lemonctl move out of the agent's packages.

--- a/cmd/lemonctl/diameterpeers.go
+++ b/cmd/lemonctl/diameterpeers.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"lemonrail/internal/diameter"
-	"lemonrail/internal/diameter/exercise"
+	"lemonrail/internal/exercise"
 	"lemonrail/internal/standin"
 )
 
--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -23,15 +23,20 @@
 
 func main() {
 	hup := hangups()
-	explained := flag.String("explain", "", "TOML `file` that says where reasons of refusals are written, such as deploy/explain.toml")
-	diameter := flag.String("diameter", "", "TOML `file` by which the agent speaks Diameter too, such as deploy/diameter.toml")
+	var f files
+	flag.StringVar(&f.explained, "explain", "", "TOML `file` that says where reasons of refusals are written, such as deploy/explain.toml")
+	flag.StringVar(&f.diameter, "diameter", "", "TOML `file` by which the agent speaks Diameter too, such as deploy/diameter.toml")
+	flag.StringVar(&f.servers, "servers", "", "TOML `file` that lists the backends in place of discovery, such as deploy/servers.toml")
 	flag.Parse()
-	if err := run(hup, os.Stderr, *explained, *diameter); err != nil {
+	if err := run(hup, os.Stderr, f); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
 		os.Exit(1)
 	}
 }
 
+// files set what is off by default; empty: off.
+type files struct{ explained, diameter, servers string }
+
 // hangups catches SIGHUP, which would end the program otherwise.
 func hangups() <-chan os.Signal {
 	hup := make(chan os.Signal, 1) // one that waits says as much as several
@@ -39,12 +44,15 @@
 	return hup
 }
 
-func run(hup <-chan os.Signal, log io.Writer, explained, diameter string) error {
+func run(hup <-chan os.Signal, log io.Writer, f files) error {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
 		return errors.New("LB_CONFIG is not set")
 	}
 	cfg, err := agent.ReadConfig(path)
+	if f.servers != "" {
+		cfg, err = agent.ReadListedConfig(path, f.servers)
+	}
 	if err != nil {
 		return err
 	}
@@ -59,13 +67,13 @@
 		}
 		cfg.SharedDir = os.TempDir()
 	}
-	if explained != "" {
-		if cfg.Explain, err = explain.ReadConfig(explained); err != nil {
+	if f.explained != "" {
+		if cfg.Explain, err = explain.ReadConfig(f.explained); err != nil {
 			return err
 		}
 	}
-	if diameter != "" {
-		rules, err := relay.ReadRules(diameter)
+	if f.diameter != "" {
+		rules, err := relay.ReadRules(f.diameter)
 		if err != nil {
 			return err
 		}
--- a/cmd/lemonrail/main_test.go
+++ b/cmd/lemonrail/main_test.go
@@ -14,11 +14,11 @@
 
 func TestBadEnvironment(t *testing.T) {
 	t.Setenv("LB_CONFIG", "")
-	if err := run(nil, io.Discard, "", ""); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+	if err := run(nil, io.Discard, files{}); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
 		t.Errorf("got %v", err)
 	}
 	t.Setenv("LB_CONFIG", filepath.Join(t.TempDir(), "none.json"))
-	if err := run(nil, io.Discard, "", ""); err == nil || !strings.Contains(err.Error(), "none.json") {
+	if err := run(nil, io.Discard, files{}); err == nil || !strings.Contains(err.Error(), "none.json") {
 		t.Errorf("got %v", err)
 	}
 }
@@ -38,7 +38,7 @@
 	log, w := io.Pipe()
 	ended := make(chan error, 1)
 	go func() {
-		ended <- run(hup, w, "", "")
+		ended <- run(hup, w, files{})
 		w.Close()
 	}()
 	addr, reread := make(chan string, 1), make(chan bool, 1)
--- a/cmd/lemonrail/upgrade_cases_test.go
+++ b/cmd/lemonrail/upgrade_cases_test.go
@@ -216,3 +216,50 @@
 		})
 	}
 }
+
+// Without discovery the backends come from a file, which a SIGHUP has read again: one that drains is left alone.
+func TestServersFromAFile(t *testing.T) {
+	t.Parallel()
+	one, _, first, _ := scripted.Counting(t)
+	two, _, second, _ := scripted.Counting(t)
+	p := newPlatform(t, one)
+	p.config = p.rewritten(`"discovery":"127.0.0.1:1",`, "")
+	servers := filepath.Join(t.TempDir(), "servers.toml")
+	server := func(id, addr, state string) string {
+		return fmt.Sprintf("[[server]]\nhost = %q\naddress = %q\nstate = %q\n", id, addr, state)
+	}
+	p.write(servers, server("h0", one, "ready"))
+	bad := p.start(p.config) // neither discovery nor a file
+	scripted.Await(t, bad.done)
+	if bad.err == nil || !strings.Contains(bad.log.String(), "discovery: missing") {
+		t.Errorf("%v: %s", bad.err, bad.log.String())
+	}
+	i := p.start(p.config, "-servers", servers).ready()
+	ask := func() {
+		t.Helper()
+		if err := p.ask(http.DefaultClient); err != nil {
+			t.Error(err)
+		}
+	}
+	for range 20 {
+		ask()
+	}
+	if n := first.Load(); n != 20 {
+		t.Errorf("%d requests at the one listed", n)
+	}
+	p.write(servers, server("h0", one, "draining")+server("h1", two, "ready"))
+	i.cmd.Process.Signal(syscall.SIGHUP)
+	end := time.Now().Add(scripted.Patience)
+	for second.Load() == 0 && time.Now().Before(end) {
+		ask()
+	}
+	before := first.Load()
+	for range quietRow {
+		ask()
+	}
+	if got := first.Load(); got != before || second.Load() < quietRow {
+		t.Errorf("%d requests at the one that drains, %d at the other", got-before, second.Load())
+	}
+	i.cmd.Process.Signal(syscall.SIGTERM)
+	i.ended()
+}
--- a/cmd/lemonrail/upgrade_test.go
+++ b/cmd/lemonrail/upgrade_test.go
@@ -73,10 +73,10 @@
 }
 
 // start starts a process with a configuration and a door of its own.
-func (p *platform) start(config string) *instance {
+func (p *platform) start(config string, args ...string) *instance {
 	p.t.Helper()
 	desk := scripted.Listen(p.t)
-	i := &instance{p: p, cmd: exec.Command(p.bin), staff: "http://" + desk.Addr().String(), done: make(chan struct{})}
+	i := &instance{p: p, cmd: exec.Command(p.bin, args...), staff: "http://" + desk.Addr().String(), done: make(chan struct{})}
 	i.cmd.Env = []string{"LB_CONFIG=" + config, "LB_CONTROL=" + desk.Addr().String(), "LB_FD=3", "TMPDIR=" + p.dir}
 	i.cmd.ExtraFiles = []*os.File{p.held}
 	i.cmd.Stderr = &i.log
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -105,7 +105,7 @@
 		defer dia.ln.Close()
 	}
 	var fresh atomic.Bool // discovery has spoken
-	disc := roster.New(inner, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, func(list balance.List, addrs map[string]string) {
+	listed := listing(inner, cfg, func(list balance.List, addrs map[string]string) {
 		l.Post(func() {
 			l.Listed(list, addrs)
 			if list.Kind == balance.ListFull || list.Kind == balance.ListDelta {
@@ -113,7 +113,7 @@
 			}
 		})
 	}, log)
-	l.Lists = disc
+	l.Lists = listed.lists
 
 	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names, Figures: l.Figures, Memory: cfg.MemoryMB << 20}
 	door, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
@@ -164,9 +164,9 @@
 		staffed.home = home
 		parts.Go(func() { home.look(inner) })
 	}
-	disc.Tell(cfg.Known, balance.ListCached)
-	parts.Go(disc.Run)
-	parts.Go(func() { follow(inner, hup, cfg.path, disc.Move, log) })
+	listed.begin()
+	parts.Go(listed.run)
+	parts.Go(func() { listed.follow(hup) })
 	if peers != nil {
 		parts.Go(func() {
 			peers.run(inner, func(m balance.PeerMessage) { l.Post(func() { l.Event(m) }) })
@@ -234,6 +234,34 @@
 	return fault
 }
 
+// source is where the list of backends comes from.
+type source struct {
+	lists  core.Lists
+	begin  func()                 // tells what is known
+	run    func()                 // follows it until the agent ends
+	follow func(<-chan os.Signal) // reads what has changed with each signal
+}
+
+// listing is discovery, or a file in its place.
+func listing(ctx context.Context, cfg *Config, told func(balance.List, map[string]string), log *slog.Logger) source {
+	if cfg.servers != "" {
+		f := roster.NewFile(cfg.servers, cfg.Known, cfg.Names, told, log)
+		return source{lists: f, begin: f.Tell, run: func() {}, follow: func(hup <-chan os.Signal) {
+			for {
+				select {
+				case <-hup:
+					f.Reload()
+				case <-ctx.Done():
+					return
+				}
+			}
+		}}
+	}
+	d := roster.New(ctx, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, told, log)
+	return source{lists: d, begin: func() { d.Tell(cfg.Known, balance.ListCached) }, run: d.Run,
+		follow: func(hup <-chan os.Signal) { follow(ctx, hup, cfg.path, d.Move, log) }}
+}
+
 // pause waits, if anything is left to wait for, but not past the failure of a part.
 func pause(d time.Duration, failed <-chan error) error {
 	select {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -41,6 +41,7 @@
 	diameter     *relay.Rules // nil: the agent speaks none
 	diameterFrom int          // place of its classes
 
+	servers  string        // file that lists the backends; empty: discovery does
 	path     string        // of the file
 	stay     time.Duration // after a stop, for which connections are kept and served
 	linger   time.Duration // after a stop, for which the listener stays open at the least
@@ -49,6 +50,32 @@
 
 // ReadConfig reads and checks the file at path.
 func ReadConfig(path string) (*Config, error) {
+	cfg, err := readConfig(path)
+	if err == nil && !cfg.Discovery.IsValid() {
+		err = fmt.Errorf("configuration %s: %w", path, errNoDiscovery)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return cfg, nil
+}
+
+// ReadListedConfig is ReadConfig where a file lists the servers, so that no discovery is needed.
+func ReadListedConfig(path, servers string) (*Config, error) {
+	cfg, err := readConfig(path)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Known, err = roster.ReadServers(servers, cfg.Names); err != nil {
+		return nil, fmt.Errorf("list of servers: %w", err)
+	}
+	cfg.servers = servers
+	return cfg, nil
+}
+
+var errNoDiscovery = errors.New("discovery: missing")
+
+func readConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
@@ -84,8 +111,6 @@
 	switch {
 	case !f.Listen.IsValid():
 		return nil, errors.New("listen: missing")
-	case !f.Discovery.IsValid():
-		return nil, errors.New("discovery: missing")
 	case f.Settings == nil:
 		return nil, errors.New("settings: missing")
 	case f.Limits.MemoryMB < 0 || f.Limits.Sockets < 0:
--- /dev/null
+++ b/internal/roster/file_test.go
@@ -0,0 +1,119 @@
+package roster
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lemonrail/balance"
+	"lemonrail/internal/wire"
+)
+
+var fileNames = wire.Names{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
+
+func TestServersOfAFile(t *testing.T) {
+	l, err := ParseServers("f", []byte(`
+[[server]]
+host = "x"
+address = "127.0.0.1:1"
+[[server]]
+host = "y"
+address = "127.0.0.1:2"
+site = "b"
+class = "m2"
+block = 3
+weight = 2.5
+state = "draining"
+`), fileNames)
+	want := []Host{{"x", "127.0.0.1:1", "a", "m1", 0, "ready", 1, 0}, {"y", "127.0.0.1:2", "b", "m2", 3, "draining", 2.5, 0}}
+	if err != nil || !l.Whole || fmt.Sprint(l.Hosts) != fmt.Sprint(want) {
+		t.Errorf("%+v, %v", l, err)
+	}
+}
+
+// Errors name the file, the line and the key.
+func TestServersThatMakeNoSense(t *testing.T) {
+	const good = "[[server]]\nhost = \"x\"\naddress = \"127.0.0.1:1\"\n"
+	for text, want := range map[string]string{
+		"":                                              "f: server: 0",
+		good + good:                                     "f: line 4: server.host",
+		good + "port = 3\n":                             "f: line 4: unknown key server.port",
+		good + "site = \"c\"\n":                         "f: line 1: server.site",
+		good + "class = \"c\"\n":                        "f: line 1: server.class",
+		good + "weight = -1.0\n":                        "f: line 1: server.weight",
+		good + "state = \"gone\"\n":                     "f: line 1: server.state",
+		good + "block = \"x\"\n":                        "f: line 4",
+		"[[server]]\nhost = \"x\"\n":                    "f: line 1: server.address",
+		"[[server]]\naddress = \"a:1\"\n":               "f: line 1: server.host",
+		strings.Repeat(good, mostServers+1):             "between 1 and",
+		good + "address = \"127.0.0.1:2\"\n":            "f: line 4",
+		"[[server]]\nhost = \"x\"\naddress = \"h:1\"\n": "f: line 1: server.address",
+	} {
+		if _, err := ParseServers("f", []byte(text), fileNames); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.60q: %v, not %q", text, err, want)
+		}
+	}
+}
+
+// The sample file is read.
+func TestSampleServers(t *testing.T) {
+	if l, err := ReadServers("../../deploy/servers.toml", fileNames); err != nil || len(l.Hosts) != 1 {
+		t.Errorf("%+v, %v", l, err)
+	}
+}
+
+// What a file that is read again says of starts: new, moved and back from draining count as started now.
+func TestNextList(t *testing.T) {
+	now := time.UnixMilli(5000)
+	host := func(id, dial, health string, born float64) Host {
+		return Host{Host: id, Dial: dial, Health: health, BornMs: born}
+	}
+	before := List{Seq: 4, Whole: true, Hosts: []Host{host("same", "1", "ready", 0), host("young", "2", "ready", 3000), host("moves", "3", "ready", 0),
+		host("back", "4", "draining", 0), host("leaves", "5", "ready", 0), host("goes", "6", "ready", 0)}}
+	read := List{Seq: 1, Whole: true, Hosts: []Host{host("new", "7", "ready", 0), host("same", "1", "ready", 0), host("young", "2", "ready", 0),
+		host("moves", "9", "ready", 0), host("back", "4", "ready", 0), host("leaves", "5", "draining", 0)}}
+	want := List{Seq: 5, Whole: true, Hosts: []Host{host("new", "7", "ready", 5000), host("same", "1", "ready", 0), host("young", "2", "ready", 3000),
+		host("moves", "9", "ready", 5000), host("back", "4", "ready", 5000), host("leaves", "5", "draining", 0)}}
+	if got := Next(before, read, now); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%+v, not %+v", got, want)
+	}
+	if read.Hosts[0].BornMs != 0 {
+		t.Error("what was read was changed")
+	}
+}
+
+// A file that makes no sense changes nothing; one that does is told whole.
+func TestFileReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "servers.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server := func(id string) string { return fmt.Sprintf("[[server]]\nhost = %q\naddress = \"127.0.0.1:1\"\n", id) }
+	write(server("x"))
+	l, err := ReadServers(path, fileNames)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []balance.List
+	f := NewFile(path, l, fileNames, func(l balance.List, addrs map[string]string) {
+		if addrs[l.Backends[0].ID] != "127.0.0.1:1" {
+			t.Errorf("addresses %v", addrs)
+		}
+		told = append(told, l)
+	}, slog.New(slog.DiscardHandler))
+	f.Tell()
+	write("[[server")
+	f.Reload()
+	write(server("x") + server("y"))
+	f.Reload()
+	if len(told) != 2 || told[0].Kind != balance.ListFull || len(told[1].Backends) != 2 || told[1].Backends[0].Started != 0 || told[1].Backends[1].Started == 0 {
+		t.Errorf("told %+v", told)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -149,18 +149,20 @@
 
 // Tell passes on a list. Guards against an entry that makes no sense: it counts as gone, since
 // a backend that can't be understood can't be used, and must not live on as it was before.
-func (d *Client) Tell(l List, kind balance.ListKind) {
+func (d *Client) Tell(l List, kind balance.ListKind) { tell(l, kind, d.names, d.told, d.log) }
+
+func tell(l List, kind balance.ListKind, names wire.Names, told func(balance.List, map[string]string), log *slog.Logger) {
 	list := balance.List{Kind: kind, Version: l.Seq}
 	addrs := map[string]string{}
 	for _, h := range l.Hosts {
-		b, err := h.backend(d.names)
+		b, err := h.backend(names)
 		if err != nil {
-			d.log.Warn("entry of the list ignored", "host", h.Host, "err", err)
+			log.Warn("entry of the list ignored", "host", h.Host, "err", err)
 		}
 		list.Backends = append(list.Backends, b)
 		addrs[h.Host] = h.Dial
 	}
-	d.told(list, addrs)
+	told(list, addrs)
 }
 
 func (d *Client) failed(err error) {
