One way to read a Result-Code, one list of RFC 7683's codes; no new behaviour

Found on reading the change once more: the Result-Code of a message was read by three copies of one function (backend, exercise, front's tests), and the codes of RFC 7683 stood in three places. Message.Result and diameter.CodeOC… serve all.

--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -435,17 +435,17 @@
 				diameter.Str(diameter.CodeOriginHost, s.b.cfg.Identity), diameter.Str(diameter.CodeOriginRealm, s.b.cfg.Realm)}
 			s.base(a)
 		}
-		s.step(diameter.Event{Input: in, Side: diameter.Initiator, Result: result(m)})
+		s.step(diameter.Event{Input: in, Side: diameter.Initiator, Result: m.Result()})
 	}
 	switch {
 	case m.Application != diameter.AppBase:
 	case m.Command == diameter.CapabilitiesExchange && !m.Request():
 		if a := diameter.Find(m.AVPs, diameter.CodeOriginHost, 0); a != nil {
-			if name, err := a.Identity(); err == nil && result(m) == diameter.Success {
+			if name, err := a.Identity(); err == nil && m.Result() == diameter.Success {
 				s.name = name
 			}
 		}
-		s.step(diameter.Event{Input: diameter.GotCEA, Result: result(m)})
+		s.step(diameter.Event{Input: diameter.GotCEA, Result: m.Result()})
 		return true
 	case m.Command == diameter.DeviceWatchdog:
 		event(diameter.GotDWR, diameter.GotDWA)
@@ -499,20 +499,11 @@
 	})
 }
 
-func result(m *diameter.Message) uint32 {
-	if a := diameter.Find(m.AVPs, diameter.CodeResultCode, 0); a != nil {
-		if v, err := a.Uint32(); err == nil {
-			return v
-		}
-	}
-	return 0
-}
-
 // outcome is what a server's answer says. Too busy, and unable to deliver, come before anything ran; unable
 // to comply (5012) is the server's own trouble. All else is the answer to the request, good or bad.
 func outcome(m *diameter.Message, raw []byte) core.Response {
 	r := core.Response{Result: balance.OK, Payload: raw, Load: load(m)}
-	switch code := result(m); {
+	switch code := m.Result(); {
 	case code == diameter.TooBusy || code == diameter.UnableToDeliver && m.Flags&diameter.FlagError != 0:
 		r.Result, r.Payload = balance.Full, nil
 	case code == diameter.UnableToComply:
--- a/internal/diameter/dictionary.go
+++ b/internal/diameter/dictionary.go
@@ -82,6 +82,15 @@
 	CodeCCRequestNumber           = 415
 	CodeCCRequestType             = 416
 	CodeRequestedAction           = 436
+
+	// RFC 7683
+	CodeOCSupportedFeatures = 621
+	CodeOCFeatureVector     = 622
+	CodeOCOLR               = 623
+	CodeOCSequenceNumber    = 624
+	CodeOCValidityDuration  = 625
+	CodeOCReportType        = 626
+	CodeOCReduction         = 627
 )
 
 // AVPRule is how often an AVP may stand in a message or group.
--- a/internal/diameter/message.go
+++ b/internal/diameter/message.go
@@ -264,6 +264,16 @@
 	return nil
 }
 
+// Result is an answer's Result-Code; 0: it has none.
+func (m *Message) Result() uint32 {
+	if a := Find(m.AVPs, CodeResultCode, 0); a != nil {
+		if v, err := a.Uint32(); err == nil {
+			return v
+		}
+	}
+	return 0
+}
+
 // Answer returns the beginning of an answer to a request: its header as RFC 6733 section 6.2 wants it.
 func (m *Message) Answer() *Message {
 	return &Message{Flags: m.Flags & FlagProxiable, Command: m.Command, Application: m.Application, HopByHop: m.HopByHop, EndToEnd: m.EndToEnd}
--- a/internal/diameter/relay/overload.go
+++ b/internal/diameter/relay/overload.go
@@ -7,16 +7,7 @@
 	"lemonrail/internal/diameter/overload"
 )
 
-// Codes of RFC 7683, and what they stand for.
 const (
-	codeSupported = 621 // OC-Supported-Features
-	codeFeatures  = 622 // OC-Feature-Vector
-	codeOLR       = 623
-	codeSequence  = 624
-	codeValidity  = 625
-	codeType      = 626
-	codeReduction = 627
-
 	lossAlgorithm = 1 // the bit of the default one in OC-Feature-Vector
 	realmReport   = 1 // OC-Report-Type: any server of the realm, as a relay picks it
 )
@@ -24,7 +15,7 @@
 // Heeds reports whether the sender of a request takes reports of overload, of the loss algorithm. A request that
 // names no features means that one (RFC 7683, 7.2).
 func Heeds(m *diameter.Message) bool {
-	a := diameter.Find(m.AVPs, codeSupported, 0)
+	a := diameter.Find(m.AVPs, diameter.CodeOCSupportedFeatures, 0)
 	if a == nil {
 		return false
 	}
@@ -32,7 +23,7 @@
 	if err != nil {
 		return false
 	}
-	v := diameter.Find(list, codeFeatures, 0)
+	v := diameter.Find(list, diameter.CodeOCFeatureVector, 0)
 	if v == nil {
 		return true
 	}
@@ -53,13 +44,13 @@
 func Reported(answer []byte, r overload.Report) []byte {
 	limits := diameter.DefaultLimits()
 	m, err := diameter.Decode(answer, limits)
-	if err != nil || diameter.Find(m.AVPs, codeSupported, 0) != nil {
+	if err != nil || diameter.Find(m.AVPs, diameter.CodeOCSupportedFeatures, 0) != nil {
 		return answer
 	}
 	more := diameter.AppendAVPs(nil, soft(
-		diameter.Group(codeSupported, soft(diameter.U64(codeFeatures, lossAlgorithm))...),
-		diameter.Group(codeOLR, soft(diameter.U64(codeSequence, r.Sequence), diameter.U32(codeType, realmReport),
-			diameter.U32(codeReduction, r.Reduction), diameter.U32(codeValidity, r.Validity))...)))
+		diameter.Group(diameter.CodeOCSupportedFeatures, soft(diameter.U64(diameter.CodeOCFeatureVector, lossAlgorithm))...),
+		diameter.Group(diameter.CodeOCOLR, soft(diameter.U64(diameter.CodeOCSequenceNumber, r.Sequence), diameter.U32(diameter.CodeOCReportType, realmReport),
+			diameter.U32(diameter.CodeOCReduction, r.Reduction), diameter.U32(diameter.CodeOCValidityDuration, r.Validity))...)))
 	if len(answer)+len(more) > limits.Message {
 		return answer // the client could not read it
 	}
--- a/internal/diameter/relay/overload_test.go
+++ b/internal/diameter/relay/overload_test.go
@@ -14,12 +14,12 @@
 		want bool
 	}{
 		"says nothing":     {nil, false},
-		"names none":       {[]diameter.AVP{diameter.Group(codeSupported)}, true},
-		"loss":             {[]diameter.AVP{diameter.Group(codeSupported, diameter.U64(codeFeatures, 3))}, true},
-		"another one":      {[]diameter.AVP{diameter.Group(codeSupported, diameter.U64(codeFeatures, 2))}, false},
-		"no features":      {[]diameter.AVP{diameter.Group(codeSupported, diameter.U32(codeFeatures, 1))}, false},
-		"no group":         {[]diameter.AVP{diameter.Str(codeSupported, "abc")}, false},
-		"another's vendor": {[]diameter.AVP{diameter.Of(9, diameter.Group(codeSupported))}, false},
+		"names none":       {[]diameter.AVP{diameter.Group(diameter.CodeOCSupportedFeatures)}, true},
+		"loss":             {[]diameter.AVP{diameter.Group(diameter.CodeOCSupportedFeatures, diameter.U64(diameter.CodeOCFeatureVector, 3))}, true},
+		"another one":      {[]diameter.AVP{diameter.Group(diameter.CodeOCSupportedFeatures, diameter.U64(diameter.CodeOCFeatureVector, 2))}, false},
+		"no features":      {[]diameter.AVP{diameter.Group(diameter.CodeOCSupportedFeatures, diameter.U32(diameter.CodeOCFeatureVector, 1))}, false},
+		"no group":         {[]diameter.AVP{diameter.Str(diameter.CodeOCSupportedFeatures, "abc")}, false},
+		"another's vendor": {[]diameter.AVP{diameter.Of(9, diameter.Group(diameter.CodeOCSupportedFeatures))}, false},
 	} {
 		if got := Heeds(&diameter.Message{AVPs: tt.avps}); got != tt.want {
 			t.Errorf("%s: %v", name, got)
@@ -41,21 +41,21 @@
 		t.Error("the answer itself was changed")
 	}
 	got, err := diameter.Decode(out, diameter.DefaultLimits())
-	if err != nil || len(got.AVPs) != 4 || got.AVPs[2].Code != codeSupported || got.AVPs[3].Code != codeOLR {
+	if err != nil || len(got.AVPs) != 4 || got.AVPs[2].Code != diameter.CodeOCSupportedFeatures || got.AVPs[3].Code != diameter.CodeOCOLR {
 		t.Fatalf("%+v, %v", got, err)
 	}
 	list, err := got.AVPs[3].Group(diameter.DefaultLimits(), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for code, want := range map[uint32]uint32{codeType: 1, codeReduction: 40, codeValidity: 5} {
+	for code, want := range map[uint32]uint32{diameter.CodeOCReportType: 1, diameter.CodeOCReduction: 40, diameter.CodeOCValidityDuration: 5} {
 		if a := diameter.Find(list, code, 0); a == nil || a.Flags&diameter.AVPMandatory != 0 {
 			t.Errorf("AVP %d: %+v", code, a)
 		} else if v, err := a.Uint32(); err != nil || v != want {
 			t.Errorf("AVP %d: %d, %v", code, v, err)
 		}
 	}
-	if a := diameter.Find(list, codeSequence, 0); a == nil {
+	if a := diameter.Find(list, diameter.CodeOCSequenceNumber, 0); a == nil {
 		t.Error("no sequence number")
 	} else if v, err := a.Uint64(); err != nil || v != 9 {
 		t.Errorf("sequence number %d, %v", v, err)
--- a/internal/exercise/exercise.go
+++ b/internal/exercise/exercise.go
@@ -74,11 +74,6 @@
 	latency *hdrhistogram.Histogram // microseconds
 }
 
-const (
-	codeSupported = 621 // OC-Supported-Features
-	codeOLR       = 623
-)
-
 // Run sends all that is to be sent and returns once each request has an answer or has been given up, or ctx ends.
 // progress, which may be nil, is told now and then how many have ended.
 func Run(ctx context.Context, cfg Config, progress func(ended, all int)) (*Report, error) {
@@ -164,8 +159,8 @@
 		if !open {
 			return errors.New("the connection ended before the capabilities exchange")
 		}
-		if result(m) != diameter.Success {
-			return fmt.Errorf("the capabilities exchange was answered %d", result(m))
+		if m.Result() != diameter.Success {
+			return fmt.Errorf("the capabilities exchange was answered %d", m.Result())
 		}
 		return nil
 	case <-wait.C:
@@ -175,15 +170,6 @@
 	}
 }
 
-func result(m *diameter.Message) uint32 {
-	if a := diameter.Find(m.AVPs, diameter.CodeResultCode, 0); a != nil {
-		if v, err := a.Uint32(); err == nil {
-			return v
-		}
-	}
-	return 0
-}
-
 func (c *client) run(ctx context.Context) {
 	sent := 0
 	for {
@@ -243,7 +229,7 @@
 		add(diameter.U32(diameter.CodeRequestedAction, uint32(c.cfg.Action)))
 	}
 	if c.cfg.Heed {
-		add(diameter.Optional(diameter.Group(codeSupported)))
+		add(diameter.Optional(diameter.Group(diameter.CodeOCSupportedFeatures)))
 	}
 	now := time.Now()
 	c.out[id] = &request{message: m, began: now, due: now.Add(c.cfg.Patience)}
@@ -265,9 +251,9 @@
 			r.Strangers++
 		default:
 			r.Answered++
-			r.Results[result(m)]++
+			r.Results[m.Result()]++
 			r.latency.RecordValue(max(1, time.Since(q.began).Microseconds()))
-			if diameter.Find(m.AVPs, codeOLR, 0) != nil {
+			if diameter.Find(m.AVPs, diameter.CodeOCOLR, 0) != nil {
 				r.Overload++
 			}
 		}
--- a/internal/exercise/exercise_test.go
+++ b/internal/exercise/exercise_test.go
@@ -44,7 +44,7 @@
 		case 3:
 			c.Answer(m, diameter.TooBusy)
 		default:
-			c.Answer(m, diameter.Success, diameter.Group(codeOLR))
+			c.Answer(m, diameter.Success, diameter.Group(diameter.CodeOCOLR))
 		}
 	})
 	cfg := usual(s.Addr())
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -134,8 +134,7 @@
 	if m == nil {
 		return 0
 	}
-	v, _ := diameter.Find(m.AVPs, diameter.CodeResultCode, 0).Uint32()
-	return v
+	return m.Result()
 }
 
 // ask is a request of a kind: action 2 is safe, others are keyed; type 0 stands for one of no class.
@@ -481,7 +480,6 @@
 // While requests are refused, clients that heed reports of overload are told by how much to send less; others get
 // their refusals as before. Once all is served again the report ends.
 func TestOverloadIsReported(t *testing.T) {
-	const supported, olr, reduction, validity = 621, 623, 627, 625
 	var busy atomic.Bool
 	busy.Store(true)
 	s := newSite(t, 16, func(c *standin.DiameterConn, m *diameter.Message) {
@@ -498,14 +496,14 @@
 		for range batch {
 			m := s.ask(4, 2)
 			if heeds {
-				m.AVPs = append(m.AVPs, diameter.Optional(diameter.Group(supported)))
+				m.AVPs = append(m.AVPs, diameter.Optional(diameter.Group(diameter.CodeOCSupportedFeatures)))
 			}
 			c.Send(m)
 		}
 		for range batch {
 			a := scripted.Await(t, c.Got)
 			result = code(a)
-			report := diameter.Find(a.AVPs, olr, 0)
+			report := diameter.Find(a.AVPs, diameter.CodeOCOLR, 0)
 			if report == nil {
 				continue
 			}
@@ -513,8 +511,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			percent, _ = diameter.Find(list, reduction, 0).Uint32()
-			seconds, _ = diameter.Find(list, validity, 0).Uint32()
+			percent, _ = diameter.Find(list, diameter.CodeOCReduction, 0).Uint32()
+			seconds, _ = diameter.Find(list, diameter.CodeOCValidityDuration, 0).Uint32()
 			told = true
 		}
 		return result, percent, seconds, told
