--- a/internal/front/diameter/ledger_test.go
+++ b/internal/front/diameter/ledger_test.go
@@ -216,3 +216,47 @@
 		t.Errorf("only %d of %d served", v.Served, clients*each)
 	}
 }
+
+// A client that lost its agent in the middle asks a second one: that one can't know the request, but passes the T flag
+// on, and the servers, which drop repeats by Session-Id, let it take effect once. Both clients' answers are served.
+func TestResendToASecondAgent(t *testing.T) {
+	done := &effects{ran: map[string]bool{}}
+	var ran atomic.Int64
+	asked, release := make(chan struct{}), make(chan struct{})
+	marked := make(chan bool, 1)
+	first := newSite(t, 16, func(c *standin.DiameterConn, m *diameter.Message) {
+		if done.first(sessionID(m)) {
+			ran.Add(1)
+		}
+		close(asked)
+		<-release // until the second agent has answered
+		c.Answer(m, diameter.Success)
+	})
+	second := newSite(t, 16, func(c *standin.DiameterConn, m *diameter.Message) {
+		if done.first(sessionID(m)) {
+			ran.Add(1)
+		}
+		marked <- m.Flags&diameter.FlagRetransmitted != 0
+		c.Answer(m, diameter.Success)
+	})
+	one, two := first.client(), second.client()
+	m := first.ask(1, 0) // a charge
+	one.Send(m)
+	scripted.Await(t, asked)
+	again := *m
+	again.Flags |= diameter.FlagRetransmitted
+	two.Send(&again)
+	if a := scripted.Await(t, two.Got); code(a) != diameter.Success || a.EndToEnd != m.EndToEnd {
+		t.Errorf("the second agent answered %d", code(a))
+	}
+	if !scripted.Await(t, marked) {
+		t.Error("the server was not told that the request may have been sent before")
+	}
+	close(release)
+	if a := scripted.Await(t, one.Got); code(a) != diameter.Success { // late, and to who still listens
+		t.Errorf("the first agent answered %d", code(a))
+	}
+	if n := ran.Load(); n != 1 {
+		t.Errorf("the effect took place %d times", n)
+	}
+}
