The configuration is read once; Upstream.Room knows its own limit; no new behaviour

Found on reading the whole change once more: with a list of servers from a file main read and checked the configuration twice, and agent told Upstream by a special value what Upstream can see by itself.

--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -49,10 +49,11 @@
 	if path == "" {
 		return errors.New("LB_CONFIG is not set")
 	}
-	cfg, err := agent.ReadConfig(path)
+	read := agent.ReadConfig
 	if f.servers != "" {
-		cfg, err = agent.ReadListedConfig(path, f.servers)
+		read = func(path string) (*agent.Config, error) { return agent.ReadListedConfig(path, f.servers) }
 	}
+	cfg, err := read(path)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -152,9 +152,6 @@
 				if err := door.Resize(admission.DefaultConfig(connections, memory)); err != nil {
 					log.Error("bounds stay as they were", "err", err)
 				}
-				if connections == int(socks.Limit) {
-					connections = 0
-				}
 				up.Room(connections)
 			}}
 		if place.View().Plan().Mute {
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -583,9 +583,13 @@
 	}
 }
 
-// Room sets beyond how many connections of the process idle ones are let go; 0: its limit.
+// Room sets beyond how many connections of the process idle ones are let go; from its limit on that alone holds.
 func (u *Upstream) Room(n int) {
-	u.sockets.room.Store(int64(n))
+	room := int64(n)
+	if room >= u.sockets.Limit {
+		room = 0
+	}
+	u.sockets.room.Store(room)
 	for u.sockets.Tight() && u.Evict() {
 	}
 }
