An agent is a list of parts; internal/membership is internal/pool; no new behaviour

Need: serve was one long function into which every subsystem was wired by hand, and five more are coming. And membership is about to mean which agents live, so that what is known of backends is called a pool.

Change: a part is made from the configuration, started, asked whether it is ready, and stopped, in the order of one list; it brings its own calls for the operators' door and its own figures. control knows routes instead of an agent's methods, figures take further ones. The order of starting and stopping is that of before.

Result: the tests of internal/agent, cmd/lemonrail (upgrades, stops, doors), core, pool, takeover and figures pass unchanged but for the package's name.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,14 +10,12 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"lemonrail/balance"
 	"lemonrail/internal/admission"
 	upstream "lemonrail/internal/backend/http1"
-	"lemonrail/internal/control"
 	"lemonrail/internal/core"
 	"lemonrail/internal/explain"
 	"lemonrail/internal/figures"
@@ -83,10 +81,41 @@
 func serve(ctx context.Context, cfg *Config, bal core.Decider, ln, desk net.Listener, peers *peers, hup <-chan os.Signal,
 	log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.Background())
-	var parts sync.WaitGroup
-	defer parts.Wait()
+	t := newTasks(inner)
+	defer t.all.Wait()
 	defer stop()
+	all, err := assemble(inner, cfg, bal, ln, desk, peers, hup, log)
+	defer all.close()
+	if err != nil {
+		return err
+	}
+	all.start(t)
+	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "backends", len(cfg.Known.Hosts))
 
+	var fault error
+	var cutOff time.Time // the end of what still goes on
+	select {
+	case fault = <-t.failed:
+	case <-ctx.Done():
+		log.Info("stopping")
+		answerBy := time.Now().Add(cfg.answerBy)
+		cutOff = answerBy.Add(killMargin / 2)
+		all.leave(answerBy)
+		if fault = pause(cfg.stay, t.failed); fault == nil {
+			all.drain()
+			fault = pause(cfg.linger-cfg.stay, t.failed)
+		}
+	}
+	if fault != nil { // what the loop has answered on its way out is still written
+		cutOff = time.Now().Add(cfg.answerBy)
+	}
+	all.end(cutOff)
+	return fault
+}
+
+// assemble makes the parts, in the order in which they start. With an error come those that are to be closed.
+func assemble(ctx context.Context, cfg *Config, bal core.Decider, ln, desk net.Listener, peers *peers, hup <-chan os.Signal,
+	log *slog.Logger) (all parts, err error) {
 	socks := &upstream.Sockets{Limit: int64(max(0, cfg.Sockets-reservedSockets))}
 	l := core.New(bal, &cfg.Settings, log)
 	if peers != nil {
@@ -96,27 +125,63 @@
 	l.Backend = up
 	l.Figures = figures.New(cfg.Names.Classes)
 	up.CountTries(&l.Figures.Tries)
-	dia, err := withDiameter(cfg, l, up, log)
+
+	dia, err := diameterPart(cfg, l, up, log)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if dia != nil {
-		defer dia.back.Close() // once no attempt begins any more
-		defer dia.ln.Close()
+	clients, door, err := clientsPart(cfg, l, up, socks, ln, log)
+	if err != nil {
+		return parts{dia}, err
 	}
-	var fresh atomic.Bool // discovery has spoken
-	listed := listing(inner, cfg, func(list balance.List, addrs map[string]string) {
-		l.Post(func() {
-			l.Listed(list, addrs)
-			if list.Kind == balance.ListFull || list.Kind == balance.ListDelta {
-				l.Then(func() { fresh.Store(true) })
-			}
+	home := newHousehold(cfg, l, up, socks, door, log)
+	door.home = home
+	staffed := &staff{loop: l, figures: l.Figures, home: home}
+	all = parts{
+		{name: "staff", leave: func(time.Time) { staffed.stops.Store(true) }}, // before all: no yes while it stops
+		loopPart(l),
+		{name: "backends", start: func(t *tasks) { t.Go(func(ctx context.Context) error { up.Run(ctx); return nil }) }},
+		home.part(),
+		listPart(ctx, cfg, l, hup, log),
+		peersPart(peers, l),
+		clients,
+		staffed.part(desk, log),
+		dia,
+	}
+	staffed.ready, door.ready = all.ready, all.ready
+	staffed.gauges, staffed.routes = all.gauges(), all.routes()
+	return all, nil
+}
+
+func loopPart(l *core.Loop) *part {
+	return &part{name: "loop",
+		start: func(t *tasks) { t.Go(l.Run) },
+		leave: func(answerBy time.Time) { l.Post(func() { l.Stopping(answerBy) }) }}
+}
+
+func peersPart(p *peers, l *core.Loop) *part {
+	if p == nil {
+		return &part{name: "peers"}
+	}
+	return &part{name: "peers", start: func(t *tasks) {
+		t.Go(func(ctx context.Context) error {
+			p.run(ctx, func(m balance.PeerMessage) { l.Post(func() { l.Event(m) }) })
+			return nil
 		})
-	}, log)
-	l.Lists = listed.lists
+	}}
+}
+
+// clientDoor is where clients come in over HTTP/1.1.
+type clientDoor struct {
+	*admission.Listener
+	home  *household
+	ready func() bool
+}
 
+func clientsPart(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, ln net.Listener,
+	log *slog.Logger) (*part, *clientDoor, error) {
 	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names, Figures: l.Figures, Memory: cfg.MemoryMB << 20}
-	door, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
+	gate, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
 		admission.Hooks{
 			Opened: func() {
 				socks.Open.Add(1)
@@ -128,107 +193,63 @@
 			Room:   func() { up.Evict() },
 		})
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
+	door := &clientDoor{Listener: gate}
 	srv := s.HTTP(log)
-	failed := make(chan error, 4)
-	parts.Go(func() {
-		if err := l.Run(inner); err != nil {
-			failed <- err
-		}
-	})
-	parts.Go(func() { up.Run(inner) })
-	begun := time.Now()
-	staffed := &staff{loop: l, figures: l.Figures, ready: func() bool {
-		// Guards against a yes that rests on the list that was known, of any age; but discovery may be down.
-		return s.Ready.Load() && (fresh.Load() || time.Since(begun) > listPatience)
-	}}
-	var home *household
-	if place, shared := claim(cfg, log); place != nil {
-		defer place.Close()
-		home = &household{claim: place, loop: l, peers: l.Peers, inHand: func() int { return int(l.Figures.Active.Load()) },
-			memory: cfg.MemoryMB << 20, log: log, most: int(socks.Limit), open: func() int { return int(socks.Open.Load()) },
-			room: func(connections int, memory int64) {
-				if err := door.Resize(admission.DefaultConfig(connections, memory)); err != nil {
-					log.Error("bounds stay as they were", "err", err)
+	return &part{name: "clients",
+		start: func(t *tasks) {
+			t.Go(func(ctx context.Context) error {
+				door.home.hold(ctx, door.ready)
+				if err := srv.Serve(gate); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+					return fmt.Errorf("clients: %w", err)
 				}
-				up.Room(connections)
-			}}
-		if place.View().Plan().Mute {
-			l.Post(func() { home.speak(false) })
-		}
-		l.Post(func() { home.adopt(shared) }) // ahead of the known list
-		staffed.home = home
-		parts.Go(func() { home.look(inner) })
-	}
-	listed.begin()
-	parts.Go(listed.run)
-	parts.Go(func() { listed.follow(hup) })
-	if peers != nil {
-		parts.Go(func() {
-			peers.run(inner, func(m balance.PeerMessage) { l.Post(func() { l.Event(m) }) })
-		})
-	}
-	parts.Go(func() {
-		home.hold(inner, staffed.ready)
-		if err := srv.Serve(door); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("clients: %w", err)
-		}
-	})
-	l.Post(func() { // behind the known list
-		l.Then(func() { s.Ready.Store(true) })
-	})
-	if desk != nil {
-		parts.Go(func() {
-			if err := control.Serve(inner, desk, staffed, log); err != nil {
-				failed <- err
+				return nil
+			})
+			l.Post(func() { // behind the known list
+				l.Then(func() { s.Ready.Store(true) })
+			})
+		},
+		ready: s.Ready.Load,
+		leave: func(time.Time) {
+			if door.home.heir() {
+				log.Info("a successor serves: new connections are its own")
+				gate.Leave()
 			}
-		})
-	}
-	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "backends", len(cfg.Known.Hosts))
+		},
+		drain: gate.Drain,
+		end: func(cutOff time.Duration) {
+			patience, cancel := context.WithTimeout(context.Background(), cutOff)
+			defer cancel()
+			// Not the server's own Shutdown: it drops requests that it has just read.
+			if left := gate.Finish(patience); left > 0 {
+				log.Warn("connections cut off", "count", left)
+			}
+			srv.Close()
+		}}, door, nil
+}
 
-	diaDone, endDia := context.WithCancel(context.Background())
-	defer endDia()
-	if dia != nil {
-		parts.Go(func() {
-			if err := dia.front.Serve(diaDone, dia.ln, func() time.Time { return time.Now().Add(cfg.answerBy - cfg.stay) }); err != nil {
-				failed <- err
+// listPart is where the list of backends comes from.
+func listPart(ctx context.Context, cfg *Config, l *core.Loop, hup <-chan os.Signal, log *slog.Logger) *part {
+	var fresh atomic.Bool // discovery has spoken
+	listed := listing(ctx, cfg, func(list balance.List, addrs map[string]string) {
+		l.Post(func() {
+			l.Listed(list, addrs)
+			if list.Kind == balance.ListFull || list.Kind == balance.ListDelta {
+				l.Then(func() { fresh.Store(true) })
 			}
 		})
-	}
-
-	var fault error
-	var cutOff time.Time // the end of what still goes on
-	select {
-	case fault = <-failed:
-	case <-ctx.Done():
-		log.Info("stopping")
-		staffed.stops.Store(true)
-		answerBy := time.Now().Add(cfg.answerBy)
-		cutOff = answerBy.Add(killMargin / 2)
-		l.Post(func() { l.Stopping(answerBy) })
-		if home.heir() {
-			log.Info("a successor serves: new connections are its own")
-			door.Leave()
-			l.Post(home.leave)
-		}
-		if fault = pause(cfg.stay, failed); fault == nil {
-			endDia()
-			door.Drain()
-			fault = pause(cfg.linger-cfg.stay, failed)
-		}
-	}
-	if fault != nil { // what the loop has answered on its way out is still written
-		cutOff = time.Now().Add(cfg.answerBy)
-	}
-	patience, cancel := context.WithDeadline(context.Background(), cutOff)
-	defer cancel()
-	// Not the server's own Shutdown: it drops requests that it has just read.
-	if left := door.Finish(patience); left > 0 {
-		log.Warn("connections cut off", "count", left)
-	}
-	srv.Close()
-	return fault
+	}, log)
+	l.Lists = listed.lists
+	begun := time.Now()
+	return &part{name: "list",
+		start: func(t *tasks) {
+			listed.begin()
+			t.Go(func(context.Context) error { listed.run(); return nil })
+			t.Go(func(context.Context) error { listed.follow(hup); return nil })
+		},
+		// Guards against a yes that rests on the list that was known, of any age; but discovery may be down.
+		ready: func() bool { return fresh.Load() || time.Since(begun) > listPatience }}
 }
 
 // source is where the list of backends comes from.
--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -51,36 +51,40 @@
 	b.diameter.Keep(wanted)
 }
 
-// diameterParts are the Diameter front and backend of an agent.
-type diameterParts struct {
-	front *diameterfront.Front
-	back  *diameterback.Backend
-	ln    net.Listener
-}
-
-// withDiameter puts Diameter beside HTTP/1.1 in a loop. It is nil where the agent speaks none.
-func withDiameter(cfg *Config, l *core.Loop, up *http1back.Upstream, log *slog.Logger) (*diameterParts, error) {
+// diameterPart puts Diameter beside HTTP/1.1 in a loop. It does nothing where the agent speaks none.
+func diameterPart(cfg *Config, l *core.Loop, up *http1back.Upstream, log *slog.Logger) (*part, error) {
 	if cfg.diameter == nil {
-		return nil, nil
+		return &part{name: "diameter"}, nil
 	}
 	c := cfg.diameter.Config()
 	ln, err := net.Listen("tcp4", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("diameter clients: %w", err)
 	}
-	p := &diameterParts{ln: ln}
-	p.back = diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
+	back := diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
 		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
 		Leaves: func(id string, leaves bool) { l.Post(func() { l.Leaves(id, leaves) }) }})
-	p.front, err = diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
+	front, err := diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, Offset: cfg.diameterFrom,
 		Limits: relay.DefaultLimits(), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections,
-		Named: p.back.Named, Hello: helloLimit, Log: log}, l)
+		Named: back.Named, Hello: helloLimit, Log: log}, l)
 	if err != nil {
-		p.back.Close()
+		back.Close()
 		ln.Close()
 		return nil, err
 	}
-	l.Backend = &both{http1: up, diameter: p.back}
+	l.Backend = &both{http1: up, diameter: back}
 	log.Info("serving diameter", "listen", ln.Addr().String())
-	return p, nil
+	done, end := context.WithCancel(context.Background())
+	return &part{name: "diameter",
+		start: func(t *tasks) {
+			t.Go(func(context.Context) error {
+				return front.Serve(done, ln, func() time.Time { return time.Now().Add(cfg.answerBy - cfg.stay) })
+			})
+		},
+		drain: end,
+		close: func() {
+			end()
+			ln.Close()
+			back.Close() // once no attempt begins any more
+		}}, nil
 }
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
 
+	"lemonrail/internal/control"
 	"lemonrail/internal/core"
 	"lemonrail/internal/figures"
-	"lemonrail/internal/membership"
+	"lemonrail/internal/pool"
 	"lemonrail/internal/takeover"
 )
 
@@ -21,6 +23,25 @@
 	stops   atomic.Bool
 	home    *household  // nil: this process is the only one of its agent
 	told    atomic.Bool // the others know that this one serves
+	gauges  []figures.Gauge
+	routes  []control.Route // of the other parts
+}
+
+// part answers at the door, where there is one.
+func (s *staff) part(desk net.Listener, log *slog.Logger) *part {
+	if desk == nil {
+		return &part{name: "door"}
+	}
+	own := []control.Route{
+		control.Ready("GET /api/ready", s.Ready),
+		control.Text("GET /api/telemetry", "text/plain; version=0.0.4; charset=utf-8",
+			func(context.Context) ([]byte, error) { return s.figures.Text(s.gauges...), nil }),
+		control.Change("exclude", s.Exclude, log),
+		control.Change("include", s.Include, log),
+	}
+	return &part{name: "door", start: func(t *tasks) {
+		t.Go(func(ctx context.Context) error { return control.Serve(ctx, desk, append(own, s.routes...), log) })
+	}}
 }
 
 // Ready reports whether this process serves. Its yes ends the process before it, so that one that waits for
@@ -50,7 +71,7 @@
 	}
 	known := func() error {
 		if !s.loop.Known(backend) {
-			return fmt.Errorf("%q: %w", backend, membership.ErrUnknown)
+			return fmt.Errorf("%q: %w", backend, pool.ErrUnknown)
 		}
 		return nil
 	}
@@ -84,8 +105,6 @@
 	}
 }
 
-func (s *staff) Telemetry(context.Context) []byte { return s.figures.Text() }
-
 func (s *staff) Exclude(ctx context.Context, backend string) error {
 	return s.change(ctx, backend, s.loop.Exclude, func(t *takeover.State) error { return t.Exclude(backend) })
 }
--- a/internal/agent/heirs.go
+++ b/internal/agent/heirs.go
@@ -13,6 +13,8 @@
 	"golang.org/x/sys/unix"
 
 	"lemonrail/balance"
+	"lemonrail/internal/admission"
+	upstream "lemonrail/internal/backend/http1"
 	"lemonrail/internal/core"
 	"lemonrail/internal/takeover"
 )
@@ -60,6 +62,7 @@
 // household keeps a process in step with the others of its agent.
 type household struct {
 	claim  *takeover.Claim
+	shared takeover.State // as it was when this process took its place
 	loop   *core.Loop
 	peers  core.Peers                          // nil where agents don't talk
 	inHand func() int                          // requests of this process
@@ -71,7 +74,44 @@
 
 	version int64   // of the state that was adopted last; the loop's
 	leaves  bool    // a successor speaks for the agent from now on; the loop's
-	part    float64 // of the agent's budget, as told last
+	mine    float64 // of the agent's budget, as told last
+}
+
+// newHousehold takes this process's place among those of the agent; nil where it is the only one there can be.
+func newHousehold(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, door *clientDoor, log *slog.Logger) *household {
+	place, shared := claim(cfg, log)
+	if place == nil {
+		return nil
+	}
+	return &household{claim: place, shared: shared, loop: l, peers: l.Peers, inHand: func() int { return int(l.Figures.Active.Load()) },
+		memory: cfg.MemoryMB << 20, log: log, most: int(socks.Limit), open: func() int { return int(socks.Open.Load()) },
+		room: func(connections int, memory int64) {
+			if err := door.Resize(admission.DefaultConfig(connections, memory)); err != nil {
+				log.Error("bounds stay as they were", "err", err)
+			}
+			up.Room(connections)
+		}}
+}
+
+// part is ahead of the list's: what staff did comes before what is known.
+func (h *household) part() *part {
+	if h == nil {
+		return &part{name: "household"}
+	}
+	return &part{name: "household",
+		start: func(t *tasks) {
+			if h.claim.View().Plan().Mute {
+				h.loop.Post(func() { h.speak(false) })
+			}
+			h.loop.Post(func() { h.adopt(h.shared) })
+			t.Go(func(ctx context.Context) error { h.look(ctx); return nil })
+		},
+		leave: func(time.Time) {
+			if h.heir() {
+				h.loop.Post(h.leave)
+			}
+		},
+		close: h.claim.Close}
 }
 
 // adopt takes a state over, unless a later one has been. It belongs to the loop.
@@ -88,7 +128,7 @@
 	defer tick.Stop()
 	alone, broken := true, false
 	room := h.most
-	h.part = 1
+	h.mine = 1
 	for {
 		s, v, err := h.claim.Look()
 		if err != nil {
@@ -116,8 +156,8 @@
 			room = now
 			h.room(now, h.share(alone))
 		}
-		if part := v.Part(mine); part != h.part {
-			h.part = part
+		if part := v.Part(mine); part != h.mine {
+			h.mine = part
 			h.loop.Post(func() { h.loop.Event(balance.Part{Of: part}) })
 		}
 		select {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"lemonrail/internal/membership"
+	"lemonrail/internal/pool"
 )
 
 const (
@@ -26,45 +26,60 @@
 	headBytes = 4 << 10
 )
 
-// Agent is what the door opens on.
-type Agent interface {
-	Ready() bool                                       // whether it serves
-	Telemetry(ctx context.Context) []byte              // the figures
-	Exclude(ctx context.Context, backend string) error // leaves a backend out
-	Include(ctx context.Context, backend string) error // takes it in again
+// Route is one call: a method and a path, as net/http's patterns have them, and what answers it. Parts of an
+// agent offer their own.
+type Route struct {
+	Pattern string
+	Answer  http.HandlerFunc
 }
 
-// Handler answers the calls.
-func Handler(a Agent, log *slog.Logger) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !a.Ready() {
+// Ready answers whether something is so.
+func Ready(pattern string, ready func() bool) Route {
+	return Route{pattern, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
 		fmt.Fprintln(w, "ready")
-	})
-	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-		w.Write(a.Telemetry(r.Context()))
-	})
-	change := func(what string, do func(context.Context, string) error) {
-		mux.HandleFunc("PUT /api/"+what+"/{id}", func(w http.ResponseWriter, r *http.Request) {
-			id := r.PathValue("id")
-			switch err := do(r.Context(), id); {
-			case err == nil:
-				log.Info("by hand", "call", what, "backend", id)
-				fmt.Fprintln(w, "ok")
-			case errors.Is(err, membership.ErrUnknown):
-				http.Error(w, err.Error(), http.StatusNotFound)
-			default:
-				log.Warn("by hand", "call", what, "backend", id, "err", err)
-				http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			}
-		})
+	}}
+}
+
+// Text answers with what text returns; its error is a no.
+func Text(pattern, kind string, text func(context.Context) ([]byte, error)) Route {
+	return Route{pattern, func(w http.ResponseWriter, r *http.Request) {
+		body, err := text(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", kind)
+		w.Write(body)
+	}}
+}
+
+// Change does something to a backend: PUT /api/WHAT/ID.
+func Change(what string, do func(ctx context.Context, backend string) error, log *slog.Logger) Route {
+	return Route{"PUT /api/" + what + "/{id}", func(w http.ResponseWriter, r *http.Request) {
+		id := r.PathValue("id")
+		switch err := do(r.Context(), id); {
+		case err == nil:
+			log.Info("by hand", "call", what, "backend", id)
+			fmt.Fprintln(w, "ok")
+		case errors.Is(err, pool.ErrUnknown):
+			http.Error(w, err.Error(), http.StatusNotFound)
+		default:
+			log.Warn("by hand", "call", what, "backend", id, "err", err)
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	}}
+}
+
+// Handler answers the calls.
+func Handler(routes []Route) http.Handler {
+	mux := http.NewServeMux()
+	for _, r := range routes {
+		mux.HandleFunc(r.Pattern, r.Answer)
 	}
-	change("exclude", a.Exclude)
-	change("include", a.Include)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), callLimit)
 		defer cancel()
@@ -78,8 +93,8 @@
 }
 
 // Serve answers calls until ctx ends, and returns nil then.
-func Serve(ctx context.Context, ln net.Listener, a Agent, log *slog.Logger) error {
-	srv := &http.Server{Handler: Handler(a, log), ReadTimeout: readLimit, WriteTimeout: readLimit + callLimit, MaxHeaderBytes: headBytes,
+func Serve(ctx context.Context, ln net.Listener, routes []Route, log *slog.Logger) error {
+	srv := &http.Server{Handler: Handler(routes), ReadTimeout: readLimit, WriteTimeout: readLimit + callLimit, MaxHeaderBytes: headBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	srv.SetKeepAlivesEnabled(false)
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,7 +18,7 @@
 
 	"lemonrail/balance"
 	"lemonrail/internal/figures"
-	"lemonrail/internal/membership"
+	"lemonrail/internal/pool"
 )
 
 // Decider is what the loop asks for decisions; in service an *balance.Balancer.
@@ -132,7 +132,7 @@
 	calls   map[string]*Call // in hand, or answered with attempts still out
 	past    *past
 	addrs   map[string]string
-	pool    *membership.Pool
+	pool    *pool.Pool
 	timers  timers
 	counted time.Time // when the figures of the list were last brought up to date
 	after   []func()  // to be called once the module has been told of all that has come
@@ -164,7 +164,7 @@
 func New(bal Decider, s *balance.Settings, log *slog.Logger) *Loop {
 	return &Loop{bal: bal, s: s, clock: clock{time.Now()}, log: log,
 		inbox: make(chan func(), inboxSize), Dead: make(chan struct{}),
-		calls: map[string]*Call{}, past: newPast(), addrs: map[string]string{}, pool: membership.New()}
+		calls: map[string]*Call{}, past: newPast(), addrs: map[string]string{}, pool: pool.New()}
 }
 
 // Post hands f to the loop. It may wait; the loop itself must not call it.
@@ -342,7 +342,7 @@
 }
 
 // changed tells the module what is new about a backend.
-func (l *Loop) changed(c membership.Change) {
+func (l *Loop) changed(c pool.Change) {
 	if c != nil {
 		l.Event(balance.List{Kind: balance.ListDelta, Backends: c})
 	}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -47,8 +47,14 @@
 // escape is what a label's value is written by.
 var escape = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
-// Text is the figures in the form in which they are read.
-func (f *Figures) Text() []byte {
+// Gauge is a figure that a part of the agent keeps itself. Its name follows on svc_.
+type Gauge struct {
+	Name  string
+	Value func() int64
+}
+
+// Text is the figures in the form in which they are read, further ones behind.
+func (f *Figures) Text(further ...Gauge) []byte {
 	var b bytes.Buffer
 	for i, class := range f.classes {
 		for r, name := range resultNames {
@@ -61,5 +67,8 @@
 	}{{"tries", &f.Tries}, {"active", &f.Active}, {"pool_size", &f.Pool}, {"pool_ejected", &f.Ejected}} {
 		fmt.Fprintf(&b, "svc_%s %d\n", g.name, g.v.Load())
 	}
+	for _, g := range further {
+		fmt.Fprintf(&b, "svc_%s %d\n", g.Name, g.Value())
+	}
 	return b.Bytes()
 }
--- a/internal/membership/membership.go
+++ b/internal/pool/membership.go
@@ -1,11 +1,11 @@
-// Package membership lays over the list of backends what else is known of them: that one took leave by
+// Package pool lays over the list of backends what else is known of them: that one took leave by
 // itself, that staff took one out, that one was put back. What the decision module is told is a list like any
 // other. The package performs no I/O, has no clock and starts no goroutine; a Pool belongs to whoever owns the
 // decision module.
 //
 // Bounds: what is known of a backend is kept while it is listed; those that staff took out are kept until they
 // are put back, MaxOut of them at the most.
-package membership
+package pool
 
 import (
 	"errors"
--- a/internal/membership/membership_test.go
+++ b/internal/pool/membership_test.go
@@ -1,4 +1,4 @@
-package membership
+package pool
 
 import (
 	"errors"
--- a/internal/takeover/state.go
+++ b/internal/takeover/state.go
@@ -5,7 +5,7 @@
 // Files: NAME.state holds the state and is replaced whole, under a lock on NAME.lock; NAME.N.alive is locked by
 // the process of generation N for as long as it lives.
 //
-// Bounds: of what staff did to backends membership.MaxOut entries each are kept, those of returns for backFor.
+// Bounds: of what staff did to backends pool.MaxOut entries each are kept, those of returns for backFor.
 package takeover
 
 import (
@@ -18,7 +18,7 @@
 	"slices"
 	"time"
 
-	"lemonrail/internal/membership"
+	"lemonrail/internal/pool"
 )
 
 const (
@@ -70,7 +70,7 @@
 		return State{}, errors.New("state: negative")
 	case s.Ready < 0 || s.Ready > s.Generation:
 		return State{}, fmt.Errorf("state: ready %d of generation %d", s.Ready, s.Generation)
-	case len(s.Out) > membership.MaxOut || len(s.Back) > membership.MaxOut:
+	case len(s.Out) > pool.MaxOut || len(s.Back) > pool.MaxOut:
 		return State{}, errors.New("state: too many backends")
 	}
 	for _, id := range s.Out {
@@ -86,8 +86,8 @@
 	switch {
 	case slices.Contains(s.Out, id):
 		return nil
-	case len(s.Out) >= membership.MaxOut:
-		return membership.ErrTooMany
+	case len(s.Out) >= pool.MaxOut:
+		return pool.ErrTooMany
 	}
 	s.Out = append(s.Out, id)
 	slices.Sort(s.Out)
@@ -113,7 +113,7 @@
 			oldest = other
 		}
 	}
-	if len(s.Back) >= membership.MaxOut {
+	if len(s.Back) >= pool.MaxOut {
 		delete(s.Back, oldest)
 	}
 	s.Back[id] = now.UnixNano()
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -14,7 +14,7 @@
 
 	"pgregory.net/rapid"
 
-	"lemonrail/internal/membership"
+	"lemonrail/internal/pool"
 )
 
 func TestPlan(t *testing.T) {
@@ -122,16 +122,16 @@
 	if len(s.Back) != 0 {
 		t.Errorf("out and back: %+v", s)
 	}
-	for i := range membership.MaxOut + 1 {
-		if err := s.Exclude(fmt.Sprint("n", i)); (err != nil) != (i >= membership.MaxOut-1) {
+	for i := range pool.MaxOut + 1 {
+		if err := s.Exclude(fmt.Sprint("n", i)); (err != nil) != (i >= pool.MaxOut-1) {
 			t.Fatalf("%d: %v", i, err)
 		}
 	}
-	for i := range 2 * membership.MaxOut {
+	for i := range 2 * pool.MaxOut {
 		s.Out = []string{fmt.Sprint("n", i)}
 		s.Include(s.Out[0], now.Add(time.Duration(i)))
 	}
-	if len(s.Back) > membership.MaxOut || s.Back[fmt.Sprint("n", 2*membership.MaxOut-1)] == 0 {
+	if len(s.Back) > pool.MaxOut || s.Back[fmt.Sprint("n", 2*pool.MaxOut-1)] == 0 {
 		t.Errorf("%d returns are kept", len(s.Back))
 	}
 }
@@ -155,7 +155,7 @@
 		if text2, err3 := again.Text(); errors.Join(err, err2, err3) != nil || !bytes.Equal(text, text2) {
 			t.Errorf("%+v became %+v (%v, %v)", s, again, err, err2)
 		}
-		if s.Ready > s.Generation || s.Ready < 0 || len(s.Out) > membership.MaxOut || slices.Contains(s.Out, "") {
+		if s.Ready > s.Generation || s.Ready < 0 || len(s.Out) > pool.MaxOut || slices.Contains(s.Out, "") {
 			t.Errorf("%q makes %+v", raw, s)
 		}
 	})
