--- a/balance/api.go
+++ b/balance/api.go
@@ -224,6 +224,13 @@
 	// Part says which part of this agent's limit and retry tokens is this process's, where one process
 	// replaces another and both serve: over 0, and 1 where it is the only one.
 	Part struct{ Of float64 }
+	// Fleet says how many agents live, where that is known; Settings.Balancers holds until then. Living are
+	// those to reckon with as busy, Possible those that may be in the worst case, and Away the numbers of those
+	// that have left or died, whose wishes are void.
+	Fleet struct {
+		Living, Possible int
+		Away             []int
+	}
 	// PeerMessage carries bytes from another agent.
 	PeerMessage struct {
 		From int
@@ -324,6 +331,7 @@
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
 func (Part) event()          {}
+func (Fleet) event()         {}
 
 func (Send) action()        {}
 func (Cancel) action()      {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,6 +87,7 @@
 	timers   map[int64]*request
 	token    int64 // last timer token given out
 
+	possible  int     // agents that may live, in the worst case; Settings.Balancers are those that do
 	portion   float64 // of what is this agent's, that this process may use
 	tokens    float64 // the retry bucket
 	classes   []classState
@@ -221,7 +222,7 @@
 		portion: 1, tokens: bucketCap, base: aimedDelay / aimedRise, delay: aimedLeast,
 		perBack: startPerBack, stale: 1, workLeft: 1,
 		byID: map[string]*backend{}, kinds: map[int]*speed{}, requests: map[string]*request{},
-		timers: map[int64]*request{}, fraction: 1 / float64(s.Balancers),
+		timers: map[int64]*request{}, fraction: 1 / float64(s.Balancers), possible: s.Balancers,
 		demands: make([]demand, s.Balancers), tellAfter: 1}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
 	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
@@ -252,6 +253,8 @@
 		case PeerMessage:
 			b.onPeer(e)
 			b.divide()
+		case Fleet:
+			b.onFleet(e)
 		case Part:
 			b.portion = min(max(e.Of, leastPart), 1)
 			b.tokens = min(b.tokens, bucketCap*b.portion)
@@ -954,7 +957,7 @@
 	mean := b.classes[r.class].latency
 	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
 	if b.warm == 0 { // nothing to measure by: a whole fleet that starts must not wait to be warm
-		rate = max(rate, coldTrickle/float64(b.s.Balancers))
+		rate = max(rate, coldTrickle/float64(b.possible))
 	}
 	// In requests too: where a class's latency has fallen, the work that heavier ones were measured by
 	// would buy a rush of light ones.
@@ -1100,17 +1103,3 @@
 		delete(b.requests, r.id)
 	}
 }
-
-func without[T comparable](list []T, x T) []T {
-	if i := slices.Index(list, x); i >= 0 {
-		return slices.Delete(list, i, i+1)
-	}
-	return list
-}
-
-func blend(mean, sample float64) float64 {
-	if mean == 0 {
-		return sample
-	}
-	return mean + smooth*(sample-mean)
-}
--- a/balance/share.go
+++ b/balance/share.go
@@ -54,12 +54,24 @@
 // onPeer takes what another agent wants. What is no such message says nothing.
 func (b *Balancer) onPeer(e PeerMessage) {
 	if !b.talks() || len(e.Data) != 5 || e.Data[0] != demandTag ||
-		e.From < 0 || e.From >= b.s.Balancers || e.From == b.s.Self {
+		e.From < 0 || e.From >= len(b.demands) || e.From == b.s.Self {
 		return
 	}
 	b.demands[e.From] = demand{float64(binary.BigEndian.Uint32(e.Data[1:])) / 256, b.now}
 }
 
+// onFleet follows the agents that live: limit, waits and rests are reckoned by them, what all together may
+// send where no backend is warm by those that may live. What those that are away wanted counts no more.
+func (b *Balancer) onFleet(e Fleet) {
+	b.s.Balancers, b.possible = max(1, e.Living), max(1, e.Living, e.Possible)
+	for _, i := range e.Away {
+		if i >= 0 && i < len(b.demands) {
+			b.demands[i] = demand{}
+		}
+	}
+	b.divide()
+}
+
 // divide works out this agent's part of the limit. Agents that have not been heard of lately keep
 // their even parts; the rest is split by what is wanted, but for a share that is split evenly.
 func (b *Balancer) divide() {
@@ -77,6 +89,7 @@
 		}
 	}
 	if sum > 0 {
+		known = min(known, float64(b.s.Balancers)) // no more than all, also while one comes back
 		b.fraction = even*evenPart + known*even*(1-evenPart)*b.wanted/sum
 	}
 }
--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -35,6 +35,14 @@
 		Send   diameterSendCmd   `cmd:"" help:"Send requests as many clients do, and tell what came back."`
 		Serve  diameterServeCmd  `cmd:"" help:"Answer requests as a server does, with faults."`
 	} `cmd:"" help:"Diameter messages, clients and servers."`
+	Members struct {
+		Show    membersCmd        `cmd:"" default:"withargs" help:"Ask agents' doors which agents live, and tell who disagrees with whom."`
+		Compare membersCompareCmd `cmd:"" help:"Play this membership and others in simulated time, and print what each got wrong."`
+	} `cmd:"" help:"The agents' views of the fleet."`
+	Cluster struct {
+		Run    clusterRunCmd    `cmd:"" help:"Start many agents, do them harm by a timetable, and see whether their views become equal and true."`
+		Shrink clusterShrinkCmd `cmd:"" help:"Kill most agents of a fleet while its clients go to those left, and measure what they get."`
+	} `cmd:"" help:"A rig of many agents, with faults between them."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
 	BareProxy bareProxyCmd `cmd:"" hidden:"" help:"The proxy that overhead compares with."`
 	Try       tryCmd       `cmd:"" help:"Start a stand-in site with agents, play a log against them, and report."`
--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -19,6 +19,7 @@
 	"lemonrail/internal/agent"
 	"lemonrail/internal/diameter/relay"
 	"lemonrail/internal/explain"
+	"lemonrail/internal/member/link"
 )
 
 func main() {
@@ -27,6 +28,7 @@
 	flag.StringVar(&f.explained, "explain", "", "TOML `file` that says where reasons of refusals are written, such as deploy/explain.toml")
 	flag.StringVar(&f.diameter, "diameter", "", "TOML `file` by which the agent speaks Diameter too, such as deploy/diameter.toml")
 	flag.StringVar(&f.servers, "servers", "", "TOML `file` that lists the backends in place of discovery, such as deploy/servers.toml")
+	flag.StringVar(&f.members, "members", "", "TOML `file` by which the agent keeps a view of the fleet, such as deploy/members.toml")
 	flag.Parse()
 	if err := run(hup, os.Stderr, f); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
@@ -35,7 +37,7 @@
 }
 
 // files set what is off by default; empty: off.
-type files struct{ explained, diameter, servers string }
+type files struct{ explained, diameter, servers, members string }
 
 // hangups catches SIGHUP, which would end the program otherwise.
 func hangups() <-chan os.Signal {
@@ -82,6 +84,15 @@
 			return err
 		}
 	}
+	if f.members != "" {
+		members, err := link.ReadSettings(f.members)
+		if err != nil {
+			return err
+		}
+		if err := cfg.WithMembers(members); err != nil {
+			return err
+		}
+	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(agent.CollectAt(cfg.MemoryMB << 20))
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -134,7 +134,11 @@
 	if err != nil {
 		return parts{dia}, err
 	}
-	home := newHousehold(cfg, l, up, socks, door, log)
+	members, err := newMembers(cfg, peers, l, log)
+	if err != nil {
+		return parts{dia}, err
+	}
+	home := newHousehold(cfg, l, up, socks, door, members, log)
 	door.home = home
 	staffed := &staff{loop: l, figures: l.Figures, home: home}
 	all = parts{
@@ -144,6 +148,7 @@
 		home.part(),
 		listPart(ctx, cfg, l, hup, log),
 		peersPart(peers, l),
+		membersPart(members),
 		clients,
 		staffed.part(desk, log),
 		dia,
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -12,6 +12,7 @@
 	"lemonrail/balance"
 	"lemonrail/internal/diameter/relay"
 	"lemonrail/internal/explain"
+	"lemonrail/internal/member/link"
 	"lemonrail/internal/roster"
 	"lemonrail/internal/wire"
 )
@@ -41,6 +42,8 @@
 	diameter     *relay.Rules // nil: the agent speaks none
 	diameterFrom int          // place of its classes
 
+	members *link.Settings // nil: no view of the fleet is kept
+
 	servers  string        // file that lists the backends; empty: discovery does
 	path     string        // of the file
 	stay     time.Duration // after a stop, for which connections are kept and served
--- a/internal/agent/heirs.go
+++ b/internal/agent/heirs.go
@@ -16,6 +16,7 @@
 	"lemonrail/internal/admission"
 	upstream "lemonrail/internal/backend/http1"
 	"lemonrail/internal/core"
+	"lemonrail/internal/member/link"
 	"lemonrail/internal/takeover"
 )
 
@@ -61,16 +62,17 @@
 
 // household keeps a process in step with the others of its agent.
 type household struct {
-	claim  *takeover.Claim
-	shared takeover.State // as it was when this process took its place
-	loop   *core.Loop
-	peers  core.Peers                          // nil where agents don't talk
-	inHand func() int                          // requests of this process
-	memory int64                               // bytes that all may use together; 0: not told
-	open   func() int                          // connections of this process
-	room   func(connections int, memory int64) // puts bounds in force
-	most   int                                 // connections that this process may hold where it is the only one; 0: not told
-	log    *slog.Logger
+	claim   *takeover.Claim
+	shared  takeover.State // as it was when this process took its place
+	loop    *core.Loop
+	peers   core.Peers                          // nil where agents don't talk
+	members *link.Link                          // nil: no membership
+	inHand  func() int                          // requests of this process
+	memory  int64                               // bytes that all may use together; 0: not told
+	open    func() int                          // connections of this process
+	room    func(connections int, memory int64) // puts bounds in force
+	most    int                                 // connections that this process may hold where it is the only one; 0: not told
+	log     *slog.Logger
 
 	version int64   // of the state that was adopted last; the loop's
 	leaves  bool    // a successor speaks for the agent from now on; the loop's
@@ -78,12 +80,13 @@
 }
 
 // newHousehold takes this process's place among those of the agent; nil where it is the only one there can be.
-func newHousehold(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, door *clientDoor, log *slog.Logger) *household {
+func newHousehold(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, door *clientDoor, members *link.Link,
+	log *slog.Logger) *household {
 	place, shared := claim(cfg, log)
 	if place == nil {
 		return nil
 	}
-	return &household{claim: place, shared: shared, loop: l, peers: l.Peers, inHand: func() int { return int(l.Figures.Active.Load()) },
+	return &household{claim: place, shared: shared, loop: l, peers: l.Peers, members: members, inHand: func() int { return int(l.Figures.Active.Load()) },
 		memory: cfg.MemoryMB << 20, log: log, most: int(socks.Limit), open: func() int { return int(socks.Open.Load()) },
 		room: func(connections int, memory int64) {
 			if err := door.Resize(admission.DefaultConfig(connections, memory)); err != nil {
@@ -140,6 +143,9 @@
 			broken = false
 			h.loop.Post(func() { h.adopt(s) })
 		}
+		if h.members != nil { // two processes are one member: the later one, which gets what others send
+			h.members.Mute(v.Later)
+		}
 		mine := h.inHand()
 		if err := h.claim.Tell(mine, h.open()); err != nil {
 			h.log.Warn("requests in hand are not told", "err", err)
--- /dev/null
+++ b/internal/agent/members.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"lemonrail/balance"
+	"lemonrail/internal/core"
+	"lemonrail/internal/member"
+	"lemonrail/internal/member/link"
+)
+
+// WithMembers has the agent keep a view of the fleet, by the settings of a file.
+func (c *Config) WithMembers(s *link.Settings) error {
+	if len(s.List()) == 0 && (!c.Settings.Peers || !c.PeerListen.IsValid() || len(c.Peers) == 0) {
+		return errors.New("members: the platform gives no peers (peer_listen, peers), and the file lists none")
+	}
+	c.members = s
+	return nil
+}
+
+// newMembers makes the membership; nil where there is none.
+func newMembers(cfg *Config, p *peers, l *core.Loop, log *slog.Logger) (*link.Link, error) {
+	if cfg.members == nil || p == nil {
+		return nil, nil
+	}
+	zone := ""
+	if z := cfg.Settings.Zone; z >= 0 && z < len(cfg.Names.Zones) {
+		zone = cfg.Names.Zones[z]
+	}
+	self := member.Nobody
+	if cfg.Settings.Self < len(cfg.Peers) {
+		self = member.ID(cfg.Settings.Self)
+	}
+	m, err := link.New(link.Options{Settings: cfg.members, Name: cfg.Name, Zone: zone, Self: self, Peers: cfg.Peers, Seed: cfg.Seed,
+		Send: p.send, Log: log,
+		Counted: func(c member.Count) {
+			e := balance.Fleet{Living: c.Living, Possible: c.Possible}
+			for _, id := range c.Away {
+				e.Away = append(e.Away, int(id))
+			}
+			l.Post(func() { l.Event(e) })
+		}})
+	if err != nil {
+		return nil, err
+	}
+	p.join(m)
+	return m, nil
+}
+
+// membersPart is behind the socket's: the goodbye goes out over it.
+func membersPart(m *link.Link) *part {
+	if m == nil {
+		return &part{name: "members"}
+	}
+	return &part{name: "members",
+		start:  func(t *tasks) { t.Go(func(ctx context.Context) error { return m.Run(ctx) }) },
+		end:    func(cutOff time.Duration) { m.Leave(cutOff) },
+		routes: m.Routes(), figures: m.Gauges()}
+}
--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,280 @@
+package cluster_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"lemonrail/internal/cluster"
+	"lemonrail/internal/member/link"
+	"lemonrail/internal/standin"
+)
+
+const (
+	patience = 30 * time.Second // for what takes a second or two on a machine with time to spare
+	quick    = "period_ms = 100\npause_ms = 3000\nrate = 100\nfolder = \"DIR/keep\"\n"
+)
+
+var program struct {
+	once sync.Once
+	path string
+	err  error
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if program.path != "" {
+		os.RemoveAll(filepath.Dir(program.path))
+	}
+	os.Exit(code)
+}
+
+// built is the program, built once.
+func built(t testing.TB) string {
+	t.Helper()
+	program.once.Do(func() {
+		dir, err := os.MkdirTemp("", "lemonrail-cluster")
+		if err != nil {
+			program.err = err
+			return
+		}
+		program.path = filepath.Join(dir, "lemonrail")
+		cmd := exec.Command("go", "build", "-o", program.path, "lemonrail/cmd/lemonrail")
+		if out, err := cmd.CombinedOutput(); err != nil {
+			program.err = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if program.err != nil {
+		t.Fatal(program.err)
+	}
+	return program.path
+}
+
+// rig starts n agents and waits until all see all.
+func rig(t testing.TB, n, zones int, members string) *cluster.Cluster {
+	t.Helper()
+	sc, err := standin.ParseScenario("site", []byte(cluster.SiteText(n, zones)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := cluster.Open(cluster.Options{Program: built(t), Dir: t.TempDir(), Scenario: sc, Members: members, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(c.Logs(12))
+		}
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+		for _, a := range c.Agents {
+			if a.Up() {
+				t.Errorf("%s is left", a.Name)
+			}
+		}
+	})
+	must(t, c.StartAll(patience))
+	must(t, c.Until(patience, c.Agree))
+	return c
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// sees waits until an agent's view is as wanted.
+func sees(t testing.TB, c *cluster.Cluster, at int, what string, so func(*link.Report) bool) {
+	t.Helper()
+	var last *link.Report
+	err := c.Until(patience, func() error {
+		r, err := c.Agents[at].Members()
+		if err != nil {
+			return err
+		}
+		if last = r; !so(r) {
+			return fmt.Errorf("%s does not see: %s", r.Name, what)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatalf("%v; last: %+v", err, last)
+	}
+}
+
+func row(r *link.Report, name string) link.Row {
+	for _, m := range r.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return link.Row{}
+}
+
+func moved(t testing.TB, c *cluster.Cluster) (n []uint64) {
+	t.Helper()
+	for _, a := range c.Agents {
+		r, err := a.Members()
+		must(t, err)
+		n = append(n, r.Moved)
+	}
+	return n
+}
+
+// A process that is killed is known as gone by its machine's word; started again it is another life. One that leaves
+// says so. A folder that is lost costs nothing.
+func TestKilledLeftAndBack(t *testing.T) {
+	t.Parallel()
+	c := rig(t, 7, 2, quick)
+	must(t, c.Agents[3].Kill())
+	must(t, c.Agents[4].Term())
+	for _, at := range []int{0, 1, 2, 5, 6} {
+		sees(t, c, at, "n3 gone by proof, n4 left, five to reckon with", func(r *link.Report) bool {
+			return row(r, "n3").State == "dead" && row(r, "n3").Proved && row(r, "n4").State == "left" && r.Living == 5 && r.Possible == 5
+		})
+	}
+	first := row(mustView(t, c, 0), "n3")
+	must(t, c.Agents[3].Wipe())
+	must(t, c.Agents[3].Start())
+	must(t, c.Agents[4].Start())
+	must(t, c.Until(patience, c.Agree))
+	if again := row(mustView(t, c, 0), "n3"); again.Start <= first.Start {
+		t.Errorf("the second life has start counter %d, the first had %d", again.Start, first.Start)
+	}
+}
+
+func mustView(t testing.TB, c *cluster.Cluster, at int) *link.Report {
+	t.Helper()
+	r, err := c.Agents[at].Members()
+	must(t, err)
+	return r
+}
+
+// One that is stopped is suspected and not dead before its time; back, each other has seen two changes. All that
+// are stopped together and wake accuse nobody.
+func TestStoppedProcesses(t *testing.T) {
+	t.Parallel()
+	c := rig(t, 7, 1, strings.Replace(quick, "3000", "20000", 1))
+	before := moved(t, c)
+	must(t, c.Agents[2].Signal(syscall.SIGSTOP))
+	for _, at := range []int{0, 1, 3, 4, 5, 6} {
+		sees(t, c, at, "n2 suspected", func(r *link.Report) bool { return row(r, "n2").State == "suspect" })
+	}
+	must(t, c.Agents[2].Signal(syscall.SIGCONT))
+	must(t, c.Until(patience, c.Agree))
+	for i, n := range moved(t, c) {
+		if i != 2 && n-before[i] != 2 {
+			t.Errorf("n%d saw %d changes, want 2", i, n-before[i])
+		}
+	}
+	before = moved(t, c)
+	for _, a := range c.Agents {
+		must(t, a.Signal(syscall.SIGSTOP))
+	}
+	time.Sleep(2 * time.Second) // what is stopped does nothing: there is no event to wait for
+	for _, a := range c.Agents {
+		must(t, a.Signal(syscall.SIGCONT))
+	}
+	must(t, c.Until(patience, c.Agree))
+	for _, a := range c.Agents {
+		r, err := a.Members()
+		must(t, err)
+		if r.Counters.Wakes == 0 {
+			t.Errorf("%s did not notice that it had been stopped", a.Name)
+		}
+		for _, m := range r.Members {
+			if m.State == "dead" {
+				t.Errorf("%s woke and holds %s for dead", a.Name, m.Name)
+			}
+		}
+	}
+}
+
+// A pair that can't talk, one way, is named so at all agents, and nobody is suspected.
+func TestACutOfOneSideIsNamed(t *testing.T) {
+	t.Parallel()
+	c := rig(t, 5, 1, quick)
+	before := moved(t, c)
+	c.Link([]int{1}, []int{2}, func(f *cluster.Fault) { f.Cut = true })
+	for at := range 5 {
+		sees(t, c, at, "n2 not reached from n1, and no more", func(r *link.Report) bool {
+			return fmt.Sprint(row(r, "n2").UnreachableFrom) == "[n1]" && len(row(r, "n1").UnreachableFrom) == 0
+		})
+	}
+	for i, n := range moved(t, c) {
+		if n != before[i] {
+			t.Errorf("n%d saw %d changes of state", i, n-before[i])
+		}
+	}
+	c.Link([]int{1}, []int{2}, func(f *cluster.Fault) { f.Cut = false })
+	must(t, c.Until(patience, c.Agree))
+}
+
+// Five and two: the five go on and hold the two for dead, the two know that they are the ones.
+func TestPartition(t *testing.T) {
+	t.Parallel()
+	c := rig(t, 7, 1, quick)
+	five, two := []int{0, 1, 2, 3, 4}, []int{5, 6}
+	cut := func(on bool) {
+		c.Link(five, two, func(f *cluster.Fault) { f.Cut = on })
+		c.Link(two, five, func(f *cluster.Fault) { f.Cut = on })
+	}
+	cut(true)
+	for _, at := range five {
+		sees(t, c, at, "a majority of five", func(r *link.Report) bool { return r.Majority && r.Alive == 5 && row(r, "n6").State == "dead" })
+	}
+	for _, at := range two {
+		sees(t, c, at, "a minority that counts all as living", func(r *link.Report) bool {
+			return r.Standing == "minority" && r.Alive == 2 && r.Living == 7 && row(r, "n0").State == "suspect"
+		})
+	}
+	cut(false)
+	must(t, c.Until(patience, c.Agree))
+}
+
+// Whatever a seed does to links and processes, in the end all that run see the same, and it is true.
+func TestSeededTimetables(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := rig(t, 8, 2, quick)
+			table := cluster.Random(seed, 8, 2, 8)
+			must(t, c.Play(context.Background(), table, func(h cluster.Happening) { t.Logf("%.2f s %s", h.At.Seconds(), h.Text) }))
+			if err := c.Until(patience, c.Agree); err != nil {
+				t.Fatalf("%v\nto see it again: lemonctl cluster run --agent bin/lemonrail --seed %d --agents 8 --zones 2 --seconds 8", err, seed)
+			}
+		})
+	}
+}
+
+func TestTimetablesAreChecked(t *testing.T) {
+	for _, tt := range []struct{ text, want string }{
+		{"agents = 0\nseconds = 1", "line 1: agents"},
+		{"agents = 7\nseconds = 0", "seconds"},
+		{"agents = 7\nzones = 30\nseconds = 1", "line 2: zones"},
+		{"agents = 7\nseconds = 1\nsise = 3", "line 3: unknown key sise"},
+		{"agents = 7\nseconds = 9\n[[event]]\nwhat = 'melt'\nwho = ['n1']", "line 3: event.what"},
+		{"agents = 7\nseconds = 9\n[[event]]\nwhat = 'kill'\nwho = ['n7']", "line 3: event.from, to, who"},
+		{"agents = 7\nseconds = 9\n[[event]]\nwhat = 'cut'\nwho = ['n1']", "line 3: event.from, to"},
+		{"agents = 7\nseconds = 9\n[[event]]\nwhat = 'loss'\nfrom = ['n1']\nto = ['all']\nsize = 2", "line 3: event.size"},
+		{"agents = 7\nseconds = 9\n[[event]]\nwhat = 'kill'\nwho = ['n1']\nat_s = 10", "line 3: event.at_s"},
+	} {
+		if _, err := cluster.ParseTimetable("t.toml", []byte(tt.text)); err == nil || !strings.Contains(err.Error(), "t.toml: ") || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%q: %v, want %s", tt.text, err, tt.want)
+		}
+	}
+	ok := "agents = 7\nzones = 2\nseconds = 9\n[[event]]\nwhat = 'cut'\nfrom = ['zone:a']\nto = ['zone:b', 'any:2']\nboth = true\nfor_s = 2\n"
+	if _, err := cluster.ParseTimetable("t.toml", []byte(ok)); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/cluster/shrink.go
@@ -0,0 +1,228 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"lemonrail/internal/ledger"
+	"lemonrail/internal/load"
+	"lemonrail/internal/standin"
+)
+
+// Shrink is a fleet of which most agents are killed, while their clients go to those that are left.
+type Shrink struct {
+	Program  string
+	Dir      string
+	Members  string  // the agents' file on members; empty: they keep none
+	Agents   int     // at first
+	Left     int     // after the kill
+	Share    float64 // of the site's capacity that is asked for throughout
+	Before   time.Duration
+	After    time.Duration
+	Seed     uint64
+	Progress io.Writer
+}
+
+// Window is a second of a Shrink.
+type Window struct {
+	Asked   int `json:"asked"`
+	InTime  int `json:"in_time"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+}
+
+// ShrinkResult is what came of it.
+type ShrinkResult struct {
+	Before   []Window `json:"before"`
+	After    []Window `json:"after"`
+	Held     bool     `json:"rules_held"`
+	Verdict  string   `json:"verdict"`
+	Living   int      `json:"living"` // that one of those left reckons with at the end; 0: it keeps no view
+	Sum      Window   `json:"sum_after"`
+	RatePerS float64  `json:"rate_per_s"`
+}
+
+const shrinkSite = `
+seed = %d
+seconds = 600
+sites = ["a", "b"]
+agents = %d
+[rules]
+ramp_ms = 4000
+[allow]
+attempts = 4
+retry_after = true
+peers = true
+[report]
+fields = ["latency_ms", "queue", "inflight"]
+[[class]]
+name = "read"
+effect = "safe"
+work_ms = 20
+cv = 0.7
+aim_ms = 300
+deadline_ms = 600
+[[class]]
+name = "sub"
+effect = "keyed"
+group = "all"
+window_ms = 2000
+work_ms = 20
+cv = 0.7
+aim_ms = 400
+deadline_ms = 800
+[[kind]]
+name = "plain"
+cores = 2
+queue = 16
+conns = 200
+handshake_ms = 0.5
+[[node]]
+name = "s"
+kind = "plain"
+site = "a"
+count = 6
+[[node]]
+name = "t"
+kind = "plain"
+site = "b"
+count = 6
+[[fault]]
+what = "restart"
+at_s = %g
+nodes = ["s-1", "s-2", "t-1"]
+size = 0.5
+`
+
+// Run plays it.
+func (o Shrink) Run(ctx context.Context) (out *ShrinkResult, err error) {
+	if o.Left < 1 || o.Left >= o.Agents || o.Agents > Most {
+		return nil, fmt.Errorf("cluster: %d of %d agents left makes no sense", o.Left, o.Agents)
+	}
+	// Three nodes come back cold two seconds after the kill.
+	sc, err := standin.ParseScenario("the rig's site", fmt.Appendf(nil, shrinkSite, o.Seed, o.Agents, o.Before.Seconds()+3))
+	if err != nil {
+		return nil, err
+	}
+	l := ledger.New(standin.RulesOf(sc))
+	c, err := Open(Options{Program: o.Program, Dir: o.Dir, Scenario: sc, Members: o.Members, Seed: o.Seed, Observer: l})
+	if err != nil {
+		return nil, err
+	}
+	closed := false
+	defer func() {
+		if !closed {
+			err = errors.Join(err, c.Close())
+		}
+	}()
+	if err := c.StartAll(30 * time.Second); err != nil {
+		return nil, err
+	}
+	if o.Members != "" {
+		if err := c.Until(30*time.Second, c.Agree); err != nil {
+			return nil, err
+		}
+	}
+	rate := o.Share * c.Site.Capacity(map[string]float64{"read": 0.6, "sub": 0.4})
+	out = &ShrinkResult{RatePerS: rate}
+	c.Site.Begin()
+	fmt.Fprintf(o.Progress, "%d agents, %.0f requests a second for %v\n", o.Agents, rate, o.Before)
+	if out.Before, err = c.play(ctx, l, c.Agents, rate, o.Before, o.Seed); err != nil {
+		return out, err
+	}
+	var killing sync.WaitGroup
+	for _, a := range c.Agents[o.Left:] {
+		killing.Go(func() { a.Kill() })
+	}
+	killing.Wait()
+	fmt.Fprintf(o.Progress, "%d are killed; the same for %v\n", o.Agents-o.Left, o.After)
+	if out.After, err = c.play(ctx, l, c.Agents[:o.Left], rate, o.After, o.Seed+1); err != nil {
+		return out, err
+	}
+	if r, err := c.Agents[0].Members(); err == nil {
+		out.Living = r.Living
+	}
+	closed = true
+	err = c.Close()
+	v := l.Verdict()
+	out.Held, out.Verdict = v.Held(), v.String()
+	for _, w := range out.After {
+		out.Sum.Asked += w.Asked
+		out.Sum.InTime += w.InTime
+		out.Sum.Late += w.Late
+		out.Sum.Refused += w.Refused
+		out.Sum.Failed += w.Failed
+	}
+	return out, err
+}
+
+// told is a ledger that hears of clients' requests.
+type told struct {
+	l     *ledger.Ledger
+	agent map[string]string
+}
+
+func (w told) Sent(s *load.Sample) {
+	w.l.Sent(s.ID, s.Request.Class, w.agent[s.Target], s.Sent, s.Request.Left)
+}
+
+func (w told) Ended(s *load.Sample) {
+	if s.Outcome != load.TimedOut {
+		w.l.Got(s.ID, s.Ended, ledger.Answer{Status: s.Status, Body: s.Body, Begun: s.Begun, Unsent: s.First && s.Outcome == load.Broken})
+	}
+}
+
+// play sends requests to agents in an open loop.
+func (c *Cluster) play(ctx context.Context, l *ledger.Ledger, agents []*Agent, rate float64, span time.Duration, seed uint64) (ws []Window, err error) {
+	names := map[string]string{}
+	var targets []netip.AddrPort
+	for _, a := range agents {
+		targets = append(targets, a.Listen)
+		names[a.Listen.String()] = a.Name
+	}
+	rng := rand.New(rand.NewPCG(seed, 3))
+	at, n := 0.0, int64(0)
+	next := func() (*load.Request, error) {
+		if at += rng.ExpFloat64() / rate; at >= span.Seconds() {
+			return nil, io.EOF
+		}
+		n++
+		q := &load.Request{At: time.Duration(at * float64(time.Second)), Class: "read", Method: "GET", Target: "/read", Left: 600 * time.Millisecond, Origin: n, Seq: n}
+		if rng.Float64() < 0.4 {
+			q.Class, q.Method, q.Target, q.Left = "sub", "POST", "/sub", 800*time.Millisecond
+			q.Body, q.Effect = []byte(`{"for":"a rig"}`), fmt.Sprintf("%016x%016x", rng.Uint64(), uint64(n))
+		}
+		return q, nil
+	}
+	var begun time.Time
+	aims := map[string]time.Duration{"read": 300 * time.Millisecond, "sub": 400 * time.Millisecond}
+	_, err = load.Play(ctx, next, load.PlayOptions{Targets: targets, Seed: seed, Observer: told{l, names}, Done: func(s *load.Sample) {
+		if begun.IsZero() {
+			begun = s.Due
+		}
+		i := int(max(0, s.Due.Sub(begun)) / time.Second)
+		for len(ws) <= i {
+			ws = append(ws, Window{})
+		}
+		w := &ws[i]
+		w.Asked++
+		switch {
+		case s.Outcome == load.Served && s.Ended.Sub(s.Due) <= aims[s.Request.Class]:
+			w.InTime++
+		case s.Outcome == load.Served:
+			w.Late++
+		case s.Outcome == load.Refused:
+			w.Refused++
+		default:
+			w.Failed++
+		}
+	}})
+	return ws, err
+}
--- /dev/null
+++ b/internal/cluster/timetable.go
@@ -0,0 +1,332 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"lemonrail/internal/strict"
+)
+
+// Timetable is what goes wrong, and when.
+type Timetable struct {
+	Name    string  `toml:"name"`
+	Seed    uint64  `toml:"seed"`
+	Seconds float64 `toml:"seconds"` // how long it is; all faults of links end then
+	Agents  int     `toml:"agents"`
+	Zones   int     `toml:"zones"`
+	Events  []Event `toml:"event"`
+}
+
+// Event is one fault. Agents are named n0, n1, …, zone:a, all, or any:N for N that the seed chooses.
+type Event struct {
+	AtS  float64  `toml:"at_s"`
+	ForS float64  `toml:"for_s"` // 0: to the end
+	What string   `toml:"what"`  // see Whats
+	From []string `toml:"from"`  // of links: who sends
+	To   []string `toml:"to"`    // and who is to get it
+	Both bool     `toml:"both"`  // the same the other way
+	Who  []string `toml:"who"`   // of processes
+	Size float64  `toml:"size"`
+}
+
+// Whats are the faults, and what their size means.
+var Whats = map[string]string{
+	"cut":    "links carry nothing",
+	"loss":   "links lose this share",
+	"double": "links carry this share twice",
+	"delay":  "links take up to this many ms, so that the order changes",
+	"stall":  "links keep what comes, and let it go at the end",
+	"stop":   "processes are stopped (SIGSTOP), and go on at the end",
+	"kill":   "processes are killed, and started again at the end where it has one",
+	"wipe":   "the same, with an empty folder",
+	"vanish": "the same, and their machines say nothing meanwhile",
+	"term":   "processes are asked to stop (SIGTERM), and started again at the end where it has one",
+	"slow":   "processes get this share of a core",
+}
+
+var linkFaults = map[string]func(f *Fault, on bool, size float64){
+	"cut":    func(f *Fault, on bool, _ float64) { f.Cut = on },
+	"loss":   func(f *Fault, on bool, size float64) { f.Loss = give(on, size) },
+	"double": func(f *Fault, on bool, size float64) { f.Double = give(on, size) },
+	"delay": func(f *Fault, on bool, size float64) {
+		f.Delay = [2]time.Duration{0, time.Duration(give(on, size) * float64(time.Millisecond))}
+	},
+	"stall": func(f *Fault, on bool, _ float64) { f.Stall = on },
+}
+
+func give(on bool, size float64) float64 {
+	if on {
+		return size
+	}
+	return 0
+}
+
+// ReadTimetable reads and checks a file.
+func ReadTimetable(path string) (*Timetable, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("timetable: %w", err)
+	}
+	return ParseTimetable(path, raw)
+}
+
+// ParseTimetable is ReadTimetable for text; file is what errors call it.
+func ParseTimetable(file string, raw []byte) (*Timetable, error) {
+	t := &Timetable{}
+	if err := strict.Decode(file, raw, t); err != nil {
+		return nil, err
+	}
+	if t.Agents < 1 || t.Agents > Most {
+		return nil, fmt.Errorf("%s: line %d: agents: %d are not within 1 and %d", file, strict.Key(raw, "agents"), t.Agents, Most)
+	}
+	if t.Zones = max(1, t.Zones); t.Zones > 26 {
+		return nil, fmt.Errorf("%s: line %d: zones: %d are over 26", file, strict.Key(raw, "zones"), t.Zones)
+	}
+	if !(t.Seconds > 0 && t.Seconds <= 3600) {
+		return nil, fmt.Errorf("%s: seconds: %v is not within 0 and 3600", file, t.Seconds)
+	}
+	for i, e := range t.Events {
+		bad := func(key string, v any) error {
+			return fmt.Errorf("%s: line %d: event.%s: %v makes no sense", file, strict.Table(raw, "event", i), key, v)
+		}
+		_, links := linkFaults[e.What]
+		switch {
+		case Whats[e.What] == "":
+			return nil, bad("what", e.What)
+		case !(e.AtS >= 0 && e.AtS <= t.Seconds):
+			return nil, bad("at_s", e.AtS)
+		case !(e.ForS >= 0):
+			return nil, bad("for_s", e.ForS)
+		case !(e.Size >= 0) || (e.What == "loss" || e.What == "double" || e.What == "slow") && e.Size > 1:
+			return nil, bad("size", e.Size)
+		case links && (len(e.From) == 0 || len(e.To) == 0 || len(e.Who) > 0):
+			return nil, bad("from, to", "a fault of links without either, or with who")
+		case !links && (len(e.Who) == 0 || len(e.From)+len(e.To) > 0):
+			return nil, bad("who", "a fault of processes without it, or with from and to")
+		}
+		for _, names := range [][]string{e.From, e.To, e.Who} {
+			if _, err := t.pick(names, rand.New(rand.NewPCG(0, 0))); err != nil {
+				return nil, bad("from, to, who", err)
+			}
+		}
+	}
+	return t, nil
+}
+
+// pick is the agents that names stand for, in order.
+func (t *Timetable) pick(names []string, rng *rand.Rand) (who []int, err error) {
+	for _, name := range names {
+		var n int
+		kind, rest, _ := strings.Cut(name, ":")
+		switch {
+		case name == "all":
+			for i := range t.Agents {
+				who = append(who, i)
+			}
+		case kind == "zone" && len(rest) == 1 && rest[0] >= 'a' && int(rest[0]-'a') < t.Zones:
+			for i := int(rest[0] - 'a'); i < t.Agents; i += t.Zones {
+				who = append(who, i)
+			}
+		case kind == "any":
+			if _, err := fmt.Sscanf(rest, "%d", &n); err != nil || n < 1 || n > t.Agents {
+				return nil, fmt.Errorf("%q: 1 to %d agents", name, t.Agents)
+			}
+			who = append(who, rng.Perm(t.Agents)[:n]...)
+		default:
+			if _, err := fmt.Sscanf(name, "n%d", &n); err != nil || n < 0 || n >= t.Agents || name != fmt.Sprintf("n%d", n) {
+				return nil, fmt.Errorf("%q is none of n0 to n%d, zone:a, all, any:N", name, t.Agents-1)
+			}
+			who = append(who, n)
+		}
+	}
+	slices.Sort(who)
+	return slices.Compact(who), nil
+}
+
+// step is one half of an event: it begins or ends.
+type step struct {
+	at    time.Duration
+	event *Event
+	on    bool
+	who   [3][]int // from, to, who
+}
+
+// steps are in the order of their times. What the seed chooses is the same each time.
+func (t *Timetable) steps() (all []step) {
+	rng := rand.New(rand.NewPCG(t.Seed, 11))
+	for i := range t.Events {
+		e := &t.Events[i]
+		s := step{at: time.Duration(e.AtS * float64(time.Second)), event: e, on: true}
+		for k, names := range [][]string{e.From, e.To, e.Who} {
+			s.who[k], _ = t.pick(names, rng) // checked before
+		}
+		all = append(all, s)
+		_, links := linkFaults[e.What]
+		end := e.AtS + e.ForS
+		if e.ForS == 0 {
+			if !links && e.What != "stop" && e.What != "slow" {
+				continue // they stay away
+			}
+			end = t.Seconds
+		}
+		s.at, s.on = time.Duration(min(end, t.Seconds)*float64(time.Second)), false
+		all = append(all, s)
+	}
+	slices.SortStableFunc(all, func(a, b step) int { return int(a.at - b.at) })
+	return all
+}
+
+// Happening is what was done to the rig.
+type Happening struct {
+	At   time.Duration
+	Text string
+}
+
+// Play does what a timetable says, and returns once its time is over. did may be nil.
+func (c *Cluster) Play(ctx context.Context, t *Timetable, did func(Happening)) error {
+	begun := time.Now()
+	var errs []error
+	for _, s := range t.steps() {
+		if err := sleep(ctx, time.Until(begun.Add(s.at))); err != nil {
+			return errors.Join(append(errs, err)...)
+		}
+		if did != nil {
+			did(Happening{time.Since(begun), s.String()})
+		}
+		if err := c.do(&s); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", s.String(), err))
+		}
+	}
+	return errors.Join(append(errs, sleep(ctx, time.Until(begun.Add(time.Duration(t.Seconds*float64(time.Second))))))...)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *step) String() string {
+	names := func(who []int) string {
+		var n []string
+		for _, i := range who {
+			n = append(n, fmt.Sprintf("n%d", i))
+		}
+		return strings.Join(n, " ")
+	}
+	what := s.event.What
+	if !s.on {
+		what += " ends"
+	}
+	if s.event.Size > 0 {
+		what += fmt.Sprintf(" (%g)", s.event.Size)
+	}
+	if len(s.who[2]) > 0 {
+		return what + ": " + names(s.who[2])
+	}
+	arrow := " to "
+	if s.event.Both {
+		arrow = " and "
+	}
+	return what + ": " + names(s.who[0]) + arrow + names(s.who[1])
+}
+
+func (c *Cluster) do(s *step) (err error) {
+	e := s.event
+	if set := linkFaults[e.What]; set != nil {
+		change := func(f *Fault) { set(f, s.on, e.Size) }
+		c.Link(s.who[0], s.who[1], change)
+		if e.Both {
+			c.Link(s.who[1], s.who[0], change)
+		}
+		return nil
+	}
+	for _, i := range s.who[2] {
+		err = errors.Join(err, c.Agents[i].do(e, s.on))
+	}
+	return err
+}
+
+// do begins or ends a fault of one process.
+func (a *Agent) do(e *Event, on bool) error {
+	others := make([]int, 0, len(a.c.Agents))
+	for i := range a.c.Agents {
+		others = append(others, i)
+	}
+	switch {
+	case e.What == "stop" && on:
+		return a.Signal(syscall.SIGSTOP)
+	case e.What == "stop":
+		return a.Signal(syscall.SIGCONT)
+	case e.What == "slow" && on:
+		a.Slow(e.Size)
+	case e.What == "slow":
+		a.Slow(1)
+	case e.What == "term" && on:
+		return a.Term()
+	case e.What == "vanish" && on: // links first: nobody hears its machine
+		a.c.Link(others, []int{a.number}, func(f *Fault) { f.Cut = true })
+		a.c.Link([]int{a.number}, others, func(f *Fault) { f.Cut = true })
+		err := a.Kill()
+		return errors.Join(err, a.c.refuse(a.number, false))
+	case on:
+		return a.Kill()
+	case e.What == "vanish":
+		a.c.Link(others, []int{a.number}, func(f *Fault) { f.Cut = false })
+		a.c.Link([]int{a.number}, others, func(f *Fault) { f.Cut = false })
+		return a.Start()
+	case e.What == "wipe":
+		return errors.Join(a.Wipe(), a.Start())
+	default:
+		return a.Start()
+	}
+	return nil
+}
+
+// Random is a timetable that a seed makes: a few faults of links and of processes, which may overlap.
+func Random(seed uint64, agents, zones int, seconds float64) *Timetable {
+	rng := rand.New(rand.NewPCG(seed, 12))
+	t := &Timetable{Name: fmt.Sprintf("seed %d", seed), Seed: seed, Seconds: seconds, Agents: agents, Zones: zones}
+	some := func() []string {
+		if zones > 1 && rng.IntN(3) == 0 {
+			return []string{fmt.Sprintf("zone:%c", 'a'+rng.IntN(zones))}
+		}
+		return []string{fmt.Sprintf("any:%d", 1+rng.IntN(max(1, agents/3)))}
+	}
+	whats := []string{"cut", "loss", "double", "delay", "stall", "stop", "kill", "wipe", "vanish", "term", "slow"}
+	for range 3 + rng.IntN(4) {
+		e := Event{What: whats[rng.IntN(len(whats))], AtS: rng.Float64() * seconds * 0.6}
+		e.ForS = 1 + rng.Float64()*max(0, seconds*0.9-e.AtS-1)
+		if _, links := linkFaults[e.What]; links {
+			e.From, e.To, e.Both = some(), []string{"all"}, rng.IntN(2) == 0
+		} else {
+			e.Who = some()
+		}
+		switch e.What {
+		case "loss", "double":
+			e.Size = 0.1 + 0.4*rng.Float64()
+		case "delay":
+			e.Size = 100 + 1900*rng.Float64()
+		case "slow":
+			e.Size = 0.05 + 0.2*rng.Float64()
+		}
+		t.Events = append(t.Events, e)
+	}
+	slices.SortStableFunc(t.Events, func(a, b Event) int { return int(1000 * (a.AtS - b.AtS)) })
+	return t
+}
--- /dev/null
+++ b/internal/member/arena/compare.go
@@ -0,0 +1,284 @@
+package arena
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+)
+
+// Protocols are those that are compared, by name.
+func Protocols() []Protocol {
+	return []Protocol{
+		{"heartbeats, 3 s", Heartbeats(time.Second, 3*time.Second), 300},
+		{"SWIM", SWIM(), 0},
+		{"this", Ours(3, nil), 0},
+	}
+}
+
+// Protocol is one way to tell who lives. Largest is the fleet beyond which it isn't played for longer than a
+// death takes; 0: none.
+type Protocol struct {
+	Name    string
+	Make    Maker
+	Largest int
+}
+
+// Case is what is played with each protocol.
+type Case struct {
+	Name    string
+	Members int
+	Span    time.Duration // after a start of startSpan
+	Loss    float64
+	Pauses  bool // each minute one in ten members is stopped for 1 to 5 s
+	Kills   int  // so many processes are killed, evenly over Span
+	Vanish  bool // with their machines
+	Cut     func(n int) func(from, to int) bool
+	Runs    int // seeds; 0: 1
+}
+
+const (
+	startSpan = 10 * time.Second
+	killedFor = 15 * time.Second // after the last kill of a run
+)
+
+// Row is what came out of a case with a protocol, all runs together.
+type Row struct {
+	Protocol     string  `json:"protocol"`
+	Case         string  `json:"case"`
+	Members      int     `json:"members"`
+	MemberHours  float64 `json:"member_hours"`
+	FalseDeaths  int     `json:"false_deaths"`
+	PerHour      float64 `json:"false_deaths_a_member_hour"`
+	Suspicions   int     `json:"false_suspicions"`
+	Changes      float64 `json:"changes_a_member_minute"` // of a member's view
+	Noticed      Spread  `json:"noticed"`                 // a death suspected or known, by each other one
+	Known        Spread  `json:"known"`                   // a death known
+	Untold       int     `json:"untold"`                  // pairs of a death and one that has not come to know it
+	Datagrams    float64 `json:"datagrams_a_member_second"`
+	Bytes        float64 `json:"bytes_a_member_second"`
+	RealSeconds  float64 `json:"real_seconds"`
+	SimulatedHrs float64 `json:"simulated_hours"`
+}
+
+// Spread tells how long something took, in seconds.
+type Spread struct {
+	P50  float64 `json:"p50_s"`
+	P99  float64 `json:"p99_s"`
+	Last float64 `json:"last_s"`
+}
+
+func spreadOf(d []time.Duration) Spread {
+	return Spread{Percentile(d, 0.5).Seconds(), Percentile(d, 0.99).Seconds(), Percentile(d, 1).Seconds()}
+}
+
+// Cases are those of docs/measurements/membership.md. Full plays the long ones in full.
+func Cases(sizes []int, hours float64) (cases []Case) {
+	for _, n := range sizes {
+		kills := 10
+		if n > 300 {
+			kills = 3
+		}
+		for _, vanish := range []bool{false, true} {
+			for _, loss := range []float64{0, 0.1, 0.3} {
+				cases = append(cases, Case{Name: fmt.Sprintf("%s, %.0f %% lost", map[bool]string{false: "process killed", true: "machine vanishes"}[vanish], 100*loss),
+					Members: n, Span: time.Duration(kills) * 3 * time.Second, Loss: loss, Kills: min(kills, (n-1)/2), Vanish: vanish})
+			}
+		}
+		span := time.Duration(hours / float64(n) * float64(time.Hour))
+		if span < time.Minute {
+			continue
+		}
+		for _, loss := range []float64{0, 0.01, 0.1, 0.3} {
+			for _, pauses := range []bool{false, true} {
+				name := fmt.Sprintf("%.0f %% lost", 100*loss)
+				if pauses {
+					name += ", 1 in 10 stopped each minute"
+				}
+				runs := max(1, min(runtime.NumCPU(), int(span/(10*time.Minute))))
+				cases = append(cases, Case{Name: name, Members: n, Span: span / time.Duration(runs), Loss: loss, Pauses: pauses, Runs: runs})
+			}
+		}
+	}
+	for _, n := range sizes {
+		if n > 300 {
+			continue
+		}
+		for _, c := range oneSided {
+			cases = append(cases, Case{Name: "for a minute " + c.name, Members: n, Span: time.Minute, Cut: c.cut})
+		}
+	}
+	return cases
+}
+
+var oneSided = []struct {
+	name string
+	cut  func(n int) func(from, to int) bool
+}{
+	{"one doesn't hear one", func(int) func(int, int) bool { return func(a, b int) bool { return a == 1 && b == 2 } }},
+	{"two can't talk", func(int) func(int, int) bool {
+		return func(a, b int) bool { return a == 1 && b == 2 || a == 2 && b == 1 }
+	}},
+	{"one is deaf", func(int) func(int, int) bool { return func(_, b int) bool { return b == 1 } }},
+	{"a third is deaf", func(n int) func(int, int) bool { return func(a, b int) bool { return b%3 == 0 && a%3 != 0 } }},
+	{"a third is cut off", func(n int) func(int, int) bool { return func(a, b int) bool { return (b%3 == 0) != (a%3 == 0) } }},
+}
+
+// Compare plays cases with protocols, several at a time, and returns a row for each in their order.
+func Compare(ctx context.Context, cases []Case, protocols []Protocol, seed uint64, progress io.Writer) ([]Row, error) {
+	type job struct {
+		row  int
+		p    Protocol
+		c    Case
+		seed uint64
+	}
+	var jobs []job
+	var rows []Row
+	for _, c := range cases {
+		for _, p := range protocols {
+			if p.Largest > 0 && c.Members > p.Largest {
+				if c.Kills == 0 {
+					continue
+				}
+				c.Kills, c.Span = 1, 5*time.Second
+			}
+			for run := range max(1, c.Runs) {
+				jobs = append(jobs, job{len(rows), p, c, seed + uint64(run)})
+			}
+			rows = append(rows, Row{Protocol: p.Name, Case: c.Name, Members: c.Members})
+		}
+	}
+	// The longest first, so that none is left alone at the end.
+	weight := func(j job) float64 { return float64(j.c.Members) * j.c.Span.Seconds() }
+	slices.SortStableFunc(jobs, func(a, b job) int { return cmp.Compare(weight(b), weight(a)) })
+	type sum struct{ noticed, known []time.Duration }
+	sums := make([]sum, len(rows))
+	var mu sync.Mutex
+	next, done := 0, 0
+	var all sync.WaitGroup
+	for range runtime.NumCPU() {
+		all.Go(func() {
+			for {
+				mu.Lock()
+				if next >= len(jobs) || ctx.Err() != nil {
+					mu.Unlock()
+					return
+				}
+				j := jobs[next]
+				next++
+				mu.Unlock()
+				begun := time.Now()
+				a, untold := j.c.play(j.p, j.seed)
+				mu.Lock()
+				r, s := &rows[j.row], &sums[j.row]
+				hours := a.Score.MemberSeconds / 3600
+				secs := r.MemberHours * 3600
+				r.Datagrams = (r.Datagrams*secs + float64(a.Sent)) / (secs + a.Score.MemberSeconds)
+				r.Bytes = (r.Bytes*secs + float64(a.Bytes)) / (secs + a.Score.MemberSeconds)
+				r.Changes = (r.Changes*secs + 60*float64(a.Score.Judgements)) / (secs + a.Score.MemberSeconds)
+				r.MemberHours += hours
+				r.SimulatedHrs += a.Now.Hours()
+				r.FalseDeaths += a.Score.FalseDeaths
+				r.Suspicions += a.Score.FalseSuspicions
+				r.Untold += untold
+				r.PerHour = float64(r.FalseDeaths) / r.MemberHours
+				r.RealSeconds += time.Since(begun).Seconds()
+				for _, id := range slices.Sorted(mapKeys(a.Score.Known)) {
+					s.known = append(s.known, a.Score.Known[id]...)
+				}
+				for _, id := range slices.Sorted(mapKeys(a.Score.firstNotice)) {
+					s.noticed = append(s.noticed, a.Score.firstNotice[id]...)
+				}
+				done++
+				fmt.Fprintf(progress, "\r%d of %d runs ", done, len(jobs))
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	fmt.Fprintln(progress)
+	for i := range rows {
+		rows[i].Known, rows[i].Noticed = spreadOf(sums[i].known), spreadOf(sums[i].noticed)
+	}
+	return rows, ctx.Err()
+}
+
+func mapKeys[V any](m map[int]V) func(func(int) bool) {
+	return func(yield func(int) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// play runs a case once; untold counts those that did not come to know a death.
+func (c Case) play(p Protocol, seed uint64) (a *Arena, untold int) {
+	a = New(c.Members, seed, Net{Base: [2]time.Duration{time.Millisecond / 4, 2 * time.Millisecond}, Refuses: true}, p.Make)
+	rng := rand.New(rand.NewPCG(seed, 5))
+	a.StartAll(time.Second)
+	a.Until(startSpan)
+	a.Score = newScore()
+	a.Sent, a.Bytes = 0, 0
+	if c.Loss > 0 {
+		a.Net.Loss = func(int, int) float64 { return c.Loss }
+	}
+	if c.Cut != nil {
+		a.Net.Cut = c.Cut(c.Members)
+	}
+	if c.Pauses {
+		for at := startSpan; at < startSpan+c.Span; at += time.Minute {
+			for range max(1, c.Members/10) {
+				who, when := rng.IntN(c.Members), at+time.Duration(rng.Float64()*float64(time.Minute))
+				a.At(when, func() { a.Pause(who, time.Second+time.Duration(rng.Float64()*float64(4*time.Second))) })
+			}
+		}
+	}
+	var killed []int
+	for i := range c.Kills {
+		a.Until(startSpan + c.Span*time.Duration(i)/time.Duration(c.Kills))
+		who := rng.IntN(c.Members)
+		for slices.Contains(killed, who) {
+			who = rng.IntN(c.Members)
+		}
+		killed = append(killed, who)
+		a.Kill(who, c.Vanish)
+	}
+	end := startSpan + c.Span
+	if c.Kills > 0 {
+		end += killedFor
+	}
+	a.Until(end)
+	for _, who := range killed {
+		for by := range c.Members {
+			if a.members[by].up && !a.knows[[2]int{by, who}] {
+				untold++
+			}
+		}
+	}
+	return a, untold
+}
+
+// Table writes rows for people.
+func Table(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "members\tcase\tprotocol\tmember-hours\tfalse deaths\ta member-hour\tchanges a member-minute\tnoticed p50/p99/last s\tknown p50/p99/last s\tnot known\tdatagrams/s\tbytes/s")
+	for _, r := range rows {
+		span := func(s Spread) string {
+			if s == (Spread{}) {
+				return "-"
+			}
+			return fmt.Sprintf("%.2f/%.2f/%.2f", s.P50, s.P99, s.Last)
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\t%.1f\t%d\t%.4f\t%.2f\t%s\t%s\t%d\t%.1f\t%.0f\n", r.Members, r.Case, r.Protocol, r.MemberHours, r.FalseDeaths, r.PerHour,
+			r.Changes, span(r.Noticed), span(r.Known), r.Untold, r.Datagrams, r.Bytes)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/member/packet.go
@@ -0,0 +1,223 @@
+package member
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+)
+
+// Tag begins each datagram of this protocol. What agents tell each other of their demands begins otherwise, and
+// agents that know only that drop what begins so.
+const Tag = 0xd2
+
+// MaxDatagram is the most bytes that agents may send one another at a time.
+const MaxDatagram = 256
+
+const version = 1
+
+// Kinds of datagram.
+const (
+	kindGossip byte = iota
+	kindPing        // answered by an ack
+	kindAck
+	kindAsk    // please probe target for me
+	kindCall   // a probe for target, which asked for it
+	kindAnswer // to a call
+	kindVouch  // target answered the call that you asked for
+	kindSync   // what one seems to lack: nothing new to others
+	kinds
+)
+
+const (
+	buckets   = 16
+	headBytes = 1 + 1 + 2 + 1 + 4 + 4
+)
+
+var (
+	errForeign = errors.New("another fleet or version")
+	errGarbled = errors.New("garbled")
+)
+
+// packet is a datagram's content. Integers are big-endian.
+//
+//	tag 1, version 1, fleet 2, kind 1, from 4, seq 4
+//	ping:           16 digests of 2
+//	ask, call:      target 4
+//	answer, vouch:  target 4, hears 1
+//	then records: kind 1, id 4, start 4, inc 2
+//	  full:      ver 4, flags 1 (1 doubt, 2 address), [IPv4 4, port 2], zone 1+n, name 1+n, entries 1, each id 4, mark 1, tag 1
+type packet struct {
+	kind    byte
+	from    ID
+	seq     uint32
+	digests [buckets]uint16
+	target  ID
+	hears   bool
+	records []record
+}
+
+func (r *record) size() int {
+	n := 11
+	if r.kind == kindFull {
+		n += 4 + 1 + 1 + len(r.zone) + 1 + len(r.name) + 1 + 6*len(r.list)
+		if r.addr.IsValid() {
+			n += 6
+		}
+	}
+	return n
+}
+
+func (r *record) append(b []byte) []byte {
+	b = append(b, r.kind)
+	b = binary.BigEndian.AppendUint32(b, uint32(r.id))
+	b = binary.BigEndian.AppendUint32(b, r.start)
+	b = binary.BigEndian.AppendUint16(b, r.inc)
+	if r.kind != kindFull {
+		return b
+	}
+	b = binary.BigEndian.AppendUint32(b, r.ver)
+	var flags byte
+	if r.doubt {
+		flags |= 1
+	}
+	if r.addr.IsValid() {
+		flags |= 2
+	}
+	b = append(b, flags)
+	if r.addr.IsValid() {
+		a := r.addr.Addr().As4()
+		b = append(b, a[:]...)
+		b = binary.BigEndian.AppendUint16(b, r.addr.Port())
+	}
+	b = append(append(b, byte(len(r.zone))), r.zone...)
+	b = append(append(b, byte(len(r.name))), r.name...)
+	b = append(b, byte(len(r.list)))
+	for _, e := range r.list {
+		b = binary.BigEndian.AppendUint32(b, uint32(e.id))
+		b = append(b, byte(e.mark), e.tag)
+	}
+	return b
+}
+
+// encode writes p; records that don't fit are left out, the last first.
+func (p *packet) encode(fleet uint16) []byte {
+	b := make([]byte, 0, MaxDatagram)
+	b = append(b, Tag, version)
+	b = binary.BigEndian.AppendUint16(b, fleet)
+	b = append(b, p.kind)
+	b = binary.BigEndian.AppendUint32(b, uint32(p.from))
+	b = binary.BigEndian.AppendUint32(b, p.seq)
+	switch p.kind {
+	case kindPing:
+		for _, d := range p.digests {
+			b = binary.BigEndian.AppendUint16(b, d)
+		}
+	case kindAsk, kindCall, kindAnswer, kindVouch:
+		b = binary.BigEndian.AppendUint32(b, uint32(p.target))
+		if p.kind == kindAnswer || p.kind == kindVouch {
+			b = append(b, bit(p.hears))
+		}
+	}
+	for i := range p.records {
+		if r := &p.records[i]; len(b)+r.size() <= MaxDatagram {
+			b = r.append(b)
+		}
+	}
+	return b
+}
+
+func bit(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// reader takes a datagram apart; after a cut all it gives is zero and bad is set.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) bytes(n int) []byte {
+	if r.bad || len(r.b) < n {
+		r.bad, r.b = true, nil
+		return make([]byte, n)
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *reader) u8() byte    { return r.bytes(1)[0] }
+func (r *reader) u16() uint16 { return binary.BigEndian.Uint16(r.bytes(2)) }
+func (r *reader) u32() uint32 { return binary.BigEndian.Uint32(r.bytes(4)) }
+
+func (r *reader) text(most int) string {
+	n := int(r.u8())
+	if n > most {
+		r.bad = true
+		return ""
+	}
+	return string(r.bytes(n))
+}
+
+// decode reads a datagram whole, or not at all.
+func decode(data []byte, fleet uint16) (*packet, error) {
+	if len(data) < headBytes || len(data) > MaxDatagram || data[0] != Tag {
+		return nil, errGarbled
+	}
+	if data[1] != version {
+		return nil, errForeign
+	}
+	r := &reader{b: data[2:]}
+	if r.u16() != fleet {
+		return nil, errForeign
+	}
+	p := &packet{kind: r.u8(), from: ID(r.u32()), seq: r.u32()}
+	switch p.kind {
+	case kindPing:
+		for i := range p.digests {
+			p.digests[i] = r.u16()
+		}
+	case kindAsk, kindCall, kindAnswer, kindVouch:
+		p.target = ID(r.u32())
+		if p.kind == kindAnswer || p.kind == kindVouch {
+			p.hears = r.u8() == 1
+		}
+	}
+	for len(r.b) > 0 && !r.bad {
+		p.records = append(p.records, r.record())
+	}
+	if r.bad || p.kind >= kinds || p.from == Nobody {
+		return nil, errGarbled
+	}
+	return p, nil
+}
+
+func (r *reader) record() (rec record) {
+	rec.kind, rec.id, rec.start, rec.inc = r.u8(), ID(r.u32()), r.u32(), r.u16()
+	if rec.kind > kindLeft || rec.id == Nobody {
+		r.bad = true
+	}
+	if rec.kind != kindFull || r.bad {
+		return rec
+	}
+	rec.ver = r.u32()
+	flags := r.u8()
+	rec.doubt = flags&1 != 0
+	if flags&2 != 0 {
+		ip := [4]byte(r.bytes(4))
+		rec.addr = netip.AddrPortFrom(netip.AddrFrom4(ip), r.u16())
+	}
+	rec.zone, rec.name = r.text(MaxZone), r.text(MaxName)
+	n := int(r.u8())
+	if n > listMost {
+		r.bad = true
+		return rec
+	}
+	for range n {
+		rec.list = append(rec.list, entry{id: ID(r.u32()), mark: mark(r.u8()), tag: r.u8()})
+	}
+	return rec
+}
--- /dev/null
+++ b/internal/member/rings.go
@@ -0,0 +1,73 @@
+package member
+
+import (
+	"hash/fnv"
+	"slices"
+)
+
+// NameID is the number of an agent that no settings number: a hash of its name, with the highest bit set so that
+// it is none of theirs.
+func NameID(name string) ID {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := ID(h.Sum32() | 1<<31)
+	if id == Nobody {
+		id--
+	}
+	return id
+}
+
+// ringHash is an agent's place on a ring. Places are the same at all agents.
+func ringHash(ring int, id ID) uint64 { return mix(uint64(ring)<<32 | uint64(id)) }
+
+// observe works out whom this agent observes: on each ring the next agent that lives, and those in doubt before it,
+// which may not observe for themselves. In a fleet of a few agents that is all of them.
+func (m *Member) observe() {
+	m.subjects = m.subjects[:0]
+	for r := range rings {
+		from := m.self.ring[r]
+		at := from
+		for range listMost / rings {
+			next := m.after(r, at, from)
+			if next == nil {
+				break
+			}
+			if !slices.Contains(m.subjects, next) {
+				m.subjects = append(m.subjects, next)
+			}
+			if next.state == Alive && !next.rec.doubt {
+				break
+			}
+			at = next.ring[r]
+		}
+	}
+	for _, s := range slices.Clone(m.slotOrder) {
+		if s.subject = slices.Contains(m.subjects, s.p); !s.subject && !s.failing && !s.waiting {
+			m.drop(s.p.id)
+		}
+	}
+	for _, p := range m.subjects {
+		if s := m.slotFor(p); s != nil {
+			s.subject = true
+		}
+	}
+}
+
+// after is the agent that follows a place on a ring, among those whose life hasn't ended; nil where the way there
+// comes past from.
+func (m *Member) after(r int, at, from uint64) *peer {
+	var best *peer
+	for _, p := range m.order {
+		if p == m.self || p.ended() {
+			continue
+		}
+		// Distances go round, so that the least one is the next.
+		if d := p.ring[r] - at; d != 0 && (best == nil || d < best.ring[r]-at) {
+			best = p
+		}
+	}
+	if best != nil && at != from && best.ring[r]-at >= from-at {
+		return nil
+	}
+	return best
+}
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -57,3 +57,17 @@
 	}
 	return 0
 }
+
+// Key is the line on which a key of the top is set, before any table; 0: it isn't.
+func Key(raw []byte, key string) int {
+	for i, line := range strings.Split(string(raw), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			return 0
+		}
+		if name, _, set := strings.Cut(line, "="); set && strings.TrimSpace(name) == key {
+			return i + 1
+		}
+	}
+	return 0
+}
