--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -345,8 +345,12 @@
 
 // Ask asks the agent's door.
 func (a *Agent) Ask(method, path string) (status int, body []byte, err error) {
+	return call(a.Door, method, path)
+}
+
+func call(door, method, path string) (status int, body []byte, err error) {
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(method, "http://"+a.Door+path, nil)
+	req, err := http.NewRequest(method, "http://"+door+path, nil)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -360,18 +364,31 @@
 }
 
 // Members is the agent's view of the fleet.
-func (a *Agent) Members() (*link.Report, error) {
-	status, body, err := a.Ask(http.MethodGet, "/api/members")
+func (a *Agent) Members() (*link.Report, error) { return view(a.Door) }
+
+func view(door string) (*link.Report, error) {
+	status, body, err := call(door, http.MethodGet, "/api/members")
 	if err != nil {
 		return nil, err
 	}
 	if status != http.StatusOK {
-		return nil, fmt.Errorf("%s: %d: %s", a.Name, status, bytes.TrimSpace(body))
+		return nil, fmt.Errorf("%s: %d: %s", door, status, bytes.TrimSpace(body))
 	}
 	r := &link.Report{}
 	return r, json.Unmarshal(body, r)
 }
 
+// Ask asks a door for its view until it is as wanted, for so long at the most.
+func Ask(door string, patience time.Duration, so func(*link.Report) error) error {
+	return until(patience, nil, func() error {
+		r, err := view(door)
+		if err != nil {
+			return err
+		}
+		return so(r)
+	})
+}
+
 // StartAll starts all agents and waits until each is ready.
 func (c *Cluster) StartAll(patience time.Duration) error {
 	for _, a := range c.Agents {
@@ -399,6 +416,10 @@
 
 // Until asks until the answer is no error, for so long at the most; then the last error comes back.
 func (c *Cluster) Until(patience time.Duration, so func() error) error {
+	return until(patience, c.stopAt, so)
+}
+
+func until(patience time.Duration, stop <-chan struct{}, so func() error) error {
 	end := time.Now().Add(patience)
 	for {
 		err := so()
@@ -410,7 +431,7 @@
 		}
 		select {
 		case <-time.After(20 * time.Millisecond):
-		case <-c.stopAt:
+		case <-stop:
 			return errors.New("the rig has ended")
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -212,6 +212,7 @@
 	doubt       bool
 	sureAt      time.Duration // since when there is no reason to doubt; -1: there is one
 	told        Standing
+	reorder     bool    // who is to be observed has to be worked out anew
 	subjects    []*peer // those observed, by ring
 	observers   []*peer // those that observe this agent, as far as it knows
 	called      int
@@ -400,7 +401,7 @@
 	m.news = slices.DeleteFunc(m.news, func(o *peer) bool { return o == p })
 	m.drop(p.id)
 	m.turn, m.dirty = nil, true
-	m.observe()
+	m.reorder = true
 }
 
 // take does what a datagram asks for.
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -62,6 +62,9 @@
 
 // probe sends the probes that are due and notes those that were not answered.
 func (m *Member) probe() {
+	if m.reorder {
+		m.observe()
+	}
 	for i := len(m.slotOrder) - 1; i >= 0; i-- { // from behind, since one may go
 		s := m.slotOrder[i]
 		if s.waiting && s.due <= m.now {
@@ -271,12 +274,15 @@
 			n++
 		}
 	}
+	if n != 1 {
+		return n > 1
+	}
 	for _, p := range m.order {
 		if p != m.self && !p.ended() {
 			others++
 		}
 	}
-	return n >= min(2, others) && n > 0
+	return others == 1
 }
 
 // hear takes that something came straight from p.
--- a/internal/member/rings.go
+++ b/internal/member/rings.go
@@ -23,6 +23,7 @@
 // observe works out whom this agent observes: on each ring the next agent that lives, and those in doubt before it,
 // which may not observe for themselves. In a fleet of a few agents that is all of them.
 func (m *Member) observe() {
+	m.reorder = false
 	m.subjects = m.subjects[:0]
 	for r := range rings {
 		from := m.self.ring[r]
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -41,7 +41,7 @@
 		if p = m.place(r.id); p == nil {
 			return nil
 		}
-		defer m.observe()
+		m.reorder = true
 	}
 	switch {
 	case p.known && p.rec.newer(r):
@@ -120,5 +120,5 @@
 	if p.ended() {
 		m.drop(p.id)
 	}
-	m.observe()
+	m.reorder = true
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -273,7 +273,7 @@
 		moved = moved || p.state != was
 	}
 	if moved {
-		m.observe()
+		m.reorder = true
 	}
 	if s := m.standing(); s != m.told {
 		m.told = s
