--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -231,6 +231,9 @@
 	}
 }
 
+// Peer is the address on which the agent hears its peers.
+func (a *Agent) Peer() netip.AddrPort { return a.peer }
+
 // Up reports whether its process runs.
 func (a *Agent) Up() bool {
 	a.mu.Lock()
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -220,6 +221,23 @@
 	must(t, c.Until(patience, c.Agree))
 }
 
+// What is no datagram of the fleet is dropped and counted by a running agent.
+func TestGarbageIsCounted(t *testing.T) {
+	t.Parallel()
+	c := rig(t, 2, 1, quick)
+	own := c.Agents[0].Peer()
+	from, err := net.Dial("udp4", own.String())
+	must(t, err)
+	defer from.Close()
+	for _, raw := range [][]byte{{0xd2}, {0xd2, 1, 0, 0, 99, 0}, append([]byte{0xd2, 9}, make([]byte, 40)...), append([]byte{0xd2, 1, 0, 0, 0, 0, 0, 0, 1}, make([]byte, 4)...), make([]byte, 300)} {
+		_, err := from.Write(raw)
+		must(t, err)
+	}
+	sees(t, c, 0, "two garbled, one foreign, one under another's number", func(r *link.Report) bool {
+		return r.Counters.Garbled >= 2 && r.Counters.Foreign >= 1 && r.Counters.Strange >= 1 && r.Alive == 2
+	})
+}
+
 // Five and two: the five go on and hold the two for dead, the two know that they are the ones.
 func TestPartition(t *testing.T) {
 	t.Parallel()
