The rig's faults of several processes begin together, and a stopped one hears SIGTERM

Change: a fault of several processes is carried out on all at once; one that is asked to end goes on first.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -290,6 +290,7 @@
 	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
+	a.Signal(syscall.SIGCONT) // one that is stopped would not hear of it
 	select {
 	case <-ended:
 		return nil
--- a/internal/cluster/timetable.go
+++ b/internal/cluster/timetable.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -246,7 +247,7 @@
 	return what + ": " + names(s.who[0]) + arrow + names(s.who[1])
 }
 
-func (c *Cluster) do(s *step) (err error) {
+func (c *Cluster) do(s *step) error {
 	e := s.event
 	if set := linkFaults[e.What]; set != nil {
 		change := func(f *Fault) { set(f, s.on, e.Size) }
@@ -256,10 +257,13 @@
 		}
 		return nil
 	}
-	for _, i := range s.who[2] {
-		err = errors.Join(err, c.Agents[i].do(e, s.on))
+	errs := make([]error, len(s.who[2]))
+	var all sync.WaitGroup // they are not to wait for each other's end
+	for k, i := range s.who[2] {
+		all.Go(func() { errs[k] = c.Agents[i].do(e, s.on) })
 	}
-	return err
+	all.Wait()
+	return errors.Join(errs...)
 }
 
 // do begins or ends a fault of one process.
