internal/site begun: what a lost site is, where its load goes, how it returns

Need: when a zone goes every agent finds out backend by backend, and when it returns all turn to it at once.

Change: decisions without I/O, nothing uses them yet.

--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,511 @@
+// Package site decides what becomes of the load when a whole site is lost: which sites are well, doubted, lost or
+// returning, where the load of a lost one goes, what is refused first, and how fast it comes back. It performs no
+// I/O, has no clock and starts no goroutine: time and evidence are handed in. A Watch belongs to one goroutine.
+//
+//	well ──> doubted ──> lost ──> returning ──> well
+//	  ^─────────┘          ^─────────┘
+//
+// Evidence is kept by kind, since kinds mean different things: a connection that doesn't come up and a machine that
+// says nothing speak of the way there or of what stands at its end, an error of a process that lives. A site is
+// told from a bad release by contrast with the others, and from this agent's own trouble by whether any other site
+// still answers; where the fleet keeps a view of its members, by what that says too.
+//
+// Files: site.go evidence and states; plan.go where load goes, worked out beforehand; ramp.go the return.
+//
+// Bounds: Config.Most sites; per site a ring of slots of counts and a set of the backends that were tried in them,
+// triedMost at the most.
+package site
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Kind is how an attempt ended, as far as a site's state hangs on it.
+type Kind uint8
+
+const (
+	OK      Kind = iota // served, or turned away by a process that lives and is full
+	Errored             // the process lives and returned an error
+	Reset               // the connection broke
+	Refused             // a connection was refused: the machine lives, the process doesn't
+	Silent              // a connection didn't come up, or nothing came in time
+	kinds
+)
+
+var kindNames = [kinds]string{"ok", "errored", "reset", "refused", "silent"}
+
+func (k Kind) String() string {
+	if k < kinds {
+		return kindNames[k]
+	}
+	return fmt.Sprintf("kind %d", uint8(k))
+}
+
+// State is what a site is held for.
+type State uint8
+
+const (
+	Well State = iota
+	Doubted
+	Lost
+	Returning
+	states
+)
+
+var stateNames = [states]string{"well", "doubted", "lost", "returning"}
+
+func (s State) String() string {
+	if s < states {
+		return stateNames[s]
+	}
+	return fmt.Sprintf("state %d", uint8(s))
+}
+
+// Cause is why a site is not held for lost though its attempts fail.
+type Cause uint8
+
+const (
+	None     Cause = iota
+	Everyone       // all sites fail alike: this agent, or a release, is the one
+	Mine           // members of the fleet reach it, or its own members live and this agent is in a minority
+	Release        // a share of its backends fails and the rest serve
+	Stale          // what fails are backends of which the list has said nothing for long, in all sites
+)
+
+var causeNames = [...]string{"", "everyone", "mine", "release", "stale"}
+
+func (c Cause) String() string {
+	if int(c) < len(causeNames) {
+		return causeNames[c]
+	}
+	return fmt.Sprintf("cause %d", uint8(c))
+}
+
+// Config are the times and shares. DefaultConfig gives those for agents that see some attempts a second.
+type Config struct {
+	Sites     []string
+	Slot      time.Duration // in which counts are kept
+	Doubt     time.Duration // over which attempts are looked at for a doubt, a whole number of slots
+	Lose      time.Duration // a doubted site is lost after failing for so long
+	Clear     time.Duration // a doubted site is well after serving for so long
+	Least     int           // different backends of a site that have to have failed, or all that it has
+	FailShare float64       // of its attempts that fail, to doubt it
+	LostShare float64       // and to hold it for lost
+	Contrast  float64       // the other sites' share that fails has to be under this one's by so much
+	Stale     time.Duration // silence of the list after which it explains failures in all sites
+	Most      int
+}
+
+// DefaultConfig watches sites for attempts of some ten milliseconds.
+func DefaultConfig(sites []string) Config {
+	return Config{Sites: sites, Slot: 200 * time.Millisecond, Doubt: time.Second, Lose: 600 * time.Millisecond, Clear: 2 * time.Second,
+		Least: 3, FailShare: 0.5, LostShare: 0.8, Contrast: 0.4, Stale: 10 * time.Second, Most: 64}
+}
+
+// Check names the first value that makes no sense.
+func (c *Config) Check() error {
+	switch {
+	case len(c.Sites) == 0:
+		return errors.New("sites: none")
+	case len(c.Sites) > c.Most:
+		return fmt.Errorf("sites: %d are over %d", len(c.Sites), c.Most)
+	case c.Slot <= 0:
+		return fmt.Errorf("slot: %v makes no sense", c.Slot)
+	case c.Doubt < c.Slot || c.Doubt > slotsMost*c.Slot:
+		return fmt.Errorf("doubt: %v is not within 1 and %d slots of %v", c.Doubt, slotsMost, c.Slot)
+	case c.Lose < 0 || c.Clear < 0 || c.Stale < 0:
+		return errors.New("lose, clear, stale: negative")
+	case c.Least < 1:
+		return fmt.Errorf("least: %d backends make no sense", c.Least)
+	case !(c.FailShare > 0 && c.FailShare <= c.LostShare && c.LostShare <= 1):
+		return fmt.Errorf("fail_share, lost_share: %v and %v have to be over 0, in this order, and 1 at the most", c.FailShare, c.LostShare)
+	case !(c.Contrast >= 0 && c.Contrast < 1):
+		return fmt.Errorf("contrast: %v is not within 0 and 1", c.Contrast)
+	}
+	for i, s := range c.Sites {
+		if s == "" || slices.Contains(c.Sites[:i], s) {
+			return fmt.Errorf("sites: %q stands twice, or is empty", s)
+		}
+	}
+	return nil
+}
+
+const (
+	slotsMost = 16
+	triedMost = 256 // backends of a site that are told apart in a slot's span
+)
+
+// Fleet is what the members of the fleet say, where they are known.
+type Fleet struct {
+	Known    bool
+	Majority bool  // this agent sees more than half of the fleet
+	Alive    []int // members of each site that live, this agent's view
+	Expected []int // and how many there are when all is well
+	// Members of other sites that reach a site, and that were asked, where they tell; nil: they don't.
+	Reach, Asked []int
+}
+
+// Listed is what the list says of a site.
+type Listed struct {
+	Backends int // that are listed
+	Up       int // of these, not draining
+	Started  int // of these, started since the site was lost
+}
+
+// Evidence is what a state rests on, for those who ask.
+type Evidence struct {
+	Site      string
+	State     State
+	Since     time.Duration
+	Tried     int // different backends, over Config.Doubt
+	Failing   int // of these, that served nothing
+	Counts    [kinds]int
+	Share     float64 // of attempts that failed
+	Elsewhere float64 // the same in the other sites
+	Cause     Cause
+	ByHand    bool
+	Losses    int // lately
+}
+
+// Change is a state that a site came to.
+type Change struct {
+	Site     int
+	From, To State
+	At       time.Duration
+	Cause    Cause
+}
+
+type slot struct {
+	at     time.Duration // its beginning; -1: empty
+	counts [kinds]int
+}
+
+type tried struct {
+	served, failed time.Duration // when it last did; -1: never
+}
+
+type siteState struct {
+	state   State
+	since   time.Duration
+	failing time.Duration // since when LostShare is reached; -1: it isn't
+	serving time.Duration // since when it isn't reached any more, while doubted; -1: it is
+	slots   [slotsMost]slot
+	tried   map[string]*tried
+	listed  Listed
+	cause   Cause
+	byHand  bool
+	losses  []time.Duration // when it was lost, lately
+	trials  int             // attempts served since it was lost
+}
+
+// Watch keeps the state of each site.
+type Watch struct {
+	cfg     Config
+	now     time.Duration
+	own     int
+	sites   []siteState
+	fleet   Fleet
+	listAt  time.Duration // when the list last said something
+	changes []Change
+}
+
+// New returns a watch of an agent of a site, by its place in Config.Sites; -1: of none of them.
+func New(cfg Config, own int, now time.Duration) (*Watch, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, fmt.Errorf("sites: %w", err)
+	}
+	if own < -1 || own >= len(cfg.Sites) {
+		return nil, fmt.Errorf("sites: own site %d is none of %d", own, len(cfg.Sites))
+	}
+	w := &Watch{cfg: cfg, own: own, now: now, listAt: now, sites: make([]siteState, len(cfg.Sites))}
+	for i := range w.sites {
+		s := &w.sites[i]
+		s.since, s.failing, s.serving, s.tried = now, -1, -1, map[string]*tried{}
+		for k := range s.slots {
+			s.slots[k].at = -1
+		}
+	}
+	return w, nil
+}
+
+// Outcome takes how an attempt at a backend of a site ended. Unknown sites are passed over.
+func (w *Watch) Outcome(now time.Duration, site int, backend string, k Kind) {
+	w.now = max(w.now, now)
+	if site < 0 || site >= len(w.sites) || k >= kinds {
+		return
+	}
+	s := &w.sites[site]
+	at := w.now - w.now%w.cfg.Slot
+	sl := &s.slots[int(at/w.cfg.Slot)%slotsMost]
+	if sl.at != at {
+		*sl = slot{at: at}
+	}
+	sl.counts[k]++
+	t := s.tried[backend]
+	if t == nil {
+		if len(s.tried) >= triedMost {
+			w.prune(s)
+		}
+		if len(s.tried) >= triedMost {
+			return
+		}
+		t = &tried{-1, -1}
+		s.tried[backend] = t
+	}
+	if k == OK || k == Errored { // its process lives
+		t.served = w.now
+		if k == OK && s.state != Well {
+			s.trials++
+		}
+	} else {
+		t.failed = w.now
+	}
+}
+
+// prune forgets backends that were not tried for the span that counts.
+func (w *Watch) prune(s *siteState) {
+	for id, t := range s.tried {
+		if w.now-max(t.served, t.failed) > 2*w.cfg.Doubt {
+			delete(s.tried, id)
+		}
+	}
+}
+
+// List takes what the list says now, for each site.
+func (w *Watch) List(now time.Duration, listed []Listed) {
+	w.now, w.listAt = max(w.now, now), max(w.now, now)
+	for i := range w.sites {
+		w.sites[i].listed = Listed{}
+		if i < len(listed) {
+			w.sites[i].listed = listed[i]
+		}
+	}
+}
+
+// Members takes what the fleet's members say.
+func (w *Watch) Members(now time.Duration, f Fleet) {
+	w.now, w.fleet = max(w.now, now), f
+}
+
+// ByHand holds a site for lost until it is called back by hand, whatever the evidence.
+func (w *Watch) ByHand(now time.Duration, site int, lost bool) error {
+	w.now = max(w.now, now)
+	if site < 0 || site >= len(w.sites) {
+		return fmt.Errorf("sites: %d is none of %d", site, len(w.sites))
+	}
+	s := &w.sites[site]
+	s.byHand = lost
+	switch {
+	case lost && s.state != Lost:
+		w.become(site, Lost)
+	case !lost && s.state == Lost:
+		w.become(site, Returning)
+	}
+	return nil
+}
+
+// Returned says that a site's ramp is over.
+func (w *Watch) Returned(now time.Duration, site int) {
+	w.now = max(w.now, now)
+	if site >= 0 && site < len(w.sites) && w.sites[site].state == Returning {
+		w.become(site, Well)
+	}
+}
+
+// Changes hands over what has changed since the last call.
+func (w *Watch) Changes() []Change {
+	c := w.changes
+	w.changes = nil
+	return c
+}
+
+const changesMost = 1024
+
+func (w *Watch) become(site int, to State) {
+	s := &w.sites[site]
+	if s.state == to {
+		return
+	}
+	if len(w.changes) < changesMost {
+		w.changes = append(w.changes, Change{Site: site, From: s.state, To: to, At: w.now, Cause: s.cause})
+	}
+	if to == Lost {
+		s.losses = append(s.losses, w.now)
+		if len(s.losses) > lossesMost {
+			s.losses = s.losses[1:]
+		}
+	}
+	s.state, s.since, s.failing, s.serving, s.trials = to, w.now, -1, -1, 0
+}
+
+// State is a site's present state.
+func (w *Watch) State(site int) State { return w.sites[site].state }
+
+// Sites is how many there are.
+func (w *Watch) Sites() int { return len(w.sites) }
+
+// Evidence is what a site's state rests on.
+func (w *Watch) Evidence(site int) Evidence {
+	s := &w.sites[site]
+	seen := w.look(site)
+	return Evidence{Site: w.cfg.Sites[site], State: s.state, Since: s.since, Tried: seen.tried, Failing: seen.failing, Counts: seen.counts,
+		Share: seen.share(), Elsewhere: w.elsewhere(site), Cause: s.cause, ByHand: s.byHand, Losses: w.losses(site)}
+}
+
+// look sums up the span that counts.
+type seen struct {
+	counts         [kinds]int
+	tried, failing int
+}
+
+func (w *Watch) look(site int) (v seen) {
+	s := &w.sites[site]
+	for i := range s.slots {
+		if sl := &s.slots[i]; sl.at >= 0 && w.now-sl.at < w.cfg.Doubt {
+			for k, n := range sl.counts {
+				v.counts[k] += n
+			}
+		}
+	}
+	for _, t := range s.tried {
+		if w.now-max(t.served, t.failed) >= w.cfg.Doubt {
+			continue
+		}
+		v.tried++
+		if t.failed >= 0 && w.now-t.failed < w.cfg.Doubt && t.served < t.failed {
+			v.failing++
+		}
+	}
+	return v
+}
+
+func (v *seen) all() (n int) {
+	for _, c := range v.counts {
+		n += c
+	}
+	return n
+}
+
+// share is that of attempts that neither a backend answered nor a process that lives returned as an error.
+func (v *seen) share() float64 {
+	if n := v.all(); n > 0 {
+		return float64(v.counts[Reset]+v.counts[Refused]+v.counts[Silent]) / float64(n)
+	}
+	return 0
+}
+
+// elsewhere is the share that fails in the other sites that are not lost.
+func (w *Watch) elsewhere(site int) float64 {
+	var all seen
+	for i := range w.sites {
+		if i == site || w.sites[i].state == Lost {
+			continue
+		}
+		v := w.look(i)
+		for k, n := range v.counts {
+			all.counts[k] += n
+		}
+	}
+	return all.share()
+}
+
+// losses counts those that still slow a return down.
+func (w *Watch) losses(site int) (n int) {
+	for _, at := range w.sites[site].losses {
+		if w.now-at < lossesFor {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	lossesMost = 8
+	lossesFor  = 5 * time.Minute
+	trialsWell = 3 // attempts served by a lost site, by different backends where it has them, that bring it back
+)
+
+// Tick works out the states.
+func (w *Watch) Tick(now time.Duration) {
+	w.now = max(w.now, now)
+	for i := range w.sites {
+		w.judge(i)
+	}
+}
+
+func (w *Watch) judge(i int) {
+	s := &w.sites[i]
+	v := w.look(i)
+	enough := v.failing >= w.cfg.Least || v.failing > 0 && v.failing >= s.listed.Backends && s.listed.Backends > 0
+	gone := s.listed.Backends == 0 && w.listAt > 0 && s.state != Lost && v.tried > 0 && v.all() > 0 && v.share() >= w.cfg.LostShare
+	doubt := enough && v.share() >= w.cfg.FailShare
+	s.cause = None
+	if doubt || gone {
+		s.cause = w.explain(i, &v)
+	}
+	switch s.state {
+	case Well:
+		if (doubt || gone) && s.cause == None {
+			w.become(i, Doubted)
+			s.failing = w.now
+		}
+	case Doubted:
+		bad := (enough || gone) && v.share() >= w.cfg.LostShare && s.cause == None
+		if !bad {
+			s.failing = -1
+		} else if s.failing < 0 {
+			s.failing = w.now
+		}
+		if doubt && s.cause == None {
+			s.serving = -1
+		} else if s.serving < 0 {
+			s.serving = w.now
+		}
+		switch {
+		case bad && w.now-s.failing >= w.cfg.Lose:
+			w.become(i, Lost)
+		case s.serving >= 0 && w.now-s.serving >= w.cfg.Clear:
+			w.become(i, Well)
+		}
+	case Lost:
+		if s.byHand {
+			return
+		}
+		// Trials that are served bring it back, or the list, where it says that half of it has started anew.
+		if s.trials >= trialsWell && v.share() < w.cfg.FailShare || s.listed.Up > 0 && 2*s.listed.Started >= s.listed.Up && v.share() < w.cfg.FailShare {
+			w.become(i, Returning)
+		}
+	case Returning: // a second loss goes back at once
+		if doubt && v.share() >= w.cfg.LostShare && s.cause == None {
+			w.become(i, Lost)
+		}
+	}
+}
+
+// explain says why failures of a site are no loss of it.
+func (w *Watch) explain(i int, v *seen) Cause {
+	elsewhere := w.elsewhere(i)
+	if len(w.sites) > 1 && v.share()-elsewhere < w.cfg.Contrast {
+		if w.now-w.listAt >= w.cfg.Stale {
+			return Stale
+		}
+		return Everyone
+	}
+	if v.tried > v.failing && 2*v.failing <= v.tried {
+		return Release
+	}
+	f := &w.fleet
+	if !f.Known {
+		return None
+	}
+	if i < len(f.Reach) && i < len(f.Asked) && f.Asked[i] > 0 && 2*f.Reach[i] > f.Asked[i] {
+		return Mine // others still reach it
+	}
+	if i != w.own && !f.Majority && i < len(f.Alive) && i < len(f.Expected) && 2*f.Alive[i] <= f.Expected[i] {
+		return Mine // its members are out of sight, and so is most of the fleet
+	}
+	return None
+}
