--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -43,6 +43,9 @@
 		Run    clusterRunCmd    `cmd:"" help:"Start many agents, do them harm by a timetable, and see whether their views become equal and true."`
 		Shrink clusterShrinkCmd `cmd:"" help:"Kill most agents of a fleet while its clients go to those left, and measure what they get."`
 	} `cmd:"" help:"A rig of many agents, with faults between them."`
+	Sites struct {
+		Plan sitesPlanCmd `cmd:"" help:"Work out where the load of a lost site goes and what is refused first, beside two simple ways."`
+	} `cmd:"" help:"The loss of a whole site."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
 	BareProxy bareProxyCmd `cmd:"" hidden:"" help:"The proxy that overhead compares with."`
 	Try       tryCmd       `cmd:"" help:"Start a stand-in site with agents, play a log against them, and report."`
