One ledger that hears of a player's clients: trial.Watch serves the rig too

Cause: internal/cluster had internal/trial's observer again, line for line but for the refusals.

Change: trial's is exported and used by both; no new behaviour.

--- a/internal/cluster/shrink.go
+++ b/internal/cluster/shrink.go
@@ -13,6 +13,7 @@
 	"lemonrail/internal/ledger"
 	"lemonrail/internal/load"
 	"lemonrail/internal/standin"
+	"lemonrail/internal/trial"
 )
 
 // Shrink is a fleet of which most agents are killed, while their clients go to those that are left.
@@ -163,22 +164,6 @@
 	return out, err
 }
 
-// told is a ledger that hears of clients' requests.
-type told struct {
-	l     *ledger.Ledger
-	agent map[string]string
-}
-
-func (w told) Sent(s *load.Sample) {
-	w.l.Sent(s.ID, s.Request.Class, w.agent[s.Target], s.Sent, s.Request.Left)
-}
-
-func (w told) Ended(s *load.Sample) {
-	if s.Outcome != load.TimedOut {
-		w.l.Got(s.ID, s.Ended, ledger.Answer{Status: s.Status, Body: s.Body, Begun: s.Begun, Unsent: s.First && s.Outcome == load.Broken})
-	}
-}
-
 // play sends requests to agents in an open loop.
 func (c *Cluster) play(ctx context.Context, l *ledger.Ledger, agents []*Agent, rate float64, span time.Duration, seed uint64) (ws []Window, err error) {
 	names := map[string]string{}
@@ -203,7 +188,7 @@
 	}
 	var begun time.Time
 	aims := map[string]time.Duration{"read": 300 * time.Millisecond, "sub": 400 * time.Millisecond}
-	_, err = load.Play(ctx, next, load.PlayOptions{Targets: targets, Seed: seed, Observer: told{l, names}, Done: func(s *load.Sample) {
+	_, err = load.Play(ctx, next, load.PlayOptions{Targets: targets, Seed: seed, Observer: &trial.Watch{Ledger: l, Agent: names}, Done: func(s *load.Sample) {
 		if begun.IsZero() {
 			begun = s.Due
 		}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -223,26 +223,28 @@
 	return fmt.Errorf("never ready: %w", last)
 }
 
-// watch tells the ledger what the player's clients do.
-type watch struct {
-	l       *ledger.Ledger
-	agent   map[string]string // by target
-	refused func(id string)   // nil: nobody asks
+// Watch tells a ledger what a player's clients do.
+type Watch struct {
+	Ledger  *ledger.Ledger
+	Agent   map[string]string // names, by target
+	Refused func(id string)   // called as a client gets a refusal; nil: nobody asks
 }
 
-func (w *watch) Sent(s *load.Sample) {
-	w.l.Sent(s.ID, s.Request.Class, w.agent[s.Target], s.Sent, s.Request.Left)
+// Sent tells that a request was written.
+func (w *Watch) Sent(s *load.Sample) {
+	w.Ledger.Sent(s.ID, s.Request.Class, w.Agent[s.Target], s.Sent, s.Request.Left)
 }
 
-func (w *watch) Ended(s *load.Sample) {
-	if s.Outcome == load.Refused && w.refused != nil {
-		w.refused(s.ID)
+// Ended tells what a client got.
+func (w *Watch) Ended(s *load.Sample) {
+	if s.Outcome == load.Refused && w.Refused != nil {
+		w.Refused(s.ID)
 	}
 	switch s.Outcome {
 	case load.TimedOut:
 		// The client waited longer than its time: an answer was owed before.
 	default:
-		w.l.Got(s.ID, s.Ended, ledger.Answer{Status: s.Status, Body: s.Body, Begun: s.Begun, Unsent: s.First && s.Outcome == load.Broken})
+		w.Ledger.Got(s.ID, s.Ended, ledger.Answer{Status: s.Status, Body: s.Body, Begun: s.Begun, Unsent: s.First && s.Outcome == load.Broken})
 	}
 }
 
@@ -275,7 +277,7 @@
 	}
 	rec := load.NewRecorder(o.Window)
 	play := o.Play
-	play.Targets, play.Observer = agents.Targets, &watch{l, names, o.Refused}
+	play.Targets, play.Observer = agents.Targets, &Watch{l, names, o.Refused}
 	play.Done = func(s *load.Sample) {
 		rec.Add(s)
 		if o.Each != nil {
