Membership keeps counts, rings and news as they change: no datagram costs the whole fleet

Need: 2,000 members had no figure, since evaluate, pick, rings and the order of news went over all members with each datagram or tick (profile of 300 members: 60 % of all time in Tick). Now kept as things change: members by ring and bucket, tallies by state, whom evaluate has to look at, who has a list, news by how often they were sent. Decisions are the same; two draws of chance come in another order. Start of a larger fleet in the comparison takes longer in proportion, protocols that are not played at a size are cut short there. Ruled out: a shorter evaluation only (the order of news alone took 10 %). Test: what is kept is held against plain counts over all members in every fleet of the tests, in the middle of faults and after.

--- a/internal/member/arena/compare.go
+++ b/internal/member/arena/compare.go
@@ -30,11 +30,11 @@
 	Largest int
 }
 
-// Case is what is played with each protocol.
+// Case is what is played with each protocol, once its members have met.
 type Case struct {
 	Name    string
 	Members int
-	Span    time.Duration // after a start of startSpan
+	Span    time.Duration
 	Loss    float64
 	Pauses  bool // each minute one in ten members is stopped for 1 to 5 s
 	Kills   int  // so many processes are killed, evenly over Span
@@ -44,10 +44,20 @@
 }
 
 const (
-	startSpan = 10 * time.Second
-	killedFor = 30 * time.Second // after the last kill of a run
+	startSpan  = 10 * time.Second // in which up to startSize members meet; larger fleets take longer in proportion
+	startSize  = 300
+	killedFor  = 30 * time.Second // after the last kill of a run
+	largestFor = 10 * time.Second // the same for a protocol that isn't played longer at that size
 )
 
+// begin is how long the members of a case have to meet before it is played.
+func (c *Case) begin(p *Protocol) time.Duration {
+	if p.Largest > 0 && c.Members > p.Largest { // it meets at once
+		return startSpan / 2
+	}
+	return time.Duration(float64(startSpan) * max(1, float64(c.Members)/startSize))
+}
+
 // Row is what came out of a case with a protocol, all runs together.
 type Row struct {
 	Protocol     string  `json:"protocol"`
@@ -224,7 +234,8 @@
 	a = New(c.Members, seed, Net{Base: [2]time.Duration{time.Millisecond / 4, 2 * time.Millisecond}, Refuses: true}, p.Make)
 	rng := rand.New(rand.NewPCG(seed, 5))
 	a.StartAll(time.Second)
-	a.Until(startSpan)
+	start := c.begin(&p)
+	a.Until(start)
 	a.Score = newScore()
 	a.Sent, a.Bytes = 0, 0
 	if c.Loss > 0 {
@@ -234,7 +245,7 @@
 		a.Net.Cut = c.Cut(c.Members)
 	}
 	if c.Pauses {
-		for at := startSpan; at < startSpan+c.Span; at += time.Minute {
+		for at := start; at < start+c.Span; at += time.Minute {
 			for range max(1, c.Members/10) {
 				who, when := rng.IntN(c.Members), at+time.Duration(rng.Float64()*float64(time.Minute))
 				a.At(when, func() { a.Pause(who, time.Second+time.Duration(rng.Float64()*float64(4*time.Second))) })
@@ -243,7 +254,7 @@
 	}
 	var killed []int
 	for i := range c.Kills {
-		a.Until(startSpan + c.Span*time.Duration(i)/time.Duration(c.Kills))
+		a.Until(start + c.Span*time.Duration(i)/time.Duration(c.Kills))
 		who := rng.IntN(c.Members)
 		for slices.Contains(killed, who) {
 			who = rng.IntN(c.Members)
@@ -251,8 +262,11 @@
 		killed = append(killed, who)
 		a.Kill(who, c.Vanish)
 	}
-	end := startSpan + c.Span
-	if c.Kills > 0 {
+	end := start + c.Span
+	switch {
+	case c.Kills > 0 && p.Largest > 0 && c.Members > p.Largest:
+		end += largestFor
+	case c.Kills > 0:
 		end += killedFor
 	}
 	a.Until(end)
--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -56,7 +56,9 @@
 // settle plays on and wants all that run to see the same.
 func (f *fleet) settle(d time.Duration) {
 	f.t.Helper()
+	f.audit()
 	f.Until(f.Now + d)
+	f.audit()
 	var digest uint64
 	first := -1
 	for i := range f.Size() {
@@ -79,6 +81,18 @@
 	}
 }
 
+// audit holds what members keep as things change against plain counts.
+func (f *fleet) audit() {
+	f.t.Helper()
+	for i := range f.Size() {
+		if n := f.Node(i); n != nil {
+			if err := n.(*arena.Member).Audit(); err != nil {
+				f.t.Errorf("member %d, %v: %v", i, f.Now, err)
+			}
+		}
+	}
+}
+
 // most wants no running member to have seen more changes of a kind than so many.
 func (f *fleet) most(n int, not ...int) {
 	f.t.Helper()
@@ -95,6 +109,7 @@
 
 func (f *fleet) noDeaths() {
 	f.t.Helper()
+	f.audit()
 	if f.Score.FalseDeaths > 0 {
 		f.t.Errorf("%d times one that runs was held for dead: %v", f.Score.FalseDeaths, f.moves[0][:min(30, len(f.moves[0]))])
 	}
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -9,10 +9,9 @@
 
 // spread has what is known of p told on.
 func (m *Member) spread(p *peer) {
+	m.news.remove(p)
 	p.sent, p.spreads = 0, int(math.Ceil(spreadFactor*math.Log2(float64(len(m.peers)+1))))
-	if !slices.Contains(m.news, p) {
-		m.news = append(m.news, p)
-	}
+	m.news.add(p)
 	m.nextGossip = min(m.nextGossip, m.now+time.Duration(gossipPart*float64(m.cfg.Period)))
 }
 
@@ -42,40 +41,41 @@
 	if p.ended() {
 		take(p)
 	}
-	spent := false
-	for _, q := range m.news {
+	var took [MaxDatagram / recordLeast]*peer
+	n, passed := 0, 0
+	for q := range m.news.all {
 		if q != p && take(q) {
-			q.sent++
-			spent = spent || q.sent >= q.spreads
+			took[n] = q
+			n++
+		} else {
+			passed++
 		}
-		if room < 11 {
+		if room < recordLeast || passed >= passedMost {
 			break
 		}
 	}
-	if spent {
-		m.news = slices.DeleteFunc(m.news, func(q *peer) bool { return q.sent >= q.spreads })
+	for _, q := range took[:n] {
+		m.news.told(q, 1)
 	}
-	slices.SortStableFunc(m.news, func(a, b *peer) int { return cmp.Compare(a.sent, b.sent) })
 	return pk
 }
 
 // gossip tells news to a few agents, in rounds.
 func (m *Member) gossip() {
 	m.publish()
-	if len(m.news) == 0 || m.now < m.nextGossip {
+	if m.news.n == 0 || m.now < m.nextGossip {
 		return
 	}
 	m.nextGossip = m.now + time.Duration(gossipPart*float64(m.cfg.Period))
-	size := 0
-	for _, q := range m.news {
-		size += q.rec.size()
-	}
-	n := fanout
-	if size > 2*MaxDatagram { // many changes at once
-		n *= 2
+	n, size := fanout, 0
+	for q := range m.news.all {
+		if size += q.rec.size(); size > 2*MaxDatagram { // many changes at once
+			n *= 2
+			break
+		}
 	}
 	for _, p := range m.pick(n, nil) {
-		if len(m.news) == 0 || m.tokens < probesKeep*burst(m.cfg.Rate) { // before it counts as told
+		if m.news.n == 0 || m.tokens < probesKeep*burst(m.cfg.Rate) { // before it counts as told
 			return
 		}
 		m.send(p, m.packet(p, kindGossip, 0), rest)
@@ -138,7 +138,7 @@
 	most := 1
 	if len(differ) > buckets/2 && m.now-m.began > hushFor*m.cfg.Period { // p has just begun; not the whole fleet
 		most = syncMost
-	} else if len(m.news) > 0 && m.rng.IntN(syncOdds) > 0 { // most of it is on its way
+	} else if m.news.n > 0 && m.rng.IntN(syncOdds) > 0 { // most of it is on its way
 		return
 	}
 	m.rng.Shuffle(len(differ), func(i, j int) { differ[i], differ[j] = differ[j], differ[i] })
@@ -150,8 +150,8 @@
 // sync sends p what is known of a bucket, as much as a datagram takes: chance makes it another part each time.
 func (m *Member) sync(p *peer, bucket int) {
 	var all []*peer
-	for _, q := range m.order {
-		if int(q.id%buckets) == bucket && q.known {
+	for _, q := range m.buckets[bucket] {
+		if q.known {
 			all = append(all, q)
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,7 +18,7 @@
 // jumps, after Lifeguard (Dadgar, Phillips, Currey 2017). docs/design/membership.md weighs the ways.
 //
 // Files: rings.go who observes whom; probe.go what an agent finds out itself; record.go and table.go what is
-// known of all; gossip.go how it spreads; view.go what follows from it; packet.go datagrams.
+// known of all, index.go how it is found again; gossip.go how it spreads; view.go what follows from it; packet.go datagrams.
 //
 // Bounds: Config.Most members of some 300 bytes each; listMost of them on one list and probed beside the rings;
 // Config.Rate datagrams a second; 256 bytes a datagram.
@@ -148,6 +148,8 @@
 	syncMost      = 4                // buckets that are sent at once to one that lacks most
 	healthStep    = 0.5              // by which silence is widened with each sign that this agent is slow or deaf
 	healthHeal    = 0.1              // and narrowed with each probe that is answered
+	pickDraws     = 4                // for each agent that is to be picked, before all are gone through
+	passedMost    = 32               // records in a row that don't fit, before a datagram goes as it is
 	spreadFactor  = 3                // times the logarithm of the fleet that one piece of news is sent
 	heardCounts   = 4                // sends that it counts for when others tell it too
 	gossipPart    = 0.4              // of a period between two rounds of gossip
@@ -180,47 +182,51 @@
 	cfg Config
 	rng *rand.Rand
 
-	now, began  time.Duration
-	lastTick    time.Duration
-	hushUntil   time.Duration
-	seq         uint32
-	tokens      float64
-	tokensAt    time.Duration
-	peers       map[ID]*peer
-	order       []*peer // by ID, so that nothing hangs on a map's order
-	self        *peer
-	leaving     bool
-	leftTold    int
-	digests     [buckets]uint32
-	nextProbe   time.Duration
-	heardAny    time.Duration
-	nextGossip  time.Duration
-	probes      int
-	slots       map[ID]*slot
-	slotOrder   []*slot
-	turn        []ID    // of the agents that are probed beside those observed
-	health      float64 // 0: well, to healthMost
-	wasAlarmed  bool
-	sample      [2 * sampleMost]outcome
-	samples     int
-	news        []*peer // records that still spread
-	helped      []favour
-	listChanged bool
-	listAt      time.Duration
-	dirty       bool // something that the view follows from has changed
-	evalAt      time.Duration
-	doubt       bool
-	sureAt      time.Duration // since when there is no reason to doubt; -1: there is one
-	told        Standing
-	reorder     bool    // who is to be observed has to be worked out anew
-	subjects    []*peer // those observed, by ring
-	observers   []*peer // those that observe this agent, as far as it knows
-	called      int
-	out         []Datagram
-	changes     []Change
-	number      uint64
-	moved       uint64 // changes of this member's view so far
-	counters    Counters
+	now, began time.Duration
+	lastTick   time.Duration
+	hushUntil  time.Duration
+	seq        uint32
+	tokens     float64
+	tokensAt   time.Duration
+	peers      map[ID]*peer
+	index
+	count         tallies
+	attended      []*peer // whom evaluate has to look at
+	spareAttended []*peer // its memory, for the next time
+	listers       []*peer // with lists, maybe empty by now
+	self          *peer
+	leaving       bool
+	leftTold      int
+	digests       [buckets]uint32
+	nextProbe     time.Duration
+	heardAny      time.Duration
+	nextGossip    time.Duration
+	probes        int
+	slots         map[ID]*slot
+	slotOrder     []*slot
+	turn          []ID    // of the agents that are probed beside those observed
+	health        float64 // 0: well, to healthMost
+	wasAlarmed    bool
+	sample        [2 * sampleMost]outcome
+	samples       int
+	news          queue // records that still spread
+	helped        []favour
+	listChanged   bool
+	listAt        time.Duration
+	dirty         bool // something that the view follows from has changed
+	evalAt        time.Duration
+	doubt         bool
+	sureAt        time.Duration // since when there is no reason to doubt; -1: there is one
+	told          Standing
+	reorder       bool    // who is to be observed has to be worked out anew
+	subjects      []*peer // those observed, by ring
+	observers     []*peer // those that observe this agent, as far as it knows
+	called        int
+	out           []Datagram
+	changes       []Change
+	number        uint64
+	moved         uint64 // changes of this member's view so far
+	counters      Counters
 }
 
 // New returns a member that knows the listed agents and has heard of none.
@@ -230,14 +236,19 @@
 	}
 	m := &Member{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self))), now: now, began: now, lastTick: now, tokens: burst(cfg.Rate),
 		tokensAt: now, peers: map[ID]*peer{}, slots: map[ID]*slot{}, dirty: true}
+	all := make([]*peer, 0, len(cfg.Peers)+1)
 	for _, p := range cfg.Peers {
 		if p.ID != cfg.Self {
-			m.add(p.ID, p.Name, p.Zone).listed = true
+			all = append(all, m.make(p.ID, p.Name, p.Zone))
+			all[len(all)-1].listed = true
 		}
 	}
-	m.self = m.add(cfg.Self, cfg.Name, cfg.Zone)
+	m.count.open = len(all)
+	m.self = m.make(cfg.Self, cfg.Name, cfg.Zone)
+	m.fill(append(all, m.self))
 	m.self.rec = record{id: cfg.Self, kind: kindFull, start: cfg.Start, ver: 1, name: cfg.Name, zone: cfg.Zone, addr: cfg.Addr}
 	m.self.state = Alive
+	m.count.alive++
 	m.put(m.self, m.self.rec)
 	if m.cfg.Expected == 0 {
 		m.cfg.Expected = len(m.peers)
@@ -256,23 +267,21 @@
 	return time.Duration(m.rng.Float64() * float64(d))
 }
 
-func (m *Member) add(id ID, name, zone string) *peer {
+// make puts one together that no order holds yet.
+func (m *Member) make(id ID, name, zone string) *peer {
 	p := &peer{id: id, state: Unseen, since: m.now, heardAt: -1, okAt: -1, failAt: -1}
 	p.rec.name, p.rec.zone = name, zone
 	for r := range p.ring {
 		p.ring[r] = ringHash(r, id)
 	}
 	m.peers[id] = p
-	at, _ := slices.BinarySearchFunc(m.order, id, func(p *peer, id ID) int { return int(int64(p.id) - int64(id)) })
-	m.order = slices.Insert(m.order, at, p)
-	m.turn = nil
 	return p
 }
 
 // Wake is when Tick wants to be called next, at the latest; sooner does no harm.
 func (m *Member) Wake() time.Duration {
 	at := m.nextProbe
-	if len(m.news) > 0 {
+	if m.news.n > 0 {
 		at = min(at, m.nextGossip)
 	}
 	for _, s := range m.slotOrder {
@@ -391,14 +400,21 @@
 		}
 		m.forget(oldest)
 	}
-	return m.add(id, "", "")
+	p := m.make(id, "", "")
+	m.insert(p)
+	m.tally(p, 1)
+	m.turn = nil
+	return p
 }
 
 func (m *Member) forget(p *peer) {
 	m.lift(p)
+	m.tally(p, -1)
 	delete(m.peers, p.id)
-	m.order = slices.DeleteFunc(m.order, func(o *peer) bool { return o == p })
-	m.news = slices.DeleteFunc(m.news, func(o *peer) bool { return o == p })
+	m.remove(p)
+	m.news.remove(p)
+	m.attended = slices.DeleteFunc(m.attended, func(o *peer) bool { return o == p })
+	m.listers = slices.DeleteFunc(m.listers, func(o *peer) bool { return o == p })
 	m.drop(p.id)
 	m.turn, m.dirty = nil, true
 	m.reorder = true
--- a/internal/member/packet.go
+++ b/internal/member/packet.go
@@ -33,8 +33,9 @@
 const ageUnit = 10 * time.Millisecond
 
 const (
-	buckets   = 16
-	headBytes = 1 + 1 + 2 + 1 + 4 + 4
+	buckets     = 16
+	headBytes   = 1 + 1 + 2 + 1 + 4 + 4
+	recordLeast = 1 + 4 + 4 + 2 // an end
 )
 
 var (
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -268,21 +268,13 @@
 
 // alarmed reports whether so many don't answer that this agent has to ask itself whether it is the one.
 func (m *Member) alarmed() bool {
-	n, others := 0, 0
+	n := 0
 	for _, s := range m.slotOrder {
 		if s.failing && s.tries >= alarmTries {
 			n++
 		}
 	}
-	if n != 1 {
-		return n > 1
-	}
-	for _, p := range m.order {
-		if p != m.self && !p.ended() {
-			others++
-		}
-	}
-	return others == 1
+	return n > 1 || n == 1 && m.count.open == 1
 }
 
 // hear takes that something came straight from p.
@@ -450,9 +442,21 @@
 	if n == 0 {
 		return nil
 	}
+	fits := func(p *peer) bool {
+		return p != m.self && p != not && !p.ended() && !(p.slot != nil && p.slot.failing && p.slot.tries > 1) && (p.state == Alive || p.state == Unseen)
+	}
+	// Nearly all do, as a rule: a few draws find enough of them.
+	for range pickDraws * n {
+		if p := m.order[m.rng.IntN(len(m.order))]; fits(p) && !slices.Contains(picked, p) {
+			if picked = append(picked, p); len(picked) == n {
+				return picked
+			}
+		}
+	}
+	picked = picked[:0]
 	seen := 0
 	for _, p := range m.order {
-		if p == m.self || p == not || p.ended() || p.slot != nil && p.slot.failing && p.slot.tries > 1 || p.state != Alive && p.state != Unseen {
+		if !fits(p) {
 			continue
 		}
 		seen++ // reservoir sampling
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -100,6 +100,11 @@
 	slot    *slot // nil: not probed now
 
 	accused, ripe, refused int // observers that list it; evaluate's
+
+	attended    bool // stands in Member.attended
+	lists       bool // and in Member.listers
+	queued      bool // is news, and where it stands among them
+	tier, place int
 }
 
 func (p *peer) ended() bool { return p.rec.kind != kindFull }
--- a/internal/member/rings.go
+++ b/internal/member/rings.go
@@ -74,34 +74,34 @@
 // after is the agent that follows a place on a ring, among those whose life hasn't ended; nil where the way there
 // comes past from.
 func (m *Member) after(r int, at, from uint64) *peer {
-	var best *peer
-	for _, p := range m.order {
-		if p == m.self || p.ended() {
+	ring := m.rings[r]
+	i := m.seek(r, at)
+	for range ring {
+		p := ring[i%len(ring)]
+		i++
+		if p == m.self || p.ended() || p.ring[r] == at {
 			continue
 		}
-		// Distances go round, so that the least one is the next.
-		if d := p.ring[r] - at; d != 0 && (best == nil || d < best.ring[r]-at) {
-			best = p
+		// Distances go round: one that is farther than from has come past it.
+		if at != from && p.ring[r]-at >= from-at {
+			return nil
 		}
+		return p
 	}
-	if best != nil && at != from && best.ring[r]-at >= from-at {
-		return nil
-	}
-	return best
+	return nil
 }
 
 // before is the agent that goes before a place on a ring, among those whose life hasn't ended.
 func (m *Member) before(r int, at uint64) *peer {
-	var best *peer
-	for _, p := range m.order {
-		if p == m.self || p.ended() {
-			continue
-		}
-		if d := at - p.ring[r]; d != 0 && (best == nil || d < at-best.ring[r]) {
-			best = p
+	ring := m.rings[r]
+	i := m.seek(r, at) + len(ring)
+	for range ring {
+		i--
+		if p := ring[i%len(ring)]; p != m.self && !p.ended() && p.ring[r] != at {
+			return p
 		}
 	}
-	return best
+	return nil
 }
 
 // call has those that observe this agent hear it while it doubts itself: one that hears nobody is answered by nobody,
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,7 +1,5 @@
 package member
 
-import "slices"
-
 // What is known of all. A digest for each bucket of members tells two agents at a glance whether they know the same.
 
 func (m *Member) toggle(p *peer) { m.digests[p.id%buckets] ^= p.rec.hash() }
@@ -17,10 +15,17 @@
 // put makes r what is known of p.
 func (m *Member) put(p *peer, r record) {
 	m.lift(p)
+	m.tally(p, -1)
 	if r.kind != kindFull { // an end says no more than that
 		r.ver, r.name, r.zone, r.addr, r.doubt, r.list = 0, p.rec.name, p.rec.zone, p.rec.addr, false, nil
 	}
+	if len(r.list) > 0 && !p.lists {
+		m.listers = append(m.listers, p)
+		p.lists = true
+	}
 	p.rec, p.known = r, true
+	m.tally(p, 1)
+	m.attend(p)
 	m.toggle(p)
 	m.number += r.rank()
 	m.dirty = true
@@ -47,14 +52,16 @@
 	case p.known && p.rec.newer(r):
 		return p
 	case p.known && !r.newer(&p.rec): // others tell it too: it has spread
-		p.sent += heardCounts
+		if p.queued {
+			m.news.told(p, heardCounts)
+		}
 		return nil
 	}
 	before, was := p.rec, p.known
 	m.put(p, *r)
 	if lacked && !was {
 		p.spreads = 0
-		m.news = slices.DeleteFunc(m.news, func(q *peer) bool { return q == p })
+		m.news.remove(p)
 	}
 	life := !was || before.start != r.start || before.inc != r.inc
 	if life && p.slot != nil { // what was found out is of the life before
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -132,11 +133,7 @@
 // Brief is a view without its members.
 func (m *Member) Brief() (v View) {
 	v = View{Self: m.cfg.Self, Number: m.number, Moved: m.moved, Standing: m.told, Expected: m.cfg.Expected}
-	for _, p := range m.order {
-		if p.state == Alive {
-			v.Alive++
-		}
-	}
+	v.Alive = m.count.alive
 	return v
 }
 
@@ -171,7 +168,9 @@
 		return
 	}
 	from := p.state
+	m.tally(p, -1)
 	p.state, p.since = s, m.now
+	m.tally(p, 1)
 	m.change(Change{Of: p.id, From: from, To: s, Proved: p.rec.kind == kindGone})
 }
 
@@ -228,21 +227,28 @@
 	}
 	m.dirty = false
 	m.publish()
-	for _, p := range m.order {
+	for _, p := range m.attended {
 		p.accused, p.ripe, p.refused = 0, 0, 0
 	}
-	eligible := 0
-	for _, p := range m.order {
+	eligible := m.eligible()
+	for i := 0; i < len(m.listers); i++ {
+		p := m.listers[i]
+		if len(p.rec.list) == 0 {
+			p.lists = false
+			m.listers = slices.Delete(m.listers, i, i+1)
+			i--
+			continue
+		}
 		if !m.heeds(p) {
 			continue
 		}
-		eligible++
 		for _, e := range p.rec.list {
 			t := m.peers[e.id]
 			if t == nil || t == p || e.mark&lost == 0 || e.tag != t.rec.tag() {
 				continue
 			}
 			t.accused++
+			m.attend(t)
 			if e.mark&ripe != 0 {
 				t.ripe++
 				if e.mark&refusing != 0 {
@@ -260,7 +266,11 @@
 		}
 	}
 	moved := false
-	for _, p := range m.order {
+	slices.SortFunc(m.attended, func(a, b *peer) int { return cmp.Compare(a.id, b.id) })
+	look := m.attended
+	m.attended = m.spareAttended[:0]
+	for _, p := range look {
+		p.attended = false
 		if p == m.self || p.ended() {
 			continue
 		}
@@ -271,7 +281,11 @@
 		was := p.state
 		m.judge(p, min(needMost, max(1, others)))
 		moved = moved || p.state != was
+		if p.accused > 0 || p.state == Suspect || p.state == Unseen && p.known {
+			m.attend(p)
+		}
 	}
+	m.spareAttended = look
 	if moved {
 		m.reorder = true
 	}
@@ -281,6 +295,20 @@
 	}
 }
 
+// eligible counts those that are heeded, this agent among them: see heeds.
+func (m *Member) eligible() int {
+	n := 1 + m.count.known
+	if !m.doubt {
+		n -= m.count.doubting
+	}
+	for _, s := range m.slotOrder {
+		if p := s.p; s.mark&lost != 0 && p.known && !p.ended() && (!p.rec.doubt || m.doubt) {
+			n--
+		}
+	}
+	return n
+}
+
 // heeds reports whether what p lists counts here. What one says that may itself be cut off counts for those
 // who may be too.
 func (m *Member) heeds(p *peer) bool {
@@ -373,12 +401,7 @@
 		m.believe(false)
 		return
 	}
-	others := 0
-	for _, p := range m.order {
-		if p != m.self && !p.ended() {
-			others++
-		}
-	}
+	others := m.count.open
 	ok, all := m.judgeSelf()
 	switch {
 	case all < min(sampleLeast, others):
@@ -405,6 +428,9 @@
 }
 
 func (m *Member) standing() Standing {
+	if alive := m.count.alive; !m.doubt && alive > 1 && 2*alive > m.cfg.Expected {
+		return Majority
+	}
 	alive, lately, home := 0, 0, true
 	zones := map[string]bool{}
 	for _, p := range m.order {
