The module heeds what becomes of sites: shares in picks, trials, who is refused first

Need: a plan for a lost site has to reach each request's decision (issue: the loss of a site). An event Sites carries, by zone, what its backends count for (0: trials alone, and their places leave the limit), by class the share that waits for room, and which zones one request is to try. What can't be borne is refused at once, repeats first, only where there is no room; a trial has half of the aim and leaves time for another attempt. Weighed and not taken: refusing by the plan whether or not there is room, since the plan's figures are the settings' and the room is real.

--- a/balance/api.go
+++ b/balance/api.go
@@ -224,6 +224,18 @@
 	// Part says which part of this agent's limit and retry tokens is this process's, where one process
 	// replaces another and both serve: over 0, and 1 where it is the only one.
 	Part struct{ Of float64 }
+	// Sites says what becomes of zones of which one is lost or returns: internal/site decides it, the module heeds it
+	// with each request. The latest one counts; the zero value is that all is well.
+	Sites struct {
+		// By zone, what its backends count for in picks; 0: its backends get trials alone, and their places
+		// count for nothing. A zone beyond the end counts for 1.
+		Share   []float64
+		Planned bool // Share says where load is to go, so that crossing zones is no price
+		// By class, the share that waits for room where there is none at once; the rest is refused at once. A class
+		// beyond the end waits as ever. Clients' repeats of a class of which any is refused are refused first.
+		Admit []float64
+		Trial []bool // by zone: one request that may be repeated is to try it
+	}
 	// Fleet says how many agents live, where that is known; Settings.Balancers holds until then. Living are
 	// those to reckon with as busy, Possible those that may be in the worst case, and Away the numbers of those
 	// that have left or died, whose wishes are void.
@@ -332,6 +344,7 @@
 func (PeerMessage) event()   {}
 func (Part) event()          {}
 func (Fleet) event()         {}
+func (Sites) event()         {}
 
 func (Send) action()        {}
 func (Cancel) action()      {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -123,6 +123,7 @@
 	doneAt    time.Duration
 	askFails  int
 	askToken  int64
+	sites     Sites      // what becomes of zones
 	notes     func(Note) // nil: nobody asks why
 	noted     time.Duration
 }
@@ -169,6 +170,9 @@
 			b.divide()
 		case Fleet:
 			b.onFleet(e)
+		case Sites:
+			b.sites, b.sites.Trial = e, slices.Clone(e.Trial)
+			b.measure()
 		case Part:
 			b.portion = min(max(e.Of, leastPart), 1)
 			b.tokens = min(b.tokens, bucketCap*b.portion)
@@ -216,6 +220,10 @@
 	if r.work = float64(e.Work); r.work > 0 {
 		c.work = blend(c.work, r.work)
 	}
+	// A class that can't be borne while a site is lost is refused at once, repeats first; not while there is room.
+	if a := b.sites.Admit; e.Class < len(a) && a[e.Class] < 1 {
+		r.spill = r.repeat || b.advice.Float64() >= a[e.Class]
+	}
 	b.requests[e.ID] = r
 	if t := b.byID[r.only]; r.only != "" && (t == nil || t.State != Up) {
 		b.finish(r, NoBackend)
@@ -351,10 +359,12 @@
 		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
 		give := min(r.aim, r.deadline) - time.Duration(need)
 		r.passed = false
-		if give <= b.now {
+		if spilt := full && r.spill; spilt || give <= b.now {
 			b.unhold(r)
 			why := NoBackend
-			if full && r.repeat {
+			if spilt {
+				why = SiteLost
+			} else if full && r.repeat {
 				why = RepeatNoRoom
 			} else if full {
 				why = TooLate
@@ -417,13 +427,20 @@
 	mean /= float64(max(seen, 1))
 	r.home = b.home(r)
 	unopened := math.Pow(newConnBias, max(0, 2*b.crowding()-1))
-	var idle, few, last *backend
-	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
+	var idle, few, last, trial *backend
+	total, least, mild, trials := 0.0, math.Inf(1), math.Inf(1), 0.0
 	for _, t := range b.backends {
 		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 && r.only == "" ||
 			b.now < t.turned(r.class).till || float64(len(t.out)) >= b.backMost() || !b.coldRoom(t, r) {
 			continue
 		}
+		share := b.share(t)
+		if share == 0 { // its site is lost: one request now and then tells whether it is back
+			if trials++; b.tries(t, r) && b.rng.Float64()*trials < 1 {
+				trial = t
+			}
+			continue
+		}
 		if !b.healthy(t, r) {
 			// Guards against a backlog that outlasts a stop of all: work goes on after its time-out.
 			if m := t.strikes + b.rng.Float64(); m < mild && len(t.out) == 0 {
@@ -446,7 +463,7 @@
 			}
 			// Departure: crossing zones is a last resort as far as it has a price. A crowd at home shows
 			// as slowness here and then outweighs it. May harm where homes are far from even.
-			if t.Zone != b.s.Zone {
+			if t.Zone != b.s.Zone && !b.sites.Planned {
 				w /= 1 + crossWeight*b.s.Prices.CrossZone
 			}
 			// Departure: an agent with little traffic that picks evenly opens a connection for most
@@ -454,23 +471,27 @@
 			if t.usedAt == 0 || b.now-t.usedAt >= b.s.IdleClose {
 				w *= unopened
 			}
+			w *= share
 			if total += w; b.rng.Float64()*total < w {
 				idle = t
 			}
 			continue
 		}
 		// Departure: in-flight counts are weighed by slowness for the same reason.
-		score := (load + 1) * slow * left / b.warmth(t)
+		score := (load + 1) * slow * left / b.warmth(t) / share
 		if t.cold && !t.seen {
 			// Guards against a newcomer that gets nothing while the limit binds, though the limit counts
 			// it: the others hold the whole limit then, and few of them more than their mean. Its budget
 			// keeps it from a rush.
-			score = mean + float64(len(t.out))/b.warmth(t)
+			score = (mean + float64(len(t.out))/b.warmth(t)) / share
 		}
 		if score *= 1 + 0.01*b.rng.Float64(); score < least {
 			few, least = t, score
 		}
 	}
+	if trial != nil {
+		return trial
+	}
 	if idle != nil {
 		return idle
 	}
@@ -480,6 +501,19 @@
 	return last // all are ejected: a first attempt still goes out, one at a time to each
 }
 
+// share is what a backend counts for by its site's state.
+func (b *Balancer) share(t *backend) float64 {
+	if t.Zone >= 0 && t.Zone < len(b.sites.Share) {
+		return b.sites.Share[t.Zone]
+	}
+	return 1
+}
+
+// tries reports whether a request may try a lost site: where one is wanted, one that may be repeated and has time.
+func (b *Balancer) tries(t *backend, r *request) bool {
+	return t.Zone < len(b.sites.Trial) && b.sites.Trial[t.Zone] && b.classes[r.class].Effect == Safe && len(r.attempts) == 0 && !r.repeat
+}
+
 // backMost is how many attempts this agent may have out at one backend.
 func (b *Balancer) backMost() float64 { return max(1, backCap*b.perBack*b.fraction) }
 
@@ -838,7 +872,7 @@
 				b.warm++
 			}
 		}
-		if t.State == Up && !t.down && b.now >= t.ejected {
+		if t.State == Up && !t.down && b.now >= t.ejected && b.share(t) > 0 {
 			b.capacity += b.warmth(t)
 		} else {
 			b.stuck += len(t.out)
@@ -973,7 +1007,12 @@
 		t.budget -= a.cost
 		t.turns--
 	}
-	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
+	send := Send{Request: r.id, Backend: t.ID}
+	if b.share(t) == 0 && r.only == "" { // a trial leaves time for another attempt
+		send.Timeout = b.classes[r.class].Aim / 2
+		b.sites.Trial[t.Zone] = false
+	}
+	b.actions = append(b.actions, send)
 }
 
 // finish gives a request its final answer. Nothing else does. It is a refusal
--- a/balance/notes.go
+++ b/balance/notes.go
@@ -14,9 +14,10 @@
 	NoTime              // the wait before the next attempt would outlast the time left
 	NoAttempt           // no further attempt is allowed, by number, group or window
 	NeverSent           // the agent could not send it
+	SiteLost            // a site is lost, and its class can't be borne without room
 )
 
-var reasonNames = [...]string{"", "repeat-no-room", "too-late", "no-backend", "no-tokens", "no-time", "no-attempt", "never-sent"}
+var reasonNames = [...]string{"", "repeat-no-room", "too-late", "no-backend", "no-tokens", "no-time", "no-attempt", "never-sent", "site-lost"}
 
 // String returns the reason's name as notes carry it.
 func (r Reason) String() string {
@@ -148,7 +149,7 @@
 // Ejected lists the backends that are up by the list and get no ordinary traffic now, by the module's choice.
 func (b *Balancer) Ejected(now time.Duration) (ids []string) {
 	for _, t := range b.backends {
-		if t.State == Up && (t.down || now < t.ejected) {
+		if t.State == Up && (t.down || now < t.ejected || b.share(t) == 0) {
 			ids = append(ids, t.ID)
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -86,6 +86,7 @@
 	waiting  bool     // for its backoff
 	passed   bool     // found no backend in this step
 	holding  bool
+	spill    bool // refused where there is no room at once: a site is lost, and not all can be borne
 	stream   bool
 	ended    bool
 }
