--- a/balance/balance.go
+++ b/balance/balance.go
@@ -220,7 +220,8 @@
 	if r.work = float64(e.Work); r.work > 0 {
 		c.work = blend(c.work, r.work)
 	}
-	// A class that can't be borne while a site is lost is refused at once, repeats first; not while there is room.
+	// A class that can't be borne while a site is lost is refused at once, repeats first, unless there
+	// is room.
 	if a := b.sites.Admit; e.Class < len(a) && a[e.Class] < 1 {
 		r.spill = r.repeat || b.advice.Float64() >= a[e.Class]
 	}
@@ -509,9 +510,10 @@
 	return 1
 }
 
-// tries reports whether a request may try a lost site: where one is wanted, one that may be repeated and has time.
+// tries reports whether a request may try a lost site: where one is wanted, one that may be repeated.
 func (b *Balancer) tries(t *backend, r *request) bool {
-	return t.Zone < len(b.sites.Trial) && b.sites.Trial[t.Zone] && b.classes[r.class].Effect == Safe && len(r.attempts) == 0 && !r.repeat
+	return t.Zone < len(b.sites.Trial) && b.sites.Trial[t.Zone] && b.classes[r.class].Effect == Safe &&
+		len(r.attempts) == 0 && !r.repeat
 }
 
 // backMost is how many attempts this agent may have out at one backend.
