internal/site: orders from states and plans; cuts told from losses; returns by calendar

Need: states and plans stood alone; nothing said what the module is to do with them. Steer makes an order of what remains of each site: shares by the plan of just this loss, by the last good one without what is lost where none is worked out yet, a lean where a site is only doubted; who is refused first; trials with doubling, jittered waits; a ramp in eighths; which site counts as cold. A site that others reach and this agent doesn't is cut, not lost: it is kept off and comes back without a ramp. Attempts that are late tell of silence before clients give up. Refused clients come back by internal/storm's calendar, whose room is what the ramp opens. Ruled out by a property test: an order under which nothing is in use (the last site that serves is never given up).

--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -195,6 +195,17 @@
 	return p.plan(s), nil
 }
 
+// solveMost bounds a linear programme by sites, sites and classes: one of 10 sites and 10 classes takes a tenth of a second.
+const solveMost = 1200
+
+// Work finds the plan of most worth where that is done in a bounded time, and the nearest first where it isn't.
+func (p *Problem) Work() (*Plan, error) {
+	if n := len(p.Capacity); n*n*len(p.Classes) > solveMost {
+		return p.Nearest()
+	}
+	return p.Solve()
+}
+
 // Nearest sends load to its own site first, then to the next cheapest with room; the classes of most worth first.
 func (p *Problem) Nearest() (*Plan, error) {
 	if err := p.Check(); err != nil {
@@ -266,80 +277,6 @@
 	return order
 }
 
-// Book holds plans that were worked out beforehand: for each site lost, each pair, and each half lost.
-type Book struct {
-	whole Problem
-	plans map[string]*Plan
-	last  *Plan
-	Fails int // plans that could not be worked out
-}
-
-// pairsMost bounds a book: of more sites only single losses are worked out beforehand.
-const pairsMost = 8
-
-// Work works all plans of a book out. One that can't be leaves a gap, which Find says.
-func Work(p Problem) (*Book, error) {
-	if err := p.Check(); err != nil {
-		return nil, err
-	}
-	b := &Book{whole: p, plans: map[string]*Plan{}}
-	n := len(p.Capacity)
-	b.add(nil)
-	for i := range n {
-		b.add(map[int]float64{i: 0})
-		b.add(map[int]float64{i: 0.5})
-		for j := i + 1; j < n && n <= pairsMost; j++ {
-			b.add(map[int]float64{i: 0, j: 0})
-		}
-	}
-	return b, nil
-}
-
-func (b *Book) add(lost map[int]float64) {
-	p := b.whole
-	p.Remain = slices.Clone(b.whole.Remain)
-	for i, share := range lost {
-		p.Remain[i] = share
-	}
-	plan, err := p.Solve()
-	if err != nil {
-		b.Fails++
-		return
-	}
-	b.plans[key(p.Remain)] = plan
-}
-
-// key is a loss in halves.
-func key(remain []float64) string {
-	k := make([]byte, len(remain))
-	for i, r := range remain {
-		k[i] = byte('0' + math.Round(2*min(max(r, 0), 1)))
-	}
-	return string(k)
-}
-
-// Size is how many plans the book holds.
-func (b *Book) Size() int { return len(b.plans) }
-
-// Find returns the plan for what remains of each site. Where there is none the last good one comes back, and known is
-// false; nil where there was never one.
-func (b *Book) Find(remain []float64) (plan *Plan, known bool) {
-	if len(remain) != len(b.whole.Capacity) {
-		return b.last, false
-	}
-	if p := b.plans[key(remain)]; p != nil {
-		b.last = p
-		return p, true
-	}
-	p := b.whole
-	p.Remain = remain
-	if plan, err := p.Solve(); err == nil {
-		b.last = plan
-		return plan, true
-	}
-	return b.last, false
-}
-
 // Load is the work that each site gets by a plan, of all sites' clients together.
 func (p *Problem) Load(plan *Plan) []float64 {
 	load := make([]float64, len(p.Capacity))
--- a/internal/site/plan_test.go
+++ b/internal/site/plan_test.go
@@ -159,6 +159,71 @@
 	}
 }
 
+// What is not there yet is asked for before what may come, and stands in for it meanwhile is the last good plan
+// without what is lost.
+func TestABookAsksForWhatItLacks(t *testing.T) {
+	b, err := NewBook(three(90))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if plan, known := b.Find([]float64{1, 1, 1}); plan != nil || known {
+		t.Error("a plan out of an empty book")
+	}
+	p, ok := b.Next()
+	if !ok || key(p.Remain) != "888" {
+		t.Fatalf("first %v", p.Remain)
+	}
+	plan, err := p.Work()
+	b.Add(p.Remain, plan, err)
+	mask, known := b.Find([]float64{0, 1, 0.3})
+	if known || mask.To[0][0] != 0 || math.Abs(mask.To[0][1]+mask.To[0][2]-1) > 1e-9 || mask.To[0][1] <= mask.To[0][2] {
+		t.Errorf("stands in: %v", mask.To)
+	}
+	if p, _ = b.Next(); key(p.Remain) != "082" || p.Remain[2] != 0.25 {
+		t.Errorf("next %v: what was asked for, and no more of a site than there is", p.Remain)
+	}
+	b.Add(p.Remain, nil, ErrPlan)
+	if b.Fails != 1 {
+		t.Error("not counted")
+	}
+	if _, known := b.Find([]float64{0, 1, 0.3}); known {
+		t.Error("known though it failed")
+	}
+	for i := 0; ; i++ {
+		p, ok := b.Next()
+		if !ok {
+			break
+		}
+		if i > 40 {
+			t.Fatal("it asks without end")
+		}
+		plan, err := p.Work()
+		b.Add(p.Remain, plan, err)
+	}
+}
+
+// More sites than the solver takes in time: the nearest first, at once.
+func TestManySitesArePlannedInTime(t *testing.T) {
+	p := Problem{Classes: []Class{{"sub", 3}, {"read", 1}}}
+	for o := range 30 {
+		p.Capacity, p.Remain = append(p.Capacity, 100), append(p.Remain, 1)
+		p.Demand, p.Cross = append(p.Demand, []float64{30, 60}), append(p.Cross, make([]float64, 30))
+		for i := range 30 {
+			if i != o {
+				p.Cross[o][i] = 0.1
+			}
+		}
+	}
+	p.Remain[3] = 0
+	want, _ := p.Nearest()
+	if got, err := p.Work(); err != nil || got.Worth != want.Worth {
+		t.Errorf("%v, %v", got, err)
+	}
+	if plain, err := Plain([]float64{1, 2, 3}, []Class{{"read", 1}}, 0.7, 0.02, 0.1); err != nil || plain.Demand[2][0] < 2.099 || plain.Cross[1][1] != 0 {
+		t.Errorf("%+v, %v", plain, err)
+	}
+}
+
 // Agents that believe different things for a while: whatever part of them holds which sites for lost, no site gets
 // more, of all together, than it bears when it is well. A plan keeps each site within its room, and agents' loads add
 // up in proportion.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -3,17 +3,22 @@
 // I/O, has no clock and starts no goroutine: time and evidence are handed in. A Watch belongs to one goroutine.
 //
 //	well ──> doubted ──> lost ──> returning ──> well
-//	  ^─────────┘          ^─────────┘
+//	  ^────────┤│          ^─────────┘
+//	  │        └──> cut ──> lost
+//	  └──────────────┘
 //
 // Evidence is kept by kind, since kinds mean different things: a connection that doesn't come up and a machine that
 // says nothing speak of the way there or of what stands at its end, an error of a process that lives. A site is
 // told from a bad release by contrast with the others, and from this agent's own trouble by whether any other site
-// still answers; where the fleet keeps a view of its members, by what that says too.
+// still answers; where the fleet keeps a view of its members, by what that says too. A site that others reach and
+// this agent doesn't is cut: this agent keeps off it as if it were lost, and it comes back without a ramp, since the
+// others have kept it warm.
 //
-// Files: site.go evidence and states; plan.go where load goes, worked out beforehand; ramp.go the return.
+// Files: site.go states; evidence.go what is counted; judge.go what follows; plan.go where load goes, worked out
+// beforehand; ramp.go the return; steer.go what the decision module and clients are told of all that.
 //
-// Bounds: Config.Most sites; per site a ring of slots of counts and a set of the backends that were tried in them,
-// triedMost at the most.
+// Bounds: Config.Most sites; per site a ring of slots of counts, a set of the backends that were tried in them,
+// triedMost at the most, and of attempts that are late lateMost.
 package site
 
 import (
@@ -52,10 +57,11 @@
 	Doubted
 	Lost
 	Returning
+	Cut // it lives, and this agent doesn't reach it
 	states
 )
 
-var stateNames = [states]string{"well", "doubted", "lost", "returning"}
+var stateNames = [states]string{"well", "doubted", "lost", "returning", "cut"}
 
 func (s State) String() string {
 	if s < states {
@@ -70,7 +76,7 @@
 const (
 	None     Cause = iota
 	Everyone       // all sites fail alike: this agent, or a release, is the one
-	Mine           // members of the fleet reach it, or its own members live and this agent is in a minority
+	Mine           // others reach it, or this agent is in a minority that sees few of its members
 	Release        // a share of its backends fails and the rest serve
 	Stale          // what fails are backends of which the list has said nothing for long, in all sites
 )
@@ -96,13 +102,17 @@
 	LostShare float64       // and to hold it for lost
 	Contrast  float64       // the other sites' share that fails has to be under this one's by so much
 	Stale     time.Duration // silence of the list after which it explains failures in all sites
+	Late      float64       // usual latencies after which an attempt without an answer speaks of silence ...
+	LateLeast time.Duration // ... and the least time
+	Reached   float64       // share of the members asked, elsewhere, that reach a site: over it the site lives
 	Most      int
 }
 
 // DefaultConfig watches sites for attempts of some ten milliseconds.
 func DefaultConfig(sites []string) Config {
 	return Config{Sites: sites, Slot: 200 * time.Millisecond, Doubt: time.Second, Lose: 600 * time.Millisecond, Clear: 2 * time.Second,
-		Least: 3, FailShare: 0.5, LostShare: 0.8, Contrast: 0.4, Stale: 10 * time.Second, Most: 64}
+		Least: 3, FailShare: 0.5, LostShare: 0.8, Contrast: 0.4, Stale: 10 * time.Second, Late: 4,
+		LateLeast: 100 * time.Millisecond, Reached: 0.25, Most: 64}
 }
 
 // Check names the first value that makes no sense.
@@ -124,6 +134,10 @@
 		return fmt.Errorf("fail_share, lost_share: %v and %v have to be over 0, in this order, and 1 at the most", c.FailShare, c.LostShare)
 	case !(c.Contrast >= 0 && c.Contrast < 1):
 		return fmt.Errorf("contrast: %v is not within 0 and 1", c.Contrast)
+	case !(c.Late >= 1) || c.LateLeast < 0:
+		return fmt.Errorf("late: %v usual latencies, %v at the least, make no sense", c.Late, c.LateLeast)
+	case !(c.Reached >= 0 && c.Reached < 1):
+		return fmt.Errorf("reached: %v is not within 0 and 1", c.Reached)
 	}
 	for i, s := range c.Sites {
 		if s == "" || slices.Contains(c.Sites[:i], s) {
@@ -144,7 +158,8 @@
 	Majority bool  // this agent sees more than half of the fleet
 	Alive    []int // members of each site that live, this agent's view
 	Expected []int // and how many there are when all is well
-	// Members of other sites that reach a site, and that were asked, where they tell; nil: they don't.
+	// Of the members of other sites those that say that a site answers them, and that say anything of it; nil: they
+	// don't tell.
 	Reach, Asked []int
 }
 
@@ -163,6 +178,7 @@
 	Tried     int // different backends, over Config.Doubt
 	Failing   int // of these, that served nothing
 	Counts    [kinds]int
+	Row       int     // attempts that failed since the last one that was answered
 	Share     float64 // of attempts that failed
 	Elsewhere float64 // the same in the other sites
 	Cause     Cause
@@ -199,6 +215,11 @@
 	byHand  bool
 	losses  []time.Duration // when it was lost, lately
 	trials  int             // attempts served since it was lost
+	failed  int             // and trials that failed since one was served
+	row     int             // attempts that failed since the last that was answered
+	okAt    time.Duration   // when that was; -1: never
+	late    []Late
+	seen    seen // of the last Tick
 }
 
 // Watch keeps the state of each site.
@@ -208,6 +229,7 @@
 	own     int
 	sites   []siteState
 	fleet   Fleet
+	usual   float64       // running mean of served latency, ns
 	listAt  time.Duration // when the list last said something
 	changes []Change
 }
@@ -223,7 +245,7 @@
 	w := &Watch{cfg: cfg, own: own, now: now, listAt: now, sites: make([]siteState, len(cfg.Sites))}
 	for i := range w.sites {
 		s := &w.sites[i]
-		s.since, s.failing, s.serving, s.tried = now, -1, -1, map[string]*tried{}
+		s.since, s.failing, s.serving, s.okAt, s.tried = now, -1, -1, -1, map[string]*tried{}
 		for k := range s.slots {
 			s.slots[k].at = -1
 		}
@@ -231,49 +253,6 @@
 	return w, nil
 }
 
-// Outcome takes how an attempt at a backend of a site ended. Unknown sites are passed over.
-func (w *Watch) Outcome(now time.Duration, site int, backend string, k Kind) {
-	w.now = max(w.now, now)
-	if site < 0 || site >= len(w.sites) || k >= kinds {
-		return
-	}
-	s := &w.sites[site]
-	at := w.now - w.now%w.cfg.Slot
-	sl := &s.slots[int(at/w.cfg.Slot)%slotsMost]
-	if sl.at != at {
-		*sl = slot{at: at}
-	}
-	sl.counts[k]++
-	t := s.tried[backend]
-	if t == nil {
-		if len(s.tried) >= triedMost {
-			w.prune(s)
-		}
-		if len(s.tried) >= triedMost {
-			return
-		}
-		t = &tried{-1, -1}
-		s.tried[backend] = t
-	}
-	if k == OK || k == Errored { // its process lives
-		t.served = w.now
-		if k == OK && s.state != Well {
-			s.trials++
-		}
-	} else {
-		t.failed = w.now
-	}
-}
-
-// prune forgets backends that were not tried for the span that counts.
-func (w *Watch) prune(s *siteState) {
-	for id, t := range s.tried {
-		if w.now-max(t.served, t.failed) > 2*w.cfg.Doubt {
-			delete(s.tried, id)
-		}
-	}
-}
-
 // List takes what the list says now, for each site.
 func (w *Watch) List(now time.Duration, listed []Listed) {
 	w.now, w.listAt = max(w.now, now), max(w.now, now)
@@ -338,7 +317,7 @@
 			s.losses = s.losses[1:]
 		}
 	}
-	s.state, s.since, s.failing, s.serving, s.trials = to, w.now, -1, -1, 0
+	s.state, s.since, s.failing, s.serving, s.trials, s.failed = to, w.now, -1, -1, 0, 0
 }
 
 // State is a site's present state.
@@ -350,162 +329,7 @@
 // Evidence is what a site's state rests on.
 func (w *Watch) Evidence(site int) Evidence {
 	s := &w.sites[site]
-	seen := w.look(site)
-	return Evidence{Site: w.cfg.Sites[site], State: s.state, Since: s.since, Tried: seen.tried, Failing: seen.failing, Counts: seen.counts,
+	seen := &s.seen
+	return Evidence{Site: w.cfg.Sites[site], State: s.state, Since: s.since, Tried: seen.tried, Failing: seen.failing, Counts: seen.counts, Row: s.row + len(s.late),
 		Share: seen.share(), Elsewhere: w.elsewhere(site), Cause: s.cause, ByHand: s.byHand, Losses: w.losses(site)}
 }
-
-// look sums up the span that counts.
-type seen struct {
-	counts         [kinds]int
-	tried, failing int
-}
-
-func (w *Watch) look(site int) (v seen) {
-	s := &w.sites[site]
-	for i := range s.slots {
-		if sl := &s.slots[i]; sl.at >= 0 && w.now-sl.at < w.cfg.Doubt {
-			for k, n := range sl.counts {
-				v.counts[k] += n
-			}
-		}
-	}
-	for _, t := range s.tried {
-		if w.now-max(t.served, t.failed) >= w.cfg.Doubt {
-			continue
-		}
-		v.tried++
-		if t.failed >= 0 && w.now-t.failed < w.cfg.Doubt && t.served < t.failed {
-			v.failing++
-		}
-	}
-	return v
-}
-
-func (v *seen) all() (n int) {
-	for _, c := range v.counts {
-		n += c
-	}
-	return n
-}
-
-// share is that of attempts that neither a backend answered nor a process that lives returned as an error.
-func (v *seen) share() float64 {
-	if n := v.all(); n > 0 {
-		return float64(v.counts[Reset]+v.counts[Refused]+v.counts[Silent]) / float64(n)
-	}
-	return 0
-}
-
-// elsewhere is the share that fails in the other sites that are not lost.
-func (w *Watch) elsewhere(site int) float64 {
-	var all seen
-	for i := range w.sites {
-		if i == site || w.sites[i].state == Lost {
-			continue
-		}
-		v := w.look(i)
-		for k, n := range v.counts {
-			all.counts[k] += n
-		}
-	}
-	return all.share()
-}
-
-// losses counts those that still slow a return down.
-func (w *Watch) losses(site int) (n int) {
-	for _, at := range w.sites[site].losses {
-		if w.now-at < lossesFor {
-			n++
-		}
-	}
-	return n
-}
-
-const (
-	lossesMost = 8
-	lossesFor  = 5 * time.Minute
-	trialsWell = 3 // attempts served by a lost site, by different backends where it has them, that bring it back
-)
-
-// Tick works out the states.
-func (w *Watch) Tick(now time.Duration) {
-	w.now = max(w.now, now)
-	for i := range w.sites {
-		w.judge(i)
-	}
-}
-
-func (w *Watch) judge(i int) {
-	s := &w.sites[i]
-	v := w.look(i)
-	enough := v.failing >= w.cfg.Least || v.failing > 0 && v.failing >= s.listed.Backends && s.listed.Backends > 0
-	gone := s.listed.Backends == 0 && w.listAt > 0 && s.state != Lost && v.tried > 0 && v.all() > 0 && v.share() >= w.cfg.LostShare
-	doubt := enough && v.share() >= w.cfg.FailShare
-	s.cause = None
-	if doubt || gone {
-		s.cause = w.explain(i, &v)
-	}
-	switch s.state {
-	case Well:
-		if (doubt || gone) && s.cause == None {
-			w.become(i, Doubted)
-			s.failing = w.now
-		}
-	case Doubted:
-		bad := (enough || gone) && v.share() >= w.cfg.LostShare && s.cause == None
-		if !bad {
-			s.failing = -1
-		} else if s.failing < 0 {
-			s.failing = w.now
-		}
-		if doubt && s.cause == None {
-			s.serving = -1
-		} else if s.serving < 0 {
-			s.serving = w.now
-		}
-		switch {
-		case bad && w.now-s.failing >= w.cfg.Lose:
-			w.become(i, Lost)
-		case s.serving >= 0 && w.now-s.serving >= w.cfg.Clear:
-			w.become(i, Well)
-		}
-	case Lost:
-		if s.byHand {
-			return
-		}
-		// Trials that are served bring it back, or the list, where it says that half of it has started anew.
-		if s.trials >= trialsWell && v.share() < w.cfg.FailShare || s.listed.Up > 0 && 2*s.listed.Started >= s.listed.Up && v.share() < w.cfg.FailShare {
-			w.become(i, Returning)
-		}
-	case Returning: // a second loss goes back at once
-		if doubt && v.share() >= w.cfg.LostShare && s.cause == None {
-			w.become(i, Lost)
-		}
-	}
-}
-
-// explain says why failures of a site are no loss of it.
-func (w *Watch) explain(i int, v *seen) Cause {
-	elsewhere := w.elsewhere(i)
-	if len(w.sites) > 1 && v.share()-elsewhere < w.cfg.Contrast {
-		if w.now-w.listAt >= w.cfg.Stale {
-			return Stale
-		}
-		return Everyone
-	}
-	if v.tried > v.failing && 2*v.failing <= v.tried {
-		return Release
-	}
-	f := &w.fleet
-	if !f.Known {
-		return None
-	}
-	if i < len(f.Reach) && i < len(f.Asked) && f.Asked[i] > 0 && 2*f.Reach[i] > f.Asked[i] {
-		return Mine // others still reach it
-	}
-	if i != w.own && !f.Majority && i < len(f.Alive) && i < len(f.Expected) && 2*f.Alive[i] <= f.Expected[i] {
-		return Mine // its members are out of sight, and so is most of the fleet
-	}
-	return None
-}
