lemonrail -sites: the plan for a lost site in the agent, at the door, off by default

Need: states, plans and orders stood alone (issue: the loss of a site). internal/site/pilot tells internal/site what passes through the loop (core.Watcher: arrivals, lists, ends of attempts; attempts that are late ten times a second), hands its orders to the module, has plans worked out beside the loop, tells the fleet's members two bits a site and hears theirs. A returning site's backends count as just started; a site out by hand drains as a whole, at all processes of an agent and over an upgrade (takeover's state). Stand-in nodes can be cut off from some agents. Weighed: a listener and probes of its own for evidence; the attempts that are made anyway tell enough, and probes are priced.

--- a/balance/api.go
+++ b/balance/api.go
@@ -235,6 +235,8 @@
 		// beyond the end waits as ever. Clients' repeats of a class of which any is refused are refused first.
 		Admit []float64
 		Trial []bool // by zone: one request that may be repeated is to try it
+		// Back says after how long a client whose request of a class is refused now is to come again; nil: as ever.
+		Back func(class int) time.Duration
 	}
 	// Fleet says how many agents live, where that is known; Settings.Balancers holds until then. Living are
 	// those to reckon with as busy, Possible those that may be in the worst case, and Away the numbers of those
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1043,6 +1043,9 @@
 	if !b.s.RetryAfter {
 		return 0
 	}
+	if b.sites.Back != nil { // along the way on which a site comes back
+		return min(b.sites.Back(r.class), b.s.MaxRetryAfter)
+	}
 	c := &b.classes[r.class]
 	room := max(c.latency, adviceLeast*float64(c.Aim))
 	return min(time.Duration(room*(0.5+b.advice.Float64())), b.s.MaxRetryAfter)
--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -29,6 +29,7 @@
 	flag.StringVar(&f.diameter, "diameter", "", "TOML `file` by which the agent speaks Diameter too, such as deploy/diameter.toml")
 	flag.StringVar(&f.servers, "servers", "", "TOML `file` that lists the backends in place of discovery, such as deploy/servers.toml")
 	flag.StringVar(&f.members, "members", "", "TOML `file` by which the agent keeps a view of the fleet, such as deploy/members.toml")
+	flag.StringVar(&f.sites, "sites", "", "TOML `file` by which the agent watches whole sites, such as deploy/sites.toml")
 	flag.Parse()
 	if err := run(hup, os.Stderr, f); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
@@ -37,7 +38,7 @@
 }
 
 // files set what is off by default; empty: off.
-type files struct{ explained, diameter, servers, members string }
+type files struct{ explained, diameter, servers, members, sites string }
 
 // hangups catches SIGHUP, which would end the program otherwise.
 func hangups() <-chan os.Signal {
@@ -93,6 +94,15 @@
 			return err
 		}
 	}
+	if f.sites != "" {
+		raw, err := os.ReadFile(f.sites)
+		if err != nil {
+			return fmt.Errorf("sites: %w", err)
+		}
+		if err := cfg.WithSites(f.sites, raw); err != nil {
+			return err
+		}
+	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(agent.CollectAt(cfg.MemoryMB << 20))
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -141,6 +141,10 @@
 	home := newHousehold(cfg, l, up, socks, door, members, log)
 	door.home = home
 	staffed := &staff{loop: l, figures: l.Figures, home: home}
+	sites, err := sitesPart(cfg, l, members, staffed, log)
+	if err != nil {
+		return parts{dia}, err
+	}
 	all = parts{
 		{name: "staff", leave: func(time.Time) { staffed.stops.Store(true) }}, // before all: no yes while it stops
 		loopPart(l),
@@ -148,6 +152,7 @@
 		home.part(),
 		listPart(ctx, cfg, l, hup, log),
 		peersPart(peers, l),
+		sites,
 		membersPart(members),
 		clients,
 		staffed.part(desk, log),
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -43,6 +43,7 @@
 	diameterFrom int          // place of its classes
 
 	members *link.Settings // nil: no view of the fleet is kept
+	sites   *sitesSet      // nil: whole sites are not watched
 
 	servers  string        // file that lists the backends; empty: discovery does
 	path     string        // of the file
--- a/internal/agent/heirs.go
+++ b/internal/agent/heirs.go
@@ -121,7 +121,7 @@
 func (h *household) adopt(s takeover.State) {
 	if s.Version > h.version {
 		h.version = s.Version
-		h.loop.Adopt(s.Out, s.Back)
+		h.loop.Adopt(s.Out, s.Back, s.Zones)
 	}
 }
 
--- /dev/null
+++ b/internal/agent/sites.go
@@ -0,0 +1,104 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"lemonrail/internal/core"
+	"lemonrail/internal/member/link"
+	"lemonrail/internal/site"
+	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/takeover"
+)
+
+// sitesSet is what a file on sites says.
+type sitesSet struct {
+	file    *site.File
+	problem site.Problem
+}
+
+// WithSites has the agent watch whole sites, by a file's text; name is what errors call it.
+func (c *Config) WithSites(name string, raw []byte) error {
+	f, p, err := site.ParseFile(name, raw)
+	if err != nil {
+		return err
+	}
+	if len(c.Names.Zones) == 0 {
+		return errors.New("sites: the platform names none")
+	}
+	c.sites = &sitesSet{f, p}
+	if _, err := c.steer(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+// steer is what the file and the platform say together.
+func (c *Config) steer() (site.SteerConfig, error) {
+	var classes []site.Class
+	for i, k := range c.Settings.Classes {
+		name := fmt.Sprint("class ", i)
+		if i < len(c.Names.Classes) {
+			name = c.Names.Classes[i]
+		}
+		classes = append(classes, site.Class{Name: name, Worth: max(k.Worth, 1e-6)})
+	}
+	cold := c.Settings.ColdShare
+	if cold == 0 {
+		cold = 1
+	}
+	s, err := c.sites.file.Steer(c.sites.problem, c.Names.Zones, classes, cold, c.Settings.RampTime)
+	if advice := c.Settings.MaxRetryAfter; advice > 0 {
+		s.Advice = advice
+	}
+	return s, err
+}
+
+// sitesPart makes the pilot, which watches the loop.
+func sitesPart(cfg *Config, l *core.Loop, members *link.Link, staffed *staff, log *slog.Logger) (*part, error) {
+	if cfg.sites == nil {
+		return &part{name: "sites"}, nil
+	}
+	steer, err := cfg.steer()
+	if err != nil {
+		return nil, err
+	}
+	own := cfg.Settings.Zone
+	if own >= len(cfg.Names.Zones) {
+		own = -1
+	}
+	o := pilot.Options{Steer: steer, Own: own, Seed: cfg.Seed, Log: log, Hand: staffed.excludeZone}
+	if members != nil {
+		o.Members = members
+	}
+	p, err := pilot.New(o, l)
+	if err != nil {
+		return nil, err
+	}
+	return &part{name: "sites",
+		start:  func(t *tasks) { t.Go(p.Run) },
+		routes: p.Routes(), figures: p.Gauges()}, nil
+}
+
+// excludeZone takes a whole zone out, or puts it back.
+func (s *staff) excludeZone(ctx context.Context, zone int, out bool) error {
+	if s.home == nil {
+		return s.ask(ctx, func() error {
+			s.loop.ExcludeZone(zone, out)
+			return nil
+		})
+	}
+	state, err := s.home.claim.Change(func(t *takeover.State) error {
+		t.ExcludeZone(zone, out)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return s.ask(ctx, func() error {
+		s.home.adopt(state)
+		return nil
+	})
+}
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -128,7 +128,7 @@
 	}
 	c, err := u.dial(ctx, to.Addr)
 	if err != nil {
-		return core.Response{Result: dialResult(ctx, err), Load: balance.NoLoad()}, false
+		return core.Response{Result: dialResult(ctx, err), Load: balance.NoLoad(), Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
 	}
 	return u.use(ctx, c, to, out), true
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,7 @@
 	Result   balance.Result
 	Load     balance.Load // not Valid: none came
 	Standing bool         // with Reset and ConnectFailed: other connections to the backend still stand
+	Refused  bool         // with ConnectFailed: its machine answered that nobody listens
 	Payload  any          // with OK: the answer, for the front
 	Sent     time.Time    // when its last byte was written, where that took long; zero: at once
 }
@@ -101,8 +102,17 @@
 
 // attempt is one Send.
 type attempt struct {
-	sent   time.Time
-	cancel context.CancelFunc
+	backend string
+	sent    time.Time
+	cancel  context.CancelFunc
+	over    bool
+}
+
+// Watcher is told what passes through the loop, on its goroutine; it must not wait.
+type Watcher interface {
+	Arrived(class int, repeat bool)
+	Listed(list balance.List) // as the module gets it
+	Ended(backend string, r Response, latency time.Duration)
 }
 
 // load is the report that came with it, or none in the module's form.
@@ -124,7 +134,8 @@
 
 	Backend Backend
 	Lists   Lists
-	Peers   Peers // nil where agents don't talk
+	Peers   Peers   // nil where agents don't talk
+	Watcher Watcher // nil: nobody watches
 	Figures *figures.Figures
 	s       *balance.Settings
 
@@ -232,6 +243,9 @@
 		return
 	}
 	l.calls[c.Event.ID] = c
+	if l.Watcher != nil {
+		l.Watcher.Arrived(c.Event.Class, c.Event.Repeat)
+	}
 	e := c.Event
 	e.Left = time.Until(c.Deadline) - c.Upload
 	l.Event(e)
@@ -305,6 +319,7 @@
 func (l *Loop) ended(c *Call, n int, backend string, r Response) {
 	a := c.attempts[n]
 	a.cancel()
+	a.over = true
 	c.open--
 	if r.Result == balance.OK {
 		l.answer(c, Answer{Kind: Served, Payload: r.Payload})
@@ -313,6 +328,9 @@
 	if r.Sent.After(sent) {
 		sent = r.Sent
 	}
+	if l.Watcher != nil {
+		l.Watcher.Ended(backend, r, time.Since(sent))
+	}
 	l.Event(balance.Outcome{Request: c.Event.ID, Attempt: n, Backend: backend, Result: r.Result,
 		Latency: time.Since(sent), Done: c.answered, Load: r.load(), Standing: r.Standing})
 	l.forget(c)
@@ -332,7 +350,7 @@
 	}
 	// Guards against connections to backends that are gone: they would hold sockets, and serve nobody.
 	l.Backend.Keep(func(to Target) bool { return l.addrs[to.ID] == to.Addr })
-	l.Event(l.pool.Listed(list))
+	l.list(l.pool.Listed(list))
 }
 
 // Leaves takes note that a server said itself that it wants nothing new, or that it is back. The module is
@@ -344,10 +362,47 @@
 // changed tells the module what is new about a backend.
 func (l *Loop) changed(c pool.Change) {
 	if c != nil {
-		l.Event(balance.List{Kind: balance.ListDelta, Backends: c})
+		l.list(balance.List{Kind: balance.ListDelta, Backends: c})
+	}
+}
+
+// list tells the module and who watches of a list.
+func (l *Loop) list(list balance.List) {
+	l.Event(list)
+	if l.Watcher != nil {
+		l.Watcher.Listed(list)
 	}
 }
 
+// Pending calls f for each attempt that is out, with the time of its Send.
+func (l *Loop) Pending(f func(backend string, sent time.Time)) {
+	for _, c := range l.calls {
+		for _, a := range c.attempts {
+			if !a.over {
+				f(a.backend, a.sent)
+			}
+		}
+	}
+}
+
+// Now is the time as the module knows it.
+func (l *Loop) Now() time.Duration { return l.clock.now() }
+
+// At is a time as the module knows it.
+func (l *Loop) At(t time.Time) time.Duration { return l.clock.at(t) }
+
+// ExcludeZone takes a whole zone out by hand, or puts it back: its backends drain, those that are yet to be listed
+// too. Back, they count as started now.
+func (l *Loop) ExcludeZone(zone int, out bool) {
+	l.changed(l.pool.ExcludeZone(zone, out, l.clock.now()))
+}
+
+// ZonesOut lists the zones that are out by hand.
+func (l *Loop) ZonesOut() []int { return l.pool.ZonesOut() }
+
+// Restarted has a zone's backends count as started now, whatever the list says: it has been away as a whole.
+func (l *Loop) Restarted(zone int) { l.changed(l.pool.Restarted(zone, l.clock.now())) }
+
 // Exclude takes a backend out by hand: the module is told that it drains, until Include.
 func (l *Loop) Exclude(id string) error {
 	c, err := l.pool.Exclude(id)
@@ -366,12 +421,13 @@
 func (l *Loop) Known(id string) bool { return l.pool.Known(id) }
 
 // Adopt takes over which backends are out by hand, and when others were put back (Unix time, nanoseconds).
-func (l *Loop) Adopt(out []string, back map[string]int64) {
+func (l *Loop) Adopt(out []string, back map[string]int64, zones []int) {
 	at := map[string]time.Duration{}
 	for id, t := range back {
 		at[id] = time.Duration(t)
 	}
 	l.changed(l.pool.Adopt(out, at))
+	l.changed(l.pool.AdoptZones(zones, l.clock.now()))
 }
 
 // Then has f called once the module has been told of all that has come, and what it decided has been done. f
@@ -475,7 +531,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	n := len(c.attempts)
-	c.attempts = append(c.attempts, &attempt{sent: now, cancel: cancel})
+	c.attempts = append(c.attempts, &attempt{backend: s.Backend, sent: now, cancel: cancel})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
 		l.ended(c, n, s.Backend, Response{Result: balance.NotSent})
--- a/internal/member/link/link.go
+++ b/internal/member/link/link.go
@@ -315,6 +315,21 @@
 	return r
 }
 
+// Look hands the present view to f, on the membership's goroutine, without waiting; nothing where it is behind or muted.
+func (l *Link) Look(f func(member.View)) {
+	l.post(func() {
+		if !l.muted.Load() {
+			f(l.m.View())
+		}
+	})
+}
+
+// Say has the other members know a few bytes; see member.Say. It never waits: where the membership is behind the
+// bytes are lost, and false comes back.
+func (l *Link) Say(note []byte) bool {
+	return l.post(func() { l.m.Say(l.now(), note) })
+}
+
 // Routes are the calls at the operators' door.
 func (l *Link) Routes() []control.Route {
 	return []control.Route{control.Text("GET /api/members", "application/json", func(ctx context.Context) ([]byte, error) {
--- a/internal/pool/membership.go
+++ b/internal/pool/membership.go
@@ -8,8 +8,10 @@
 package pool
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,12 +34,13 @@
 	out    map[string]bool            // taken out by hand, listed or not
 	back   map[string]time.Duration   // of those listed, put back by hand, and when
 	backs  map[string]time.Duration   // the same as adopted, listed or not
+	zones  map[int]bool               // taken out by hand as a whole
 }
 
 // New returns an empty pool.
 func New() *Pool {
 	return &Pool{listed: map[string]balance.Backend{}, leaves: map[string]bool{}, out: map[string]bool{},
-		back: map[string]time.Duration{}}
+		back: map[string]time.Duration{}, zones: map[int]bool{}}
 }
 
 // Listed takes a list from discovery and returns it as the decision module is to have it.
@@ -78,7 +81,7 @@
 
 // seen is a listed backend as the decision module is to see it.
 func (p *Pool) seen(b balance.Backend) balance.Backend {
-	if p.leaves[b.ID] || p.out[b.ID] {
+	if p.leaves[b.ID] || p.out[b.ID] || p.zones[b.Zone] {
 		b.State = balance.Draining
 	}
 	b.Started = max(b.Started, p.back[b.ID])
@@ -140,6 +143,56 @@
 	return nil, nil
 }
 
+// ExcludeZone takes a zone out as a whole, those of its backends that are listed later too, or puts it back at a time.
+func (p *Pool) ExcludeZone(zone int, out bool, now time.Duration) (c Change) {
+	if p.zones[zone] == out {
+		return nil
+	}
+	if out {
+		p.zones[zone] = true
+		return p.ofZone(zone)
+	}
+	delete(p.zones, zone)
+	return p.Restarted(zone, now)
+}
+
+// Restarted has a zone's listed backends count as started at a time: it was away as a whole, and is cold.
+func (p *Pool) Restarted(zone int, now time.Duration) Change {
+	for id, b := range p.listed {
+		if b.Zone == zone {
+			p.back[id] = max(p.back[id], now)
+		}
+	}
+	return p.ofZone(zone)
+}
+
+// ofZone is what the module is told of a zone's backends, in the order of their ids.
+func (p *Pool) ofZone(zone int) (c Change) {
+	for _, b := range p.listed {
+		if b.Zone == zone {
+			c = append(c, p.seen(b))
+		}
+	}
+	slices.SortFunc(c, func(a, b balance.Backend) int { return cmp.Compare(a.ID, b.ID) })
+	return c
+}
+
+// ZonesOut lists the zones that are out by hand, sorted.
+func (p *Pool) ZonesOut() []int { return slices.Sorted(maps.Keys(p.zones)) }
+
+// AdoptZones takes over which zones are out, and puts the others back at a time.
+func (p *Pool) AdoptZones(out []int, now time.Duration) (c Change) {
+	for _, z := range p.ZonesOut() {
+		if !slices.Contains(out, z) {
+			c = append(c, p.ExcludeZone(z, false, now)...)
+		}
+	}
+	for _, z := range out {
+		c = append(c, p.ExcludeZone(z, true, now)...)
+	}
+	return c
+}
+
 // Known reports whether a backend is listed or out.
 func (p *Pool) Known(id string) bool {
 	_, known := p.listed[id]
--- a/internal/pool/membership_test.go
+++ b/internal/pool/membership_test.go
@@ -159,3 +159,26 @@
 		})
 	})
 }
+
+// A zone that is out by hand drains as a whole, with what is listed later; back, it counts as started then.
+func TestAZoneOutAsAWhole(t *testing.T) {
+	p := New()
+	p.Listed(balance.List{Kind: balance.ListFull, Backends: []balance.Backend{{ID: "b"}, {ID: "a"}, {ID: "c", Zone: 1}}})
+	c := p.ExcludeZone(0, true, 5)
+	if len(c) != 2 || c[0].ID != "a" || c[0].State != balance.Draining || c[1].State != balance.Draining {
+		t.Fatalf("%+v", c)
+	}
+	if c := p.ExcludeZone(0, true, 6); c != nil {
+		t.Errorf("twice: %+v", c)
+	}
+	if l := p.Listed(balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{{ID: "d"}, {ID: "e", Zone: 1}}}); l.Backends[0].State != balance.Draining || l.Backends[1].State != balance.Up {
+		t.Errorf("listed later: %+v", l.Backends)
+	}
+	c = p.ExcludeZone(0, false, 7)
+	if len(c) != 3 || c[0].State != balance.Up || c[0].Started != 7 || c[2].ID != "d" {
+		t.Errorf("back: %+v", c)
+	}
+	if c := p.Restarted(1, 9); len(c) != 2 || c[0].Started != 9 {
+		t.Errorf("restarted: %+v", c)
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -184,6 +184,9 @@
 	Cause     Cause
 	ByHand    bool
 	Losses    int // lately
+	Listed    int // backends
+	Reach     int // members elsewhere that are answered there ...
+	Asked     int // ... of those that say anything
 }
 
 // Change is a state that a site came to.
@@ -282,6 +285,8 @@
 		w.become(site, Lost)
 	case !lost && s.state == Lost:
 		w.become(site, Returning)
+	case !lost && (s.state == Cut || s.state == Doubted):
+		w.become(site, Well)
 	}
 	return nil
 }
@@ -323,6 +328,12 @@
 // State is a site's present state.
 func (w *Watch) State(site int) State { return w.sites[site].state }
 
+// Since is when a site came to its state.
+func (w *Watch) Since(site int) time.Duration { return w.sites[site].since }
+
+// Last reports whether no other site than this one is in use.
+func (w *Watch) Last(site int) bool { return !w.another(site) }
+
 // Sites is how many there are.
 func (w *Watch) Sites() int { return len(w.sites) }
 
@@ -330,6 +341,10 @@
 func (w *Watch) Evidence(site int) Evidence {
 	s := &w.sites[site]
 	seen := &s.seen
-	return Evidence{Site: w.cfg.Sites[site], State: s.state, Since: s.since, Tried: seen.tried, Failing: seen.failing, Counts: seen.counts, Row: s.row + len(s.late),
-		Share: seen.share(), Elsewhere: w.elsewhere(site), Cause: s.cause, ByHand: s.byHand, Losses: w.losses(site)}
+	e := Evidence{Site: w.cfg.Sites[site], State: s.state, Since: s.since, Tried: seen.tried, Failing: seen.failing, Counts: seen.counts, Row: s.row + len(s.late),
+		Share: seen.share(), Elsewhere: w.elsewhere(site), Cause: s.cause, ByHand: s.byHand, Losses: w.losses(site), Listed: s.listed.Backends}
+	if f := &w.fleet; f.Known && site < len(f.Asked) && site < len(f.Reach) {
+		e.Reach, e.Asked = f.Reach[site], f.Asked[site]
+	}
+	return e
 }
--- a/internal/site/steer.go
+++ b/internal/site/steer.go
@@ -16,7 +16,7 @@
 	Classes []Class // in the decision module's order
 	Figures Figures
 
-	Advice  time.Duration // the longest that a refused client may be told to stay away
+	Advice time.Duration // the longest that a refused client may be told to stay away
 
 	Trial   time.Duration // about the time between two trials of a lost site at first ...
 	Longest time.Duration // ... and at the most
@@ -408,7 +408,23 @@
 	return note
 }
 
-const noteFor = 2 // Config.Doubt for which an answer says that a site answers
+const noteFor = 10 // Config.Doubt for which an answer says that a site answers: a note that flickers is told to all
+
+// Worse reports whether a note says of a site that it is silent, and the one before didn't.
+func Worse(before, note []byte) bool {
+	for i := range note {
+		for bit := 0; bit < 8; bit += 2 {
+			was := nothing
+			if i < len(before) {
+				was = told(before[i] >> bit & 3)
+			}
+			if told(note[i]>>bit&3) == silent && was != silent {
+				return true
+			}
+		}
+	}
+	return false
+}
 
 // Member is what another agent says.
 type Member struct {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -40,14 +40,15 @@
 	started  time.Time // zero: long ago
 	draining time.Time // since when it turns new work away; zero: not
 	silent   bool
-	faults   map[string]float64 // by what, its size
-	conns    map[net.Conn]bool
-	working  []*job    // in work, sharing the cores
-	queue    []*job    // waiting
-	rate     float64   // work that each in work gets done in a second
-	counted  time.Time // until when that is counted
-	turn     uint64    // of the last look ahead; earlier ones are void
-	count    uint64    // attempts so far, for the choices
+	faults   map[string]float64  // by what, its size
+	conns    map[net.Conn]string // by whose agent's
+	cut      map[string]int      // agents that it says nothing to, by the faults that say so
+	working  []*job              // in work, sharing the cores
+	queue    []*job              // waiting
+	rate     float64             // work that each in work gets done in a second
+	counted  time.Time           // until when that is counted
+	turn     uint64              // of the last look ahead; earlier ones are void
+	count    uint64              // attempts so far, for the choices
 	lastings []time.Duration
 	lastAt   []time.Time
 	report   string // the load report in force
@@ -144,7 +145,7 @@
 		m.mu.Lock()
 		ok := m.up && len(m.conns) < m.kind.Conns
 		if ok {
-			m.conns[nc] = true
+			m.conns[nc] = agent
 		}
 		m.mu.Unlock()
 		if !ok {
@@ -360,7 +361,7 @@
 		if rest := m.faults["stale"]; rest > 0 && !first && began.Sub(rested) >= ms(rest) {
 			before = true
 		}
-		silent := m.silent
+		silent := m.silent || m.cut[agent] > 0
 		m.mu.Unlock()
 		if before {
 			reset(nc)
@@ -475,7 +476,7 @@
 		return false
 	}
 	m.mu.Lock()
-	silent := m.silent
+	silent := m.silent || m.cut[agent] > 0
 	m.mu.Unlock()
 	ran := m.effect(class, req, id)
 	if spoilt {
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"lemonrail/internal/strict"
@@ -103,11 +104,12 @@
 
 // FaultSpec is something that goes wrong.
 type FaultSpec struct {
-	What  string   `toml:"what"`
-	AtS   float64  `toml:"at_s"`
-	ForS  float64  `toml:"for_s"` // 0: to the end
-	Nodes []string `toml:"nodes"` // none: all
-	Size  float64  `toml:"size"`  // what it means depends on what; see Faults
+	What   string   `toml:"what"`
+	AtS    float64  `toml:"at_s"`
+	ForS   float64  `toml:"for_s"`  // 0: to the end
+	Nodes  []string `toml:"nodes"`  // none: all
+	Agents []string `toml:"agents"` // of cut: who is cut off, by name or as site:NAME; none: all
+	Size   float64  `toml:"size"`   // what it means depends on what; see Faults
 }
 
 // Faults are those that a scenario can time, and what their size means.
@@ -115,6 +117,7 @@
 	"fail_fast":         "share of requests that a node answers 500 at once",
 	"slow":              "how many times slower it works",
 	"silent":            "the machine says nothing more: connections stay open, new ones bring nothing",
+	"cut":               "it says nothing to some agents: their connections stay open, new ones bring nothing",
 	"reset_before":      "share of connections that it resets before a request's last byte is read",
 	"reset_after":       "share of requests after whose last byte it resets the connection",
 	"spoilt":            "share of answers that can't be read",
@@ -345,6 +348,14 @@
 				return fmt.Errorf("%ssize: %v s make no sense", at, f.Size)
 			}
 		}
+		if len(f.Agents) > 0 && f.What != "cut" {
+			return fmt.Errorf("%sagents: of cut alone", at)
+		}
+		for _, name := range f.Agents {
+			if len(s.agents(name)) == 0 {
+				return fmt.Errorf("%sagents: %q is none", at, name)
+			}
+		}
 		for _, name := range f.Nodes {
 			if len(s.match(name)) == 0 {
 				return fmt.Errorf("%snodes: %q is none of the site's", at, name)
@@ -366,6 +377,17 @@
 	return list
 }
 
+// agents are the numbers of those that a name in a fault means: n0 and so on, or site:NAME.
+func (s *Scenario) agents(name string) (list []int) {
+	site, ofSite := strings.CutPrefix(name, "site:")
+	for i := range s.Agents {
+		if ofSite && s.Sites[i%len(s.Sites)] == site || name == fmt.Sprintf("n%d", i) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 func (n *NodeSpec) names() []string {
 	if n.Count == 1 {
 		return []string{n.Name}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -80,7 +80,7 @@
 	for _, n := range sc.Nodes {
 		kind := &sc.Kinds[slices.IndexFunc(sc.Kinds, func(k KindSpec) bool { return k.Name == n.Kind })]
 		for _, id := range n.names() {
-			m := &machine{site: s, kind: kind, zone: n.Site, block: n.Block, index: len(s.machines), faults: map[string]float64{}, conns: map[net.Conn]bool{}}
+			m := &machine{site: s, kind: kind, zone: n.Site, block: n.Block, index: len(s.machines), faults: map[string]float64{}, conns: map[net.Conn]string{}, cut: map[string]int{}}
 			s.machines = append(s.machines, m)
 			s.listed[id] = true
 			if err := m.start(id, time.Time{}); err != nil {
@@ -338,6 +338,35 @@
 				}
 			})
 		})
+	case "cut":
+		who := map[string]bool{}
+		for _, name := range f.Agents {
+			for _, i := range s.sc.agents(name) {
+				who[s.agentName(i)] = true
+			}
+		}
+		if len(f.Agents) == 0 {
+			for i := range s.sc.Agents {
+				who[s.agentName(i)] = true
+			}
+		}
+		set(func() {
+			for agent := range who {
+				m.cut[agent]++
+			}
+		})
+		s.ending(f, func() {
+			set(func() {
+				for agent := range who {
+					m.cut[agent]--
+				}
+				for nc, agent := range m.conns {
+					if who[agent] {
+						reset(nc)
+					}
+				}
+			})
+		})
 	case "drain":
 		// It goes on with what it gets until all agents must have heard of it.
 		lag := ms(s.sc.Discovery.DelayMs[1]+s.sc.Rules.DrainGraceMs) + sec(s.stale)
--- a/internal/takeover/state.go
+++ b/internal/takeover/state.go
@@ -28,11 +28,12 @@
 
 // State is what processes of one agent share.
 type State struct {
-	Version    int64            `json:"version"`        // rises with every change
-	Generation int              `json:"generation"`     // of the process that started last
-	Ready      int              `json:"ready"`          // the latest generation that has begun to serve
-	Out        []string         `json:"out"`            // backends out by hand
-	Back       map[string]int64 `json:"back,omitempty"` // backends put back, and when: Unix time in nanoseconds
+	Version    int64            `json:"version"`         // rises with every change
+	Generation int              `json:"generation"`      // of the process that started last
+	Ready      int              `json:"ready"`           // the latest generation that has begun to serve
+	Out        []string         `json:"out"`             // backends out by hand
+	Back       map[string]int64 `json:"back,omitempty"`  // backends put back, and when: Unix time in nanoseconds
+	Zones      []int            `json:"zones,omitempty"` // out by hand as a whole, sorted
 }
 
 // mark begins a state; its checksum follows. Another form gets another mark.
@@ -70,6 +71,8 @@
 		return State{}, errors.New("state: negative")
 	case s.Ready < 0 || s.Ready > s.Generation:
 		return State{}, fmt.Errorf("state: ready %d of generation %d", s.Ready, s.Generation)
+	case len(s.Zones) > pool.MaxOut || slices.ContainsFunc(s.Zones, func(z int) bool { return z < 0 }):
+		return State{}, errors.New("state: zones make no sense")
 	case len(s.Out) > pool.MaxOut || len(s.Back) > pool.MaxOut:
 		return State{}, errors.New("state: too many backends")
 	}
@@ -119,6 +122,17 @@
 	s.Back[id] = now.UnixNano()
 }
 
+// ExcludeZone notes that a zone is out as a whole, or back.
+func (s *State) ExcludeZone(zone int, out bool) {
+	at, is := slices.BinarySearch(s.Zones, zone)
+	switch {
+	case out && !is:
+		s.Zones = slices.Insert(slices.Clone(s.Zones), at, zone)
+	case !out && is:
+		s.Zones = slices.Delete(slices.Clone(s.Zones), at, at+1)
+	}
+}
+
 // View is what one process knows of the others.
 type View struct {
 	Generation int  // its own
