--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -30,6 +30,7 @@
 
 	"lemonrail/internal/ledger"
 	"lemonrail/internal/member/link"
+	"lemonrail/internal/site/pilot"
 	"lemonrail/internal/standin"
 )
 
@@ -42,6 +43,7 @@
 	Dir      string            // for configurations, folders and logs; must exist
 	Scenario *standin.Scenario // site, and the number of agents
 	Members  string            // the text of the agents' file on members; empty: they keep none
+	Sites    string            // the text of their file on sites; empty: they watch none
 	Args     []string          // further ones of each agent; DIR in them is the agent's own folder
 	Seed     uint64            // of what links do by chance
 	Observer standin.Observer  // of the site; nil: a ledger of its own
@@ -187,6 +189,13 @@
 		}
 		args = append(args, "-members", path)
 	}
+	if a.c.o.Sites != "" {
+		path := filepath.Join(a.dir, "sites.toml")
+		if err := os.WriteFile(path, []byte(a.c.o.Sites), 0o600); err != nil {
+			return err
+		}
+		args = append(args, "-sites", path)
+	}
 	for _, arg := range a.c.o.Args {
 		args = append(args, strings.ReplaceAll(arg, "DIR", a.dir))
 	}
@@ -370,6 +379,19 @@
 // Members is the agent's view of the fleet.
 func (a *Agent) Members() (*link.Report, error) { return view(a.Door) }
 
+// Sites is what the agent holds the sites for.
+func (a *Agent) Sites() (*pilot.Report, error) {
+	status, body, err := a.Ask(http.MethodGet, "/api/sites")
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("%s: %d: %s", a.Name, status, bytes.TrimSpace(body))
+	}
+	r := &pilot.Report{}
+	return r, json.Unmarshal(body, r)
+}
+
 func view(door string) (*link.Report, error) {
 	status, body, err := call(door, http.MethodGet, "/api/members")
 	if err != nil {
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -13,6 +13,7 @@
 type File struct {
 	Headroom float64 `toml:"headroom"` // share of what remains that plans leave free
 	Cross    float64 `toml:"cross"`    // price of work that crosses, in worth, where no other is named
+	Way      Way     `toml:"way"`      // how plans are worked out
 	Load     float64 `toml:"load"`     // share of their capacity that sites are asked for, where no demand is named
 
 	Watch struct {
@@ -67,7 +68,7 @@
 		return nil, Problem{}, err
 	}
 	names, classes := map[string]int{}, map[string]int{}
-	p := Problem{Headroom: f.Headroom}
+	p := Problem{Headroom: f.Headroom, Way: f.Way}
 	for i, s := range f.Sites {
 		bad := func(key string, v any) error { return wrong(file, raw, "site", i, key, v) }
 		if _, twice := names[s.Name]; s.Name == "" || twice {
@@ -137,7 +138,7 @@
 // DefaultFile is what a file says where it says nothing.
 func DefaultFile() *File {
 	f, c := &File{}, DefaultSteer(nil, 1, 0)
-	f.Headroom, f.Cross, f.Load = c.Figures.Headroom, c.Figures.Cross, c.Figures.Load
+	f.Headroom, f.Cross, f.Load, f.Way = c.Figures.Headroom, c.Figures.Cross, c.Figures.Load, Best
 	w := &f.Watch
 	w.Least, w.FailShare, w.LostShare = c.Watch.Least, c.Watch.FailShare, c.Watch.LostShare
 	w.Contrast, w.Late, w.Reached = c.Watch.Contrast, c.Watch.Late, c.Watch.Reached
@@ -153,7 +154,7 @@
 
 // apply has a file's settings count.
 func (f *File) apply(c *SteerConfig) {
-	c.Figures.Headroom, c.Figures.Cross, c.Figures.Load = f.Headroom, f.Cross, f.Load
+	c.Figures.Headroom, c.Figures.Cross, c.Figures.Load, c.Figures.Way = f.Headroom, f.Cross, f.Load, f.Way
 	w := &c.Watch
 	w.Least, w.FailShare, w.LostShare = f.Watch.Least, f.Watch.FailShare, f.Watch.LostShare
 	w.Contrast, w.Late, w.Reached = f.Watch.Contrast, f.Watch.Late, f.Watch.Reached
@@ -214,7 +215,7 @@
 	if len(f.Sites) != len(sites) {
 		return nil, fmt.Errorf("sites: the file has figures of %d sites, the platform names %d: %v", len(f.Sites), len(sites), sites)
 	}
-	q := &Problem{Headroom: p.Headroom}
+	q := &Problem{Headroom: p.Headroom, Way: p.Way}
 	for i := range sites {
 		q.Capacity, q.Remain = append(q.Capacity, p.Capacity[at[i]]), append(q.Remain, 1)
 		row, demand := make([]float64, len(sites)), make([]float64, len(classes))
--- a/internal/site/pilot/pilot.go
+++ b/internal/site/pilot/pilot.go
@@ -25,7 +25,7 @@
 const (
 	tickEvery = 100 * time.Millisecond
 	lookEvery = 500 * time.Millisecond // between two looks at the members
-	noteEvery = time.Second            // between two notes to them, but for bad news
+	noteEvery = 400 * time.Millisecond // between two notes to them, but for bad news
 )
 
 // Members is a membership, as far as sites rest on it. Its functions never wait.
--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -20,6 +20,7 @@
 	Demand   [][]float64 // by the site that clients are at, and class
 	Cross    [][]float64 // price of work sent from one site to another, in worth; 0 within one
 	Headroom float64     // share of what remains that a plan leaves free: it has to bear errors of all these figures
+	Way      Way         // how Work works it out; empty: Best
 }
 
 // Class is a class of requests as a plan sees it.
@@ -57,6 +58,8 @@
 		return fmt.Errorf("%w: %d classes are not within 1 and %d", ErrPlan, len(p.Classes), planClasses)
 	case !(p.Headroom >= 0 && p.Headroom < 1):
 		return bad("headroom", p.Headroom)
+	case p.Way != "" && p.Way != Best && p.Way != ByNearness && p.Way != InProportion:
+		return bad("way", p.Way)
 	}
 	ok := func(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
 	for i := range n {
@@ -198,8 +201,24 @@
 // solveMost bounds a linear programme by sites, sites and classes: one of 10 sites and 10 classes takes a tenth of a second.
 const solveMost = 1200
 
-// Work finds the plan of most worth where that is done in a bounded time, and the nearest first where it isn't.
+// Way is how plans are worked out.
+type Way string
+
+const (
+	Best         Way = "best"         // of most worth
+	ByNearness   Way = "nearest"      // to the cheapest site with room first
+	InProportion Way = "proportional" // to all that remain, as they can: no plan at all, to compare with
+)
+
+// Work finds the plan of most worth where that is done in a bounded time, and the nearest first where it isn't; or by
+// the simple way that the problem asks for.
 func (p *Problem) Work() (*Plan, error) {
+	switch p.Way {
+	case ByNearness:
+		return p.Nearest()
+	case InProportion:
+		return p.Spill()
+	}
 	if n := len(p.Capacity); n*n*len(p.Classes) > solveMost {
 		return p.Nearest()
 	}
--- a/internal/site/plan_test.go
+++ b/internal/site/plan_test.go
@@ -75,7 +75,7 @@
 		{"no capacity", func(p *Problem) { p.Capacity = []float64{0, 0, 0} }, true},
 		{"nobody asks", func(p *Problem) { p.Demand = [][]float64{{0, 0}, {0, 0}, {0, 0}} }, true},
 		{"one site only", func(p *Problem) {
-			*p = Problem{[]float64{9}, []float64{0.5}, []Class{{"a", 1}}, [][]float64{{9}}, [][]float64{{0}}, 0.1}
+			*p = Problem{[]float64{9}, []float64{0.5}, []Class{{"a", 1}}, [][]float64{{9}}, [][]float64{{0}}, 0.1, ""}
 		}, true},
 		{"crossing is worth nothing", func(p *Problem) { p.Remain[0], p.Cross[0] = 0, []float64{0, 9, 9} }, true},
 		{"a site that is not listed", func(p *Problem) { p.Remain = p.Remain[:2] }, false},
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -260,9 +260,13 @@
 func (w *Watch) List(now time.Duration, listed []Listed) {
 	w.now, w.listAt = max(w.now, now), max(w.now, now)
 	for i := range w.sites {
-		w.sites[i].listed = Listed{}
-		if i < len(listed) {
-			w.sites[i].listed = listed[i]
+		s := &w.sites[i]
+		was := s.listed.Started
+		if s.listed = (Listed{}); i < len(listed) {
+			s.listed = listed[i]
+		}
+		if s.listed.Started > was { // what failed before says nothing of what has started since
+			s.failed = 0
 		}
 	}
 }
--- a/internal/site/steer.go
+++ b/internal/site/steer.go
@@ -30,11 +30,12 @@
 	Headroom float64  // without Problem: see Plain
 	Load     float64
 	Cross    float64
+	Way      Way
 }
 
 // DefaultSteer is for agents that see some requests a second.
 func DefaultSteer(sites []string, coldShare float64, ramp time.Duration) SteerConfig {
-	return SteerConfig{Watch: DefaultConfig(sites), Ramp: DefaultRamp(coldShare, ramp), Figures: Figures{Headroom: 0.1, Load: 0.7, Cross: 0.02},
+	return SteerConfig{Watch: DefaultConfig(sites), Ramp: DefaultRamp(coldShare, ramp), Figures: Figures{Headroom: 0.05, Load: 0.7, Cross: 0.02, Way: Best},
 		Advice: time.Second, Trial: time.Second, Longest: 4 * time.Second, Lean: 0.1, Floor: 0.02}
 }
 
@@ -103,6 +104,7 @@
 	wait    time.Duration
 	was     State
 	trials  int // served when it was last looked at
+	started int // backends anew then
 	most    int // backends that were up, at the most lately
 }
 
@@ -179,6 +181,7 @@
 	}
 	p, err := Plain(s.cap, s.cfg.Classes, s.cfg.Figures.Load, s.cfg.Figures.Cross, s.cfg.Figures.Headroom)
 	if err == nil {
+		p.Way = s.cfg.Figures.Way
 		if b, err := NewBook(p); err == nil {
 			s.book = b
 		}
@@ -370,7 +373,7 @@
 func (s *Steer) trial(i int) bool {
 	x, site := &s.sites[i], &s.w.sites[i]
 	if site.state != Lost && site.state != Cut || site.byHand {
-		x.trialAt, x.wait, x.trials = 0, 0, 0
+		x.trialAt, x.wait, x.trials, x.started = 0, 0, 0, 0
 		return false
 	}
 	jitter := func(d time.Duration) time.Duration { return time.Duration((0.5 + s.rng.Float64()) * float64(d)) }
@@ -379,8 +382,8 @@
 		x.wait = s.cfg.Trial
 		x.trialAt = s.now + jitter(x.wait)
 		return false
-	case site.trials > x.trials || s.w.told(i) == answers && x.wait > s.cfg.Trial:
-		x.trials, x.wait = site.trials, s.cfg.Trial
+	case site.listed.Started > x.started || site.trials > x.trials || s.w.told(i) == answers && x.wait > s.cfg.Trial:
+		x.trials, x.started, x.wait = site.trials, site.listed.Started, s.cfg.Trial
 		x.trialAt = min(x.trialAt, s.now+jitter(s.cfg.Trial/4))
 	}
 	if s.now < x.trialAt {
@@ -398,7 +401,7 @@
 		x := &s.w.sites[i]
 		says := nothing
 		switch {
-		case x.state == Lost || x.state == Cut || x.state == Doubted && x.row > 0:
+		case (x.state == Lost || x.state == Cut) && (x.trials == 0 || x.failed > 0), x.state == Doubted && x.row > 0:
 			says = silent
 		case x.okAt >= 0 && s.now-x.okAt < noteFor*s.cfg.Watch.Doubt && x.seen.row < s.cfg.Watch.Least:
 			says = answers
@@ -408,7 +411,7 @@
 	return note
 }
 
-const noteFor = 10 // Config.Doubt for which an answer says that a site answers: a note that flickers is told to all
+const noteFor = 3 // Config.Doubt for which an answer says that a site answers: a note that flickers is told to all
 
 // Worse reports whether a note says of a site that it is silent, and the one before didn't.
 func Worse(before, note []byte) bool {
