Sites and duties under test with many processes; seats, clerks, TCP links in the rig

Need: the loss of a site and the duties of one holder have to be shown with processes and faults between them. Duties: internal/duty/seat (go.etcd.io/raft over TCP, check-in before a vote, seats replaced, clerk), lemonrail -duties, GET /api/duties, hand-on and release at the door; pacing of a return and keeping of notes as the two duties. Ruled out: a seat that trusts its own folder (an old copy put back voted before the others were asked); believing a raft panic to be the program's end.

--- a/balance/api.go
+++ b/balance/api.go
@@ -231,8 +231,9 @@
 		// count for nothing. A zone beyond the end counts for 1.
 		Share   []float64
 		Planned bool // Share says where load is to go, so that crossing zones is no price
-		// By class, the share that waits for room where there is none at once; the rest is refused at once. A class
-		// beyond the end waits as ever. Clients' repeats of a class of which any is refused are refused first.
+		// By class, the share that waits for room where there is none at once; the rest is refused at once while
+		// requests of the share wait. A class beyond the end waits as ever. Clients' repeats of a class of which any
+		// is refused are refused first.
 		Admit []float64
 		Trial []bool // by zone: one request that may be repeated is to try it
 		// Back says after how long a client whose request of a class is refused now is to come again; nil: as ever.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -355,12 +355,14 @@
 		}
 	}
 	full := !b.room()
+	// What the plan gives up still takes room that nobody else waits for.
+	behind := slices.ContainsFunc(b.held, func(r *request) bool { return !r.spill })
 	for i := len(b.held) - 1; i >= 0; i-- {
 		r := b.held[i]
 		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
 		give := min(r.aim, r.deadline) - time.Duration(need)
 		r.passed = false
-		if spilt := full && r.spill; spilt || give <= b.now {
+		if spilt := full && behind && r.spill; spilt || give <= b.now {
 			b.unhold(r)
 			why := NoBackend
 			if spilt {
--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -45,6 +45,7 @@
 		Shrink clusterShrinkCmd `cmd:"" help:"Kill most agents of a fleet while its clients go to those left, and measure what they get."`
 	} `cmd:"" help:"A rig of many agents, with faults between them."`
 	Sites struct {
+		Show sitesShowCmd `cmd:"" help:"Ask agents' doors what they hold each site for, and what follows."`
 		Plan sitesPlanCmd `cmd:"" help:"Work out where the load of a lost site goes and what is refused first, beside two simple ways."`
 	} `cmd:"" help:"The loss of a whole site."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
--- /dev/null
+++ b/cmd/lemonctl/sitesshow.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"html/template"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"lemonrail/internal/chart"
+	"lemonrail/internal/site/pilot"
+)
+
+type sitesShowCmd struct {
+	Doors []string      `arg:"" help:"Operators' doors of agents, HOST:PORT."`
+	Watch time.Duration `placeholder:"TIME" help:"Ask again each TIME."`
+	For   time.Duration `placeholder:"TIME" help:"End after so long."`
+	JSON  bool          `name:"json" help:"Print JSON: one object each time."`
+	HTML  string        `name:"html" placeholder:"FILE" help:"Write the load of each site over time as one page, at the end."`
+}
+
+// sitesLook is what all doors said at a time.
+type sitesLook struct {
+	At     time.Time                `json:"at"`
+	Agents map[string]*pilot.Report `json:"agents"` // by door
+	Silent map[string]string        `json:"silent,omitempty"`
+}
+
+func (c *sitesShowCmd) Run(ctx context.Context, s streams) error {
+	if c.For > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.For)
+		defer cancel()
+	}
+	var looks []*sitesLook
+	for {
+		look := lookAtSites(ctx, c.Doors)
+		if ctx.Err() != nil && len(looks) > 0 {
+			break
+		}
+		if looks = append(looks, look); len(looks) > looksMost {
+			looks = slices.Delete(looks, 0, 1)
+		}
+		if c.JSON {
+			if err := json.NewEncoder(s.out).Encode(look); err != nil {
+				return err
+			}
+		} else if err := look.text(s.out); err != nil {
+			return err
+		}
+		if c.Watch <= 0 {
+			break
+		}
+		select {
+		case <-time.After(c.Watch):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if c.HTML != "" {
+		f, err := os.Create(c.HTML)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(sitesPage(f, looks), f.Close()); err != nil {
+			return err
+		}
+	}
+	if last := looks[len(looks)-1]; len(last.Agents) == 0 {
+		return errors.New("no agent answered")
+	}
+	return nil
+}
+
+func lookAtSites(ctx context.Context, doors []string) *sitesLook {
+	l := &sitesLook{At: time.Now(), Agents: map[string]*pilot.Report{}, Silent: map[string]string{}}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	client := &http.Client{Timeout: askLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, d := range doors {
+		all.Go(func() {
+			r := &pilot.Report{}
+			err := askDoor(ctx, client, d, "/api/sites", r)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				l.Silent[d] = err.Error()
+			} else {
+				l.Agents[d] = r
+			}
+		})
+	}
+	all.Wait()
+	return l
+}
+
+// askDoor asks a door for something that is told as JSON.
+func askDoor(ctx context.Context, client *http.Client, door, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusNotFound:
+		return fmt.Errorf("it has no %s: started without the flag", path)
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(raw)))
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("what it says can't be read: %w", err)
+	}
+	return nil
+}
+
+// text prints a line for each site and state that agents hold it for.
+func (l *sitesLook) text(w io.Writer) error {
+	type group struct {
+		doors []string
+		row   pilot.Row
+		basis string
+	}
+	groups := map[string]*group{}
+	for d, r := range l.Agents {
+		for _, row := range r.Sites {
+			k := row.Site + "\x00" + row.State + "\x00" + row.Cause
+			if groups[k] == nil {
+				groups[k] = &group{row: row, basis: r.Basis}
+			}
+			groups[k].doors = append(groups[k].doors, d)
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "site\tis\tby agents\tsince\twhy not more\tfails here\tand elsewhere\treckoned with\tfull in\torder")
+	for _, k := range slices.Sorted(maps.Keys(groups)) {
+		g := groups[k]
+		slices.Sort(g.doors)
+		r, why := g.row, g.row.Cause
+		if r.ByHand {
+			why = "by hand"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d: %s\t%s\t%s\t%.0f %%\t%.0f %%\t%.0f %%\t%.0f s\t%s\n", r.Site, r.State, len(g.doors), short(g.doors), r.Since.Format("15:04:05"), why,
+			100*r.FailShare, 100*r.Elsewhere, 100*r.Remain, r.FullIn, g.basis)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, d := range slices.Sorted(maps.Keys(l.Silent)) {
+		if _, err := fmt.Fprintf(w, "%s: %s\n", d, l.Silent[d]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sitesPage draws attempts a second at each site, all doors together, and for how many agents it is in use.
+func sitesPage(w io.Writer, looks []*sitesLook) error {
+	var names []string
+	for _, l := range looks {
+		for _, r := range l.Agents {
+			for _, row := range r.Sites {
+				if !slices.Contains(names, row.Site) {
+					names = append(names, row.Site)
+				}
+			}
+		}
+	}
+	slices.Sort(names)
+	step := 1.0
+	if len(looks) > 1 {
+		step = looks[len(looks)-1].At.Sub(looks[0].At).Seconds() / float64(len(looks)-1)
+	}
+	var load, away []chart.Line
+	for i, name := range names {
+		a := chart.Line{Name: name, Colour: chart.Colours[i%len(chart.Colours)]}
+		b := a
+		for k := 1; k < len(looks); k++ {
+			span, rate, off := looks[k].At.Sub(looks[k-1].At).Seconds(), 0.0, 0.0
+			for d, r := range looks[k].Agents {
+				now, before := siteRow(r, name), siteRow(looks[k-1].Agents[d], name)
+				if now == nil {
+					continue
+				}
+				if before != nil && now.Attempts >= before.Attempts && span > 0 { // else it has been started anew
+					rate += float64(now.Attempts-before.Attempts) / span
+				}
+				if now.State == "lost" || now.State == "cut" {
+					off++
+				}
+			}
+			a.Y, b.Y = append(a.Y, rate), append(b.Y, off)
+		}
+		load, away = append(load, a), append(away, b)
+	}
+	var text strings.Builder
+	if err := looks[len(looks)-1].text(&text); err != nil {
+		return err
+	}
+	return chart.Page(w, chart.Document{Title: "Load by site, from " + looks[0].At.Format(time.DateTime), Text: text.String(), Plots: []template.HTML{
+		chart.Plot("Attempts that ended", "/s", step, load),
+		chart.Plot("Agents that hold a site for lost or cut", "", step, away)}})
+}
+
+func siteRow(r *pilot.Report, name string) *pilot.Row {
+	if r == nil {
+		return nil
+	}
+	for i := range r.Sites {
+		if r.Sites[i].Site == name {
+			return &r.Sites[i]
+		}
+	}
+	return nil
+}
--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -18,6 +18,7 @@
 
 	"lemonrail/internal/agent"
 	"lemonrail/internal/diameter/relay"
+	"lemonrail/internal/duty/seat"
 	"lemonrail/internal/explain"
 	"lemonrail/internal/member/link"
 )
@@ -30,6 +31,7 @@
 	flag.StringVar(&f.servers, "servers", "", "TOML `file` that lists the backends in place of discovery, such as deploy/servers.toml")
 	flag.StringVar(&f.members, "members", "", "TOML `file` by which the agent keeps a view of the fleet, such as deploy/members.toml")
 	flag.StringVar(&f.sites, "sites", "", "TOML `file` by which the agent watches whole sites, such as deploy/sites.toml")
+	flag.StringVar(&f.duties, "duties", "", "TOML `file` by which the agent holds duties that one agent may hold at a time, such as deploy/duties.toml")
 	flag.Parse()
 	if err := run(hup, os.Stderr, f); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
@@ -38,7 +40,7 @@
 }
 
 // files set what is off by default; empty: off.
-type files struct{ explained, diameter, servers, members, sites string }
+type files struct{ explained, diameter, servers, members, sites, duties string }
 
 // hangups catches SIGHUP, which would end the program otherwise.
 func hangups() <-chan os.Signal {
@@ -103,6 +105,15 @@
 			return err
 		}
 	}
+	if f.duties != "" {
+		s, err := seat.ReadSettings(f.duties)
+		if err != nil {
+			return err
+		}
+		if err := cfg.WithDuties(s); err != nil {
+			return err
+		}
+	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(agent.CollectAt(cfg.MemoryMB << 20))
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -141,7 +141,11 @@
 	home := newHousehold(cfg, l, up, socks, door, members, log)
 	door.home = home
 	staffed := &staff{loop: l, figures: l.Figures, home: home}
-	sites, err := sitesPart(cfg, l, members, staffed, log)
+	sites, pilots, err := sitesPart(cfg, l, members, staffed, log)
+	if err != nil {
+		return parts{dia}, err
+	}
+	duties, err := dutiesPart(cfg, pilots, members, log)
 	if err != nil {
 		return parts{dia}, err
 	}
@@ -154,6 +158,7 @@
 		peersPart(peers, l),
 		sites,
 		membersPart(members),
+		duties,
 		clients,
 		staffed.part(desk, log),
 		dia,
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -11,6 +11,7 @@
 
 	"lemonrail/balance"
 	"lemonrail/internal/diameter/relay"
+	"lemonrail/internal/duty/seat"
 	"lemonrail/internal/explain"
 	"lemonrail/internal/member/link"
 	"lemonrail/internal/roster"
@@ -44,6 +45,7 @@
 
 	members *link.Settings // nil: no view of the fleet is kept
 	sites   *sitesSet      // nil: whole sites are not watched
+	duties  *seat.Settings // nil: none are held
 
 	servers  string        // file that lists the backends; empty: discovery does
 	path     string        // of the file
--- a/internal/agent/sites.go
+++ b/internal/agent/sites.go
@@ -57,13 +57,13 @@
 }
 
 // sitesPart makes the pilot, which watches the loop.
-func sitesPart(cfg *Config, l *core.Loop, members *link.Link, staffed *staff, log *slog.Logger) (*part, error) {
+func sitesPart(cfg *Config, l *core.Loop, members *link.Link, staffed *staff, log *slog.Logger) (*part, *pilot.Pilot, error) {
 	if cfg.sites == nil {
-		return &part{name: "sites"}, nil
+		return &part{name: "sites"}, nil, nil
 	}
 	steer, err := cfg.steer()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	own := cfg.Settings.Zone
 	if own >= len(cfg.Names.Zones) {
@@ -75,11 +75,11 @@
 	}
 	p, err := pilot.New(o, l)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	return &part{name: "sites",
 		start:  func(t *tasks) { t.Go(p.Run) },
-		routes: p.Routes(), figures: p.Gauges()}, nil
+		routes: p.Routes(), figures: p.Gauges()}, p, nil
 }
 
 // excludeZone takes a whole zone out, or puts it back.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -28,6 +28,7 @@
 	"syscall"
 	"time"
 
+	"lemonrail/internal/duty/seat"
 	"lemonrail/internal/ledger"
 	"lemonrail/internal/member/link"
 	"lemonrail/internal/site/pilot"
@@ -44,6 +45,8 @@
 	Scenario *standin.Scenario // site, and the number of agents
 	Members  string            // the text of the agents' file on members; empty: they keep none
 	Sites    string            // the text of their file on sites; empty: they watch none
+	Duties   string            // the text of their file on duties, but for the seats; empty: they hold none
+	Seats    int               // of the first so many agents
 	Args     []string          // further ones of each agent; DIR in them is the agent's own folder
 	Seed     uint64            // of what links do by chance
 	Observer standin.Observer  // of the site; nil: a ledger of its own
@@ -56,6 +59,8 @@
 	Agents []*Agent
 	links  [][]*relay // by sender and receiver
 	alls   []*relay   // by sender, to everybody
+	seats  []string   // real addresses of the seats
+	tcp    [][]*tcpLink
 	began  time.Time
 	stopAt chan struct{}
 	tasks  sync.WaitGroup
@@ -83,6 +88,8 @@
 	stopped bool
 	slow    chan struct{}
 	lives   int
+
+	fileLimit uint64
 }
 
 var rigs atomic.Uint32
@@ -117,6 +124,11 @@
 		}
 		c.Agents = append(c.Agents, a)
 	}
+	if o.Seats > 0 {
+		if err := c.openSeats(min(o.Seats, n)); err != nil {
+			return c, err
+		}
+	}
 	return c, nil
 }
 
@@ -196,6 +208,14 @@
 		}
 		args = append(args, "-sites", path)
 	}
+	if a.c.o.Duties != "" {
+		path := filepath.Join(a.dir, "duties.toml")
+		text := fmt.Sprintf("folder = %q\n", filepath.Join(a.dir, "seat")) + a.c.o.Duties + "\n" + a.c.seatsText(a.number)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return err
+		}
+		args = append(args, "-duties", path)
+	}
 	for _, arg := range a.c.o.Args {
 		args = append(args, strings.ReplaceAll(arg, "DIR", a.dir))
 	}
@@ -204,7 +224,8 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(a.c.o.Program, args...)
+	program, args := a.limited(a.c.o.Program, args)
+	cmd := exec.Command(program, args...)
 	cmd.Env = []string{"LB_CONFIG=" + a.config, "LB_NAME=" + a.Name, "LB_CONTROL=" + a.Door, "TMPDIR=" + a.dir, "GOMAXPROCS=2"}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := a.c.refuse(a.number, false); err != nil {
@@ -310,6 +331,9 @@
 	}
 }
 
+// Folder is the agent's own.
+func (a *Agent) Folder() string { return a.dir }
+
 // Wipe removes what the agent keeps in its folder.
 func (a *Agent) Wipe() error {
 	keep := filepath.Join(a.dir, "keep")
@@ -376,6 +400,19 @@
 	return resp.StatusCode, body, err
 }
 
+// Duties is how the agent's duties stand.
+func (a *Agent) Duties() (*seat.Report, error) {
+	status, body, err := a.Ask(http.MethodGet, "/api/duties")
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("%s: %d: %s", a.Name, status, bytes.TrimSpace(body))
+	}
+	r := &seat.Report{}
+	return r, json.Unmarshal(body, r)
+}
+
 // Members is the agent's view of the fleet.
 func (a *Agent) Members() (*link.Report, error) { return view(a.Door) }
 
@@ -513,7 +550,6 @@
 // Close ends all processes, links and the site, and waits until nothing is left.
 func (c *Cluster) Close() error {
 	close(c.stopAt)
-	c.tasks.Wait()
 	var errs []error
 	for _, a := range c.Agents {
 		a.Signal(syscall.SIGCONT)
@@ -523,6 +559,12 @@
 		}
 	}
 	c.closeLinks()
+	for _, row := range c.tcp {
+		for _, l := range row {
+			l.close()
+		}
+	}
+	c.tasks.Wait()
 	if c.Site != nil {
 		errs = append(errs, c.Site.Close())
 	}
--- a/internal/cluster/siteloss.go
+++ b/internal/cluster/siteloss.go
@@ -490,6 +490,11 @@
 	return nil
 }
 
+// Load plays requests of the rig's classes to agents in an open loop until ctx ends, and holds them against a ledger.
+func (c *Cluster) Load(ctx context.Context, l *ledger.Ledger, agents []*Agent, rate float64, seed uint64) error {
+	return c.send(ctx, l, agents, rate, time.Hour, seed, func(*load.Sample) {})
+}
+
 // send plays requests of the rig's classes to some agents, in an open loop.
 func (c *Cluster) send(ctx context.Context, l *ledger.Ledger, agents []*Agent, rate float64, span time.Duration, seed uint64, done func(*load.Sample)) error {
 	names := map[string]string{}
--- /dev/null
+++ b/internal/cluster/sites_test.go
@@ -0,0 +1,326 @@
+package cluster_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+
+	"lemonrail/internal/cluster"
+	"lemonrail/internal/ledger"
+	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/standin"
+)
+
+// Three sites of three nodes; the agents' file has them judge and return quickly.
+const (
+	threeSites = `
+seed = 3
+seconds = 600
+sites = ["a", "b", "c"]
+agents = 6
+[rules]
+ramp_ms = 1000
+slack_ms = 250
+[allow]
+attempts = 4
+retry_after = true
+peers = true
+[[class]]
+name = "read"
+work_ms = 4
+aim_ms = 300
+deadline_ms = 600
+[[class]]
+name = "sub"
+effect = "keyed"
+group = "zone"
+window_ms = 4000
+work_ms = 4
+aim_ms = 400
+deadline_ms = 800
+worth = 5
+[[kind]]
+name = "plain"
+cores = 4
+[[node]]
+name = "na"
+kind = "plain"
+site = "a"
+count = 3
+[[node]]
+name = "nb"
+kind = "plain"
+site = "b"
+count = 3
+[[node]]
+name = "nc"
+kind = "plain"
+site = "c"
+count = 3
+`
+	quickSites = "cross = 0.0\n[watch]\nlose_ms = 300\nclear_ms = 800\n[return]\ntrial_ms = 300\ntrial_longest_ms = 600\n"
+)
+
+// sitesRig runs six agents that watch three sites, under load until the test ends; then no rule is broken.
+func sitesRig(t *testing.T) *cluster.Cluster {
+	t.Helper()
+	sc, err := standin.ParseScenario("site", []byte(threeSites))
+	must(t, err)
+	l := ledger.New(standin.RulesOf(sc))
+	c, err := cluster.Open(cluster.Options{Program: built(t), Dir: t.TempDir(), Scenario: sc, Members: quick, Sites: quickSites, Seed: 1, Observer: l})
+	must(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loads sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		loads.Wait()
+		if t.Failed() {
+			t.Log(c.Logs(12))
+		}
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+		if v := l.Verdict(); !v.Held() {
+			t.Errorf("%v", v)
+		}
+	})
+	must(t, c.StartAll(patience))
+	must(t, c.Until(patience, c.Agree))
+	for i, a := range c.Agents {
+		loads.Go(func() {
+			if err := c.Load(ctx, l, []*cluster.Agent{a}, 60, uint64(i)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	return c
+}
+
+// holds waits until agents hold a site for one of some states.
+func holds(t *testing.T, c *cluster.Cluster, agents []int, site string, states ...string) {
+	t.Helper()
+	var last *pilot.Report
+	err := c.Until(patience, func() error {
+		for _, i := range agents {
+			r, err := c.Agents[i].Sites()
+			if err != nil {
+				return err
+			}
+			last = r
+			for _, row := range r.Sites {
+				if row.Site == site && !slices.Contains(states, row.State) {
+					return fmt.Errorf("n%d holds %s for %s, not %v", i, site, row.State, states)
+				}
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatalf("%v; last: %+v", err, last)
+	}
+}
+
+// came is what states an agent had a site come to, in order.
+func came(t *testing.T, c *cluster.Cluster, agent int, site string) (states []string) {
+	t.Helper()
+	r, err := c.Agents[agent].Sites()
+	must(t, err)
+	for _, h := range r.Happened {
+		if h.Site == site {
+			states = append(states, h.To)
+		}
+	}
+	return states
+}
+
+func harm(t *testing.T, c *cluster.Cluster, f standin.FaultSpec) (end func()) {
+	t.Helper()
+	end, err := c.Site.Harm(f)
+	must(t, err)
+	return end
+}
+
+var (
+	everyone = []int{0, 1, 2, 3, 4, 5}
+	nb       = []string{"nb"}
+)
+
+func TestSitesAreLostAndReturn(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault standin.FaultSpec
+	}{
+		{"silent", standin.FaultSpec{What: "silent", Nodes: nb}},
+		{"with resets", standin.FaultSpec{What: "reset_before", Size: 1, Nodes: nb}},
+		{"refusing, and cold when it is back", standin.FaultSpec{What: "restart", Size: 4, Nodes: nb}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := sitesRig(t)
+			end := harm(t, c, tt.fault)
+			holds(t, c, everyone, "b", "lost")
+			holds(t, c, everyone, "a", "well")
+			holds(t, c, everyone, "c", "well")
+			end()
+			holds(t, c, everyone, "b", "well")
+			for i := range everyone {
+				states := came(t, c, i, "b")
+				if n := len(states); n < 4 || n > 8 || states[0] != "doubted" || !slices.Contains(states, "returning") {
+					t.Errorf("n%d: one loss came as %v", i, states)
+				}
+			}
+		})
+	}
+}
+
+// What is not the loss of a site is not held for one.
+func TestWhatIsNoLossOfASite(t *testing.T) {
+	t.Run("the agents of one site are cut off from another", func(t *testing.T) {
+		t.Parallel()
+		c := sitesRig(t)
+		end := harm(t, c, standin.FaultSpec{What: "cut", Nodes: nb, Agents: []string{"site:a"}})
+		holds(t, c, []int{0, 3}, "b", "cut")
+		holds(t, c, []int{1, 2, 4, 5}, "b", "well")
+		end()
+		holds(t, c, everyone, "b", "well")
+		for _, i := range []int{0, 3} {
+			if states := came(t, c, i, "b"); slices.Contains(states, "lost") || slices.Contains(states, "returning") {
+				t.Errorf("n%d: %v; others kept it warm", i, states)
+			}
+		}
+	})
+	t.Run("errors, and half of a site", func(t *testing.T) {
+		t.Parallel()
+		c := sitesRig(t)
+		end := harm(t, c, standin.FaultSpec{What: "fail_fast", Size: 1, Nodes: nb})
+		until(t, c, "every agent has met errors at b", func(r *pilot.Report) bool { return r.Sites[1].Kinds["errored"] > 0 })
+		end()
+		harm(t, c, standin.FaultSpec{What: "restart", Size: 8, Nodes: []string{"nc-1"}})
+		met := map[string]bool{}
+		must(t, c.Until(patience, func() error {
+			for _, a := range c.Agents {
+				r, err := a.Sites()
+				if err != nil {
+					return err
+				}
+				met[a.Name] = met[a.Name] || r.Sites[2].Failing > 0
+			}
+			if len(met) < len(c.Agents) || slices.Contains(slices.Collect(maps.Values(met)), false) {
+				return fmt.Errorf("not every agent has met a refusal at c: %v", met)
+			}
+			return nil
+		}))
+		for i := range everyone {
+			for _, s := range []string{"b", "c"} {
+				if states := came(t, c, i, s); slices.Contains(states, "lost") {
+					t.Errorf("n%d: %s came to %v", i, s, states)
+				}
+			}
+		}
+	})
+	t.Run("an agent that is cut off from all that is not its own", func(t *testing.T) {
+		t.Parallel()
+		c := sitesRig(t)
+		var ends []func()
+		for _, nodes := range [][]string{nb, {"nc"}} {
+			ends = append(ends, harm(t, c, standin.FaultSpec{What: "cut", Nodes: nodes, Agents: []string{"n0"}}))
+		}
+		others := []int{1, 2, 3, 4, 5}
+		cut := func(on bool) {
+			set := func(f *cluster.Fault) { f.Cut = on }
+			c.Link([]int{0}, others, set)
+			c.Link(others, []int{0}, set)
+		}
+		cut(true)
+		holds(t, c, []int{0}, "b", "cut", "lost")
+		holds(t, c, []int{0}, "c", "cut", "lost")
+		holds(t, c, others, "a", "well")
+		holds(t, c, others, "b", "well")
+		for _, end := range ends {
+			end()
+		}
+		cut(false)
+		holds(t, c, []int{0}, "b", "well")
+		holds(t, c, []int{0}, "c", "well")
+	})
+}
+
+// until waits until all agents' reports are as wanted.
+func until(t *testing.T, c *cluster.Cluster, what string, so func(*pilot.Report) bool) {
+	t.Helper()
+	must(t, c.Until(patience, func() error {
+		for _, a := range c.Agents {
+			r, err := a.Sites()
+			if err != nil {
+				return err
+			}
+			if !so(r) {
+				return fmt.Errorf("%s: not yet: %s", a.Name, what)
+			}
+		}
+		return nil
+	}))
+}
+
+func TestASiteOutByHand(t *testing.T) {
+	t.Parallel()
+	c := sitesRig(t)
+	put := func(agent int, path string, want int) {
+		t.Helper()
+		status, body, err := c.Agents[agent].Ask(http.MethodPut, path)
+		if err != nil || status != want {
+			t.Fatalf("%s: %d %s, %v; want %d", path, status, body, err, want)
+		}
+	}
+	put(0, "/api/sites/nowhere/lost", http.StatusNotFound)
+	for i := range everyone {
+		put(i, "/api/sites/b/lost", http.StatusOK)
+		put(i, "/api/sites/b/lost", http.StatusOK)
+	}
+	holds(t, c, everyone, "b", "lost")
+	put(0, "/api/sites/c/lost", http.StatusOK)
+	put(0, "/api/sites/a/lost", http.StatusConflict)
+	put(0, "/api/sites/c/well", http.StatusOK)
+	// An agent that is started anew knows only what it is told again: it serves meanwhile.
+	must(t, c.Agents[5].Kill())
+	must(t, c.Agents[5].Start())
+	must(t, c.Ready(patience))
+	holds(t, c, []int{5}, "b", "well")
+	for i := range everyone {
+		put(i, "/api/sites/b/well", http.StatusOK)
+	}
+	holds(t, c, everyone, "b", "well")
+	holds(t, c, everyone, "c", "well")
+}
+
+// A site that comes back and goes again: each loss counts, each return is slower, and it ends well.
+func TestASiteThatFlaps(t *testing.T) {
+	t.Parallel()
+	c := sitesRig(t)
+	for range 2 {
+		end := harm(t, c, standin.FaultSpec{What: "reset_before", Size: 1, Nodes: nb})
+		holds(t, c, everyone, "b", "lost")
+		end()
+		holds(t, c, everyone, "b", "returning", "well")
+	}
+	until(t, c, "two losses or more", func(r *pilot.Report) bool { return r.Sites[1].Losses >= 2 })
+	holds(t, c, everyone, "b", "well")
+}
+
+// With discovery down and some agents killed in the midst of it.
+func TestALossWhileOtherThingsFail(t *testing.T) {
+	t.Parallel()
+	c := sitesRig(t)
+	up := harm(t, c, standin.FaultSpec{What: "discovery_down"})
+	end := harm(t, c, standin.FaultSpec{What: "silent", Nodes: nb})
+	must(t, c.Agents[2].Kill())
+	must(t, c.Agents[2].Start())
+	holds(t, c, everyone, "b", "lost", "cut")
+	up()
+	end()
+	holds(t, c, everyone, "b", "well")
+}
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -50,6 +50,8 @@
 	until time.Duration // by its own clock; it may not act from then on
 	state []byte
 	acts  uint64
+	said  bool   // that it can begin at once, in this life
+	renew bool   // it asks to go on in its epoch, which the seats still hold for its own
 	next  string // who was named to take over, and whether that one is ready
 	ready bool
 
@@ -130,12 +132,20 @@
 	case h.stage == Holding && a.Next != "" && a.Ready:
 		out = append(out, h.handOn())
 	case h.stage == Idle && h.want && a.Next == h.cfg.Agent && !a.Ready:
+		h.said = true
 		out = append(out, h.command(Prepare))
-	case h.stage == Idle && h.want && a.Holder == h.cfg.Agent && a.Epoch > h.epoch:
-		// It was handed on to this agent, which can't know since when: it renews before it acts.
+	case h.stage == Idle && h.want && h.said && a.Holder == h.cfg.Agent && a.Epoch > h.epoch:
+		// It was handed on to this agent, which can't know since when: it renews before it acts. What an earlier life
+		// of it held runs out: its acts may still be on their way.
+		h.said = false
 		h.epoch, h.state, h.acts = a.Epoch, a.State, a.Acts
-		h.stage = Asking
+		h.stage, h.renew = Asking, true
+		out = append(out, h.command(Renew))
+	case h.stage == Idle && h.want && a.Holder == h.cfg.Agent && a.Epoch == h.epoch:
+		// Its lease ran out here, and nobody has ended it there: nobody else has held it, and it may go on.
+		h.stage, h.renew = Asking, true
 		out = append(out, h.command(Renew))
+		h.again()
 	case h.stage == Idle && h.want && a.Holder == "" && h.askAt == 0:
 		h.askAt = h.now + h.wait(holds)
 	case h.stage == Idle && a.Holder != "":
@@ -166,7 +176,7 @@
 			return nil
 		}
 		kind := Claim
-		if h.stage == Asking && h.epoch > 0 && h.until == 0 { // handed on to it
+		if h.stage == Asking && h.renew {
 			kind = Renew
 		}
 		h.stage = Asking
@@ -245,7 +255,7 @@
 				h.epoch, h.until, h.stage, h.askAt = a.Epoch, max(until, h.now+1), Releasing, h.now
 				return
 			}
-			h.stage, h.epoch, h.until, h.fails = Holding, a.Epoch, until, 0
+			h.stage, h.epoch, h.until, h.fails, h.renew = Holding, a.Epoch, until, 0, false
 			h.state, h.acts = a.State, a.Acts
 			h.askAt = ask.at + h.cfg.Clocks.mine(a.Lease)/3
 			h.news = append(h.news, Change{Began: true, Epoch: a.Epoch, State: a.State})
@@ -280,7 +290,7 @@
 	case Holding:
 		h.end("the seats say so: " + a.Why.String())
 	case Asking, Handing, Releasing:
-		h.stage, h.until, h.askAt, h.fails = Idle, 0, 0, 0
+		h.stage, h.until, h.askAt, h.fails, h.renew = Idle, 0, 0, 0, false
 	}
 }
 
--- a/internal/duty/seating.go
+++ b/internal/duty/seating.go
@@ -86,7 +86,7 @@
 }
 
 // Decide says what to do by what has been heard.
-func (s *Seating) Decide() Decision {
+func (s *Seating) Decide(now time.Duration) Decision {
 	// Whoever says that more was promised than there is, is right.
 	for _, name := range s.cfg.Seats {
 		c, ok := s.heard[name]
@@ -100,13 +100,17 @@
 		}
 	}
 	if !s.cfg.Empty {
-		return s.sit()
+		return s.sit(now)
 	}
 	return s.begin()
 }
 
-// sit is for a seat that holds something: a majority of those that sit, as far as it is known, has to have been heard.
-func (s *Seating) sit() Decision {
+// allFor is how long a seat waits for all others: only those that it promised something know of it, and one that led may
+// be the only one. After it a majority is enough: a disk that forgets while the one that led is away is not found out.
+const allFor = 3 * time.Second
+
+// sit is for a seat that holds something: all that sit, or after a while a majority of them, have to have been heard.
+func (s *Seating) sit(now time.Duration) Decision {
 	seats := map[uint64]string{}
 	for _, c := range s.heard {
 		if c.Sits && len(c.Seats) > 0 {
@@ -128,6 +132,9 @@
 	if 2*n <= of {
 		return Decision{Start: Wait, Why: fmt.Sprintf("%d of %d seats were heard, itself among them", n, of)}
 	}
+	if n < of && now-s.since < allFor {
+		return Decision{Start: Wait, Why: fmt.Sprintf("%d of %d seats were heard; for the rest it waits %v", n, of, allFor)}
+	}
 	return Decision{Start: Sit, Why: fmt.Sprintf("%d of %d seats know of nothing that is missing", n, of)}
 }
 
--- a/internal/site/pilot/door.go
+++ b/internal/site/pilot/door.go
@@ -44,6 +44,7 @@
 	FullIn    float64        `json:"full_in_s"`       // until a returning one may have all
 	Losses    int            `json:"losses"`          // that still slow its return
 	Backends  int            `json:"backends"`        // listed
+	Attempts  uint64         `json:"attempts"`        // of this process that ended, since its start
 	Tried     int            `json:"tried"`           // different backends, lately
 	Failing   int            `json:"failing"`         // of these
 	FailShare float64        `json:"fail_share"`      // of attempts
@@ -85,7 +86,7 @@
 	for i := range s.Evidence {
 		e := &s.Evidence[i]
 		row := Row{Site: e.Site, State: e.State.String(), Since: now.Add(e.Since - p.loop.At(now)), Cause: e.Cause.String(), ByHand: e.ByHand,
-			Remain: s.Ramp[i], Share: 1, FullIn: s.Full[i].Seconds(), Losses: e.Losses, Backends: e.Listed, Tried: e.Tried, Failing: e.Failing,
+			Remain: s.Ramp[i], Share: 1, FullIn: s.Full[i].Seconds(), Losses: e.Losses, Backends: e.Listed, Attempts: p.ended[i], Tried: e.Tried, Failing: e.Failing,
 			FailShare: e.Share, Elsewhere: e.Elsewhere, Row: e.Row, Reach: e.Reach, Asked: e.Asked, Kinds: map[string]int{}}
 		if i < len(s.Order.Share) {
 			row.Share = s.Order.Share[i]
--- a/internal/site/pilot/pilot.go
+++ b/internal/site/pilot/pilot.go
@@ -52,6 +52,7 @@
 	steer  *site.Steer
 	listed map[string]balance.Backend
 	late   [][]site.Late // by site
+	ended  []uint64      // attempts that ended, by site
 	byHand []int
 	solves bool // a plan is being worked out
 	note   []byte
@@ -60,6 +61,7 @@
 	log    []Happened // the last ones
 
 	lost, doubted, away atomic.Int64
+	ramps               atomic.Pointer[map[string]float64]
 	plans, fails        atomic.Int64
 }
 
@@ -80,7 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Pilot{o: o, loop: l, steer: s, listed: map[string]balance.Backend{}, late: make([][]site.Late, len(o.Steer.Watch.Sites))}
+	p := &Pilot{o: o, loop: l, steer: s, listed: map[string]balance.Backend{}, late: make([][]site.Late, len(o.Steer.Watch.Sites)),
+		ended: make([]uint64, len(o.Steer.Watch.Sites))}
 	l.Watcher = p
 	return p, nil
 }
@@ -144,6 +147,9 @@
 	default: // withdrawn, or never sent
 		return
 	}
+	if b.Zone >= 0 && b.Zone < len(p.ended) {
+		p.ended[b.Zone]++
+	}
 	p.steer.Watch().Outcome(p.loop.Now(), b.Zone, backend, kind, latency)
 }
 
@@ -186,6 +192,11 @@
 		p.tell(c)
 	}
 	p.count(w)
+	ramps := map[string]float64{}
+	for i, share := range p.steer.Ramps() {
+		ramps[p.o.Steer.Watch.Sites[i]] = share
+	}
+	p.ramps.Store(&ramps)
 	p.solve()
 	p.members(now)
 }
@@ -302,6 +313,27 @@
 	p.steer.Members(p.loop.Now(), v.Majority(), all)
 }
 
+// Ramps are the parts of their load that sites may have, as this agent sees it, by name; nil: it has not begun. It may
+// be called from any goroutine.
+func (p *Pilot) Ramps() map[string]float64 {
+	if r := p.ramps.Load(); r != nil {
+		return *r
+	}
+	return nil
+}
+
+// Pace has returning sites follow what one agent says for all, for so long. It may be called from any goroutine.
+func (p *Pilot) Pace(ramps map[string]float64, span time.Duration) {
+	go p.loop.Post(func() { // Post may wait
+		till := p.loop.Now() + span
+		for i, name := range p.o.Steer.Watch.Sites {
+			if share, told := ramps[name]; told {
+				p.steer.Pace(i, share, till)
+			}
+		}
+	})
+}
+
 // Gauges are the figures.
 func (p *Pilot) Gauges() []figures.Gauge {
 	return []figures.Gauge{{Name: "sites_lost", Value: p.lost.Load}, {Name: "sites_doubted", Value: p.doubted.Load},
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -221,6 +221,7 @@
 	failed  int             // and trials that failed since one was served
 	row     int             // attempts that failed since the last that was answered
 	okAt    time.Duration   // when that was; -1: never
+	wasLost bool            // cut: it was lost before, for others too
 	late    []Late
 	seen    seen // of the last Tick
 }
@@ -326,6 +327,9 @@
 			s.losses = s.losses[1:]
 		}
 	}
+	if to == Cut {
+		s.wasLost = s.state == Lost
+	}
 	s.state, s.since, s.failing, s.serving, s.trials, s.failed = to, w.now, -1, -1, 0, 0
 }
 
--- a/internal/site/steer.go
+++ b/internal/site/steer.go
@@ -123,6 +123,13 @@
 	said  uint64
 	moves []Change
 	came  *returns
+	paced []pace // by site, of one who paces the return for all
+}
+
+// pace is what a site may have, and until when that holds.
+type pace struct {
+	share float64
+	till  time.Duration
 }
 
 // NewSteer returns one for an agent of a site (-1: of none), at a time.
@@ -259,9 +266,37 @@
 	return a.Basis == b.Basis && slices.Equal(a.Remain, b.Remain) && slices.Equal(a.Share, b.Share) && slices.Equal(a.Admit, b.Admit)
 }
 
+// Pace has a returning site's part follow what one agent says for all, until a time; the own ramp holds again after it.
+func (s *Steer) Pace(site int, share float64, till time.Duration) {
+	if s.paced == nil {
+		s.paced = make([]pace, len(s.sites))
+	}
+	if site >= 0 && site < len(s.paced) && share >= 0 && share <= 1 {
+		s.paced[site] = pace{share, till}
+	}
+}
+
+// Ramps are the parts that sites may have by this agent's own ramps.
+func (s *Steer) Ramps() []float64 {
+	all := make([]float64, len(s.sites))
+	for i := range all {
+		switch s.w.State(i) {
+		case Lost, Cut:
+		case Returning:
+			all[i] = s.cfg.Ramp.Share(s.now-s.w.sites[i].since, s.w.losses(i))
+		default:
+			all[i] = 1
+		}
+	}
+	return all
+}
+
 // ramp is the part of its load that a returning site may have by now, in steps.
 func (s *Steer) ramp(i int) float64 {
 	share := s.cfg.Ramp.Share(s.now-s.w.sites[i].since, s.w.losses(i))
+	if s.paced != nil && s.now < s.paced[i].till {
+		share = s.paced[i].share
+	}
 	if share >= 1 {
 		return 1
 	}
--- a/internal/site/steer_test.go
+++ b/internal/site/steer_test.go
@@ -236,6 +236,34 @@
 	}
 }
 
+// One agent paces the return for all; without word of it each goes by its own ramp.
+func TestThePaceIsToldByOne(t *testing.T) {
+	x := newSteering(t, 0, nil)
+	x.do[1] = Reset
+	x.play(3 * time.Second)
+	delete(x.do, 1)
+	for x.s.Watch().State(1) != Returning && x.now < 30*time.Second {
+		x.play(step)
+	}
+	x.s.Pace(1, 0.4, x.now+2*time.Second)
+	x.play(1500 * time.Millisecond)
+	if got := x.order.Remain[1]; got != 0.375 {
+		t.Errorf("%v of it, told 0.4", got)
+	}
+	if own := x.s.Ramps()[1]; own < 0.5 {
+		t.Errorf("its own ramp is at %v", own)
+	}
+	x.play(time.Second)
+	if got := x.order.Remain[1]; got < 0.625 {
+		t.Errorf("%v of it once nobody tells any more", got)
+	}
+	x.s.Pace(1, 1, x.now+2*time.Second)
+	x.play(step)
+	if x.s.Watch().State(1) != Well {
+		t.Errorf("%v", x.s.Watch().State(1))
+	}
+}
+
 // Others reach it: this agent alone keeps off, and takes it for warm when it is back.
 func TestACutIsNoLoss(t *testing.T) {
 	x := newSteering(t, 0, nil)
--- a/internal/standin/scenario.go
+++ b/internal/standin/scenario.go
@@ -110,6 +110,8 @@
 	Nodes  []string `toml:"nodes"`  // none: all
 	Agents []string `toml:"agents"` // of cut: who is cut off, by name or as site:NAME; none: all
 	Size   float64  `toml:"size"`   // what it means depends on what; see Faults
+
+	byHand *hand // ended by a call, not by its time
 }
 
 // Faults are those that a scenario can time, and what their size means.
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -271,8 +271,40 @@
 	return list
 }
 
+// hand is how a fault ends that a call began.
+type hand struct {
+	mu   sync.Mutex
+	ends []func()
+}
+
+// Harm begins a fault now. The function that comes back ends it, where it is one that ends; AtS and ForS say nothing.
+func (s *Site) Harm(f FaultSpec) (end func(), err error) {
+	f.AtS, f.ForS, f.byHand = 0, 0, &hand{}
+	sc := *s.sc
+	sc.Faults = []FaultSpec{f}
+	if err := sc.checkFaults(); err != nil {
+		return nil, err
+	}
+	f = sc.Faults[0]
+	s.fault(&f)
+	return func() {
+		f.byHand.mu.Lock()
+		defer f.byHand.mu.Unlock()
+		for _, end := range f.byHand.ends {
+			end()
+		}
+		f.byHand.ends = nil
+	}, nil
+}
+
 // ending runs f when a fault is over, if it ends at all.
 func (s *Site) ending(f *FaultSpec, end func()) {
+	if f.byHand != nil {
+		f.byHand.mu.Lock()
+		defer f.byHand.mu.Unlock()
+		f.byHand.ends = append(f.byHand.ends, end)
+		return
+	}
 	if f.ForS > 0 {
 		s.timers.after(sec(f.ForS), end)
 	}
