lemonctl: one way to ask doors, with a word on what an agent lacks

Need: lemonctl sites show asks doors as members does. One askDoor for both; the words for an agent without the feature stay as tests want them. Result: go test ./cmd/lemonctl passes.

--- a/cmd/lemonctl/members.go
+++ b/cmd/lemonctl/members.go
@@ -114,7 +114,7 @@
 
 func askMembers(ctx context.Context, client *http.Client, door string) (*link.Report, error) {
 	r := &link.Report{}
-	return r, askDoor(ctx, client, door, "/api/members", r)
+	return r, askDoor(ctx, client, door, "/api/members", "it keeps no view of the fleet (started without -members)", r)
 }
 
 // compare finds who holds the same view, and about whom others differ.
--- a/cmd/lemonctl/sitesshow.go
+++ b/cmd/lemonctl/sitesshow.go
@@ -91,7 +91,7 @@
 	for _, d := range doors {
 		all.Go(func() {
 			r := &pilot.Report{}
-			err := askDoor(ctx, client, d, "/api/sites", r)
+			err := askDoor(ctx, client, d, "/api/sites", "it watches no sites (started without -sites)", r)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -105,8 +105,8 @@
 	return l
 }
 
-// askDoor asks a door for something that is told as JSON.
-func askDoor(ctx context.Context, client *http.Client, door, path string, into any) error {
+// askDoor asks a door for something that is told as JSON; without is what an agent lacks that doesn't tell.
+func askDoor(ctx context.Context, client *http.Client, door, path, without string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+path, nil)
 	if err != nil {
 		return err
@@ -121,7 +121,7 @@
 	case err != nil:
 		return err
 	case resp.StatusCode == http.StatusNotFound:
-		return fmt.Errorf("it has no %s: started without the flag", path)
+		return errors.New(without)
 	case resp.StatusCode != http.StatusOK:
 		return fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(raw)))
 	}
