--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -126,6 +126,9 @@
 		return nil // of before
 	}
 	h.next, h.ready = a.Next, a.Ready
+	if a.Next != h.cfg.Agent && a.Holder != h.cfg.Agent {
+		h.said = false
+	}
 	switch {
 	case h.stage == Holding && (a.Holder != h.cfg.Agent || a.Epoch != h.epoch):
 		h.end("another holds it")
@@ -348,6 +351,9 @@
 	return c
 }
 
+// Expects reports whether the duty is about to be handed on to this agent: it had best look often.
+func (h *Holder) Expects() bool { return h.said && h.stage == Idle }
+
 // Stage is where it stands; Epoch of its last holding.
 func (h *Holder) Stage() Stage { return h.stage }
 
--- a/internal/duty/seat/clerk.go
+++ b/internal/duty/seat/clerk.go
@@ -160,14 +160,17 @@
 			}
 		}
 	}
-	holds := int64(0)
+	holds, every := int64(0), lookEvery
 	for _, h := range c.holders {
+		if h.Expects() {
+			every = 2 * c.o.Settings.tick()
+		}
 		if h.Stage() == duty.Holding {
 			holds++
 		}
 	}
 	c.held.Store(holds)
-	if now-c.looked >= lookEvery {
+	if now-c.looked >= every {
 		c.looked = now
 		if c.leader != "" && now-c.word > silentLooks*lookEvery { // its line stands, and brings nothing: another may lead by now
 			c.leader = ""
