--- a/cmd/lemonctl/doors_test.go
+++ b/cmd/lemonctl/doors_test.go
@@ -79,6 +79,13 @@
 	if code, _, complaints := call(t, "", "duties", "hand-on", y, "pace", "n2"); code != 0 || asked != "/api/duties/pace/hand-on/n2" {
 		t.Errorf("exit %d, %s: %s", code, asked, complaints)
 	}
+	notes := tells(t, "/api/duties", &seat.Report{Agent: "n2", Duties: []seat.Row{{Duty: "notes", Holder: "n2", Epoch: 3, State: `{"alive":4,"odd":[{"name":"n7","state":"dead"}]}`}}}, nil)
+	if code, out, complaints := call(t, "", "members", "--from-keeper", x, notes); code != 0 || !strings.Contains(out, "n7") || !strings.Contains(out, `"holder": "n2"`) {
+		t.Errorf("exit %d: %s %s", code, out, complaints)
+	}
+	if code, _, complaints := call(t, "", "members", "--from-keeper", x); code != 1 || !strings.Contains(complaints, "nobody has kept notes") {
+		t.Errorf("exit %d: %s", code, complaints)
+	}
 	if code, _, complaints := call(t, "", "duties", "release", "pace", x); code != 1 || !strings.Contains(complaints, "none of these agents holds pace") {
 		t.Errorf("exit %d: %s", code, complaints)
 	}
--- a/cmd/lemonctl/duties.go
+++ b/cmd/lemonctl/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -161,3 +162,28 @@
 	_, err = s.out.Write(body)
 	return err
 }
+
+// keeperNotes prints what the holder of the duty notes has written down.
+func keeperNotes(ctx context.Context, s streams, doors []string) error {
+	l := lookAtDuties(ctx, doors)
+	var best *seat.Row
+	for _, d := range slices.Sorted(maps.Keys(l.Agents)) {
+		for i := range l.Agents[d].Duties {
+			row := &l.Agents[d].Duties[i]
+			if row.Duty == seat.NotesDuty && (best == nil || row.Epoch > best.Epoch || row.Epoch == best.Epoch && row.Acts > best.Acts) {
+				best = row
+			}
+		}
+	}
+	switch {
+	case len(l.Agents) == 0:
+		return errors.New("no agent answered")
+	case best == nil || best.State == "":
+		return errors.New("nobody has kept notes yet")
+	}
+	var notes any
+	if err := json.Unmarshal([]byte(best.State), &notes); err != nil {
+		return fmt.Errorf("the notes can't be read: %w", err)
+	}
+	return printJSON(s.out, map[string]any{"holder": best.Holder, "epoch": best.Epoch, "notes": notes})
+}
--- a/cmd/lemonctl/lose.go
+++ b/cmd/lemonctl/lose.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"text/tabwriter"
+	"time"
 
 	"lemonrail/internal/cluster"
 )
@@ -142,3 +143,41 @@
 	}
 	return nil
 }
+
+type clusterDutiesCmd struct {
+	Agent   string        `required:"" placeholder:"PROGRAM" help:"The agent's program, such as bin/lemonrail."`
+	Agents  int           `default:"20" help:"How many."`
+	Seats   []int         `default:"0,3,5,7" help:"Seats that sit, one run each; 0: no duties."`
+	LeaseMs int           `default:"3000" help:"Of the one duty that is held."`
+	For     time.Duration `default:"20s" help:"How long each is measured."`
+	JSON    bool          `name:"json" help:"Print one JSON object."`
+}
+
+func (c *clusterDutiesCmd) Run(ctx context.Context, s streams) error {
+	var rows []*cluster.RestResult
+	for _, seats := range c.Seats {
+		if seats < 0 || seats > 7 || seats > c.Agents || seats > 0 && seats%2 == 0 {
+			return fmt.Errorf("--seats: %d; 0, 1, 3, 5 or 7 make sense", seats)
+		}
+		fmt.Fprintf(s.err, "%d agents, %d seats\n", c.Agents, seats)
+		dir, err := os.MkdirTemp("", "lemonctl-duties-")
+		if err != nil {
+			return err
+		}
+		r, err := cluster.Rest{Program: c.Agent, Dir: dir, Agents: c.Agents, Seats: seats, LeaseMs: c.LeaseMs, Members: clusterMembers, For: c.For}.Run(ctx)
+		if err := errors.Join(err, os.RemoveAll(dir)); err != nil {
+			return err
+		}
+		rows = append(rows, r)
+	}
+	if c.JSON {
+		return printJSON(s.out, map[string]any{"runs": rows})
+	}
+	t := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "agents\tseats\tcore of a seat\tof another\tMB of a seat\tof another\twritten by a seat\tsyncs")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%d\t%d\t%.2f %%\t%.2f %%\t%.1f\t%.1f\t%.0f B/s\t%.1f /s\n", r.Agents, r.Seats, 100*r.SeatCPU, 100*r.OtherCPU, float64(r.SeatKB)/1024, float64(r.OtherKB)/1024,
+			r.WrittenPerS, r.SyncsPerS)
+	}
+	return t.Flush()
+}
--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -42,6 +42,7 @@
 	Cluster struct {
 		Run    clusterRunCmd    `cmd:"" help:"Start many agents, do them harm by a timetable, and see whether their views become equal and true."`
 		Lose   clusterLoseCmd   `cmd:"" help:"Lose a whole site under load, with and without a plan, and measure what clients get."`
+		Duties clusterDutiesCmd `cmd:"" help:"Measure what duties cost a fleet that does nothing else."`
 		Shrink clusterShrinkCmd `cmd:"" help:"Kill most agents of a fleet while its clients go to those left, and measure what they get."`
 	} `cmd:"" help:"A rig of many agents, with faults between them."`
 	Sites struct {
--- a/cmd/lemonctl/members.go
+++ b/cmd/lemonctl/members.go
@@ -22,11 +22,12 @@
 const askLimit = 2 * time.Second
 
 type membersCmd struct {
-	Doors []string      `arg:"" help:"Operators' doors of agents, HOST:PORT."`
-	Watch time.Duration `placeholder:"TIME" help:"Ask again each TIME, and print what changes."`
-	For   time.Duration `placeholder:"TIME" help:"End after so long."`
-	JSON  bool          `name:"json" help:"Print JSON: one object each time."`
-	HTML  string        `name:"html" placeholder:"FILE" help:"Write the views over time as one page, at the end."`
+	Doors  []string      `arg:"" help:"Operators' doors of agents, HOST:PORT."`
+	Watch  time.Duration `placeholder:"TIME" help:"Ask again each TIME, and print what changes."`
+	For    time.Duration `placeholder:"TIME" help:"End after so long."`
+	JSON   bool          `name:"json" help:"Print JSON: one object each time."`
+	HTML   string        `name:"html" placeholder:"FILE" help:"Write the views over time as one page, at the end."`
+	Keeper bool          `name:"from-keeper" help:"Print the notes of the one that keeps them for the fleet (duty notes), by the first agent that knows."`
 }
 
 // fleetLook is what all doors said at a time.
@@ -39,6 +40,9 @@
 }
 
 func (c *membersCmd) Run(ctx context.Context, s streams) error {
+	if c.Keeper {
+		return keeperNotes(ctx, s, c.Doors)
+	}
 	if c.For > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.For)
--- a/internal/cluster/duties_test.go
+++ b/internal/cluster/duties_test.go
@@ -21,11 +21,13 @@
 const quickDuties = "act_ms = 100\ntick_ms = 20\ndrift = 0.05\n[[duty]]\nname = \"notes\"\nlease_ms = 1200\n"
 
 // dutiesRig runs some agents, of which the first three have seats, and waits until a duty is held.
-func dutiesRig(t *testing.T, n int) *cluster.Cluster {
+func dutiesRig(t *testing.T, n int) *cluster.Cluster { return dutiesRigOf(t, n, 3, quickDuties) }
+
+func dutiesRigOf(t *testing.T, n, seats int, text string) *cluster.Cluster {
 	t.Helper()
 	sc, err := standin.ParseScenario("site", []byte(cluster.SiteText(n, 2)))
 	must(t, err)
-	c, err := cluster.Open(cluster.Options{Program: built(t), Dir: t.TempDir(), Scenario: sc, Members: quick, Duties: quickDuties, Seats: 3, Seed: 1})
+	c, err := cluster.Open(cluster.Options{Program: built(t), Dir: t.TempDir(), Scenario: sc, Members: quick, Duties: text, Seats: seats, Seed: 1})
 	must(t, err)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -330,3 +332,24 @@
 	seatIs(t, c, 2, "it votes", votes)
 	heldBy(t, c, 0)
 }
+
+// A seat that the members have held for dead for long gives way to a spare one; back, it is spare itself.
+func TestASpareSeatTakesOver(t *testing.T) {
+	t.Parallel()
+	c := dutiesRigOf(t, 5, 4, "voters = 3\nreplace_s = 2\n"+quickDuties)
+	sits := func(r *seat.SeatReport) bool { return r.Votes && r.Seats[r.Name] == r.Identity }
+	seatIs(t, c, 1, "it sits", sits)
+	seatIs(t, c, 3, "it doesn't sit yet", func(r *seat.SeatReport) bool { return r.Seats["n3"] == "" })
+	must(t, c.Agents[1].Kill())
+	seatIs(t, c, 3, "it sits", func(r *seat.SeatReport) bool { return sits(r) && r.Seats["n1"] == "" && len(r.Seats) == 3 })
+	heldBy(t, c, 0)
+	must(t, c.Agents[1].Start())
+	must(t, c.Ready(patience))
+	seatIs(t, c, 1, "it asks to be let in, as another", func(r *seat.SeatReport) bool { return r.Start == "join" && r.Seats["n1"] == "" })
+	// The one that sits now is of use: another one of the first may go.
+	must(t, c.Agents[0].Kill())
+	_, epoch := heldBy(t, c, 0)
+	if epoch == 0 {
+		t.Error("nobody holds the duty")
+	}
+}
--- /dev/null
+++ b/internal/cluster/usage.go
@@ -0,0 +1,169 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"lemonrail/internal/standin"
+)
+
+// Usage is what an agent's process has used, as the kernel counts it.
+type Usage struct {
+	CPU        time.Duration
+	ResidentKB int64
+}
+
+// Usage reads it; an error where no process runs.
+func (a *Agent) Usage() (u Usage, err error) {
+	a.mu.Lock()
+	if !a.up() {
+		a.mu.Unlock()
+		return u, fmt.Errorf("%s isn't up", a.Name)
+	}
+	pid := a.cmd.Process.Pid
+	a.mu.Unlock()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:])) // from the third on
+	if len(fields) < 22 {
+		return u, errors.New("what the kernel counts can't be read")
+	}
+	var ticks, pages int64
+	for _, i := range []int{11, 12} { // user and system, in hundredths of a second
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return u, err
+		}
+		ticks += n
+	}
+	if pages, err = strconv.ParseInt(fields[21], 10, 64); err != nil {
+		return u, err
+	}
+	return Usage{time.Duration(ticks) * 10 * time.Millisecond, pages * int64(os.Getpagesize()) / 1024}, nil
+}
+
+// Rest is a fleet that does nothing, and what its duties cost.
+type Rest struct {
+	Program string
+	Dir     string
+	Agents  int
+	Seats   int // 0: no duties at all, to compare with
+	LeaseMs int
+	Members string
+	For     time.Duration
+}
+
+// RestResult is what came of it, in the middle of the agents of a kind.
+type RestResult struct {
+	Agents      int     `json:"agents"`
+	Seats       int     `json:"seats"`
+	SeatCPU     float64 `json:"seat_core_share"`  // share of a core, of an agent with a seat
+	OtherCPU    float64 `json:"other_core_share"` // and of one without
+	SeatKB      int64   `json:"seat_resident_kb"`
+	OtherKB     int64   `json:"other_resident_kb"`
+	WrittenPerS float64 `json:"written_bytes_a_second"` // of a seat, to its disk
+	SyncsPerS   float64 `json:"syncs_a_second"`
+}
+
+// Run measures it.
+func (o Rest) Run(ctx context.Context) (out *RestResult, err error) {
+	sc, err := standin.ParseScenario("the rig's site", []byte(SiteText(o.Agents, 2)))
+	if err != nil {
+		return nil, err
+	}
+	opt := Options{Program: o.Program, Dir: o.Dir, Scenario: sc, Members: o.Members, Seed: 1, Seats: o.Seats}
+	if o.Seats > 0 {
+		opt.Duties = fmt.Sprintf("voters = %d\n[[duty]]\nname = \"notes\"\nlease_ms = %d\n", o.Seats, o.LeaseMs)
+	}
+	c, err := Open(opt)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, c.Close()) }()
+	if err := c.StartAll(30 * time.Second); err != nil {
+		return nil, err
+	}
+	if err := c.Until(60*time.Second, c.Agree); err != nil {
+		return nil, err
+	}
+	if o.Seats > 0 {
+		if err := c.Until(60*time.Second, func() error {
+			r, err := c.Agents[0].Duties()
+			if err == nil && (len(r.Duties) == 0 || r.Duties[0].Holder == "") {
+				err = errors.New("nobody holds the duty")
+			}
+			return err
+		}); err != nil {
+			return nil, err
+		}
+	}
+	type sample struct {
+		Usage
+		written, syncs uint64
+	}
+	take := func() (all []sample, err error) {
+		for i, a := range c.Agents {
+			u, err := a.Usage()
+			if err != nil {
+				return nil, err
+			}
+			s := sample{Usage: u}
+			if i < o.Seats {
+				r, err := a.Duties()
+				if err != nil {
+					return nil, err
+				}
+				s.written, s.syncs = r.Seat.Written, r.Seat.Syncs
+			}
+			all = append(all, s)
+		}
+		return all, nil
+	}
+	before, err := take()
+	if err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	if err := sleep(ctx, o.For); err != nil {
+		return nil, err
+	}
+	after, err := take()
+	if err != nil {
+		return nil, err
+	}
+	span := time.Since(begun).Seconds()
+	out = &RestResult{Agents: o.Agents, Seats: o.Seats}
+	var cpu [2][]float64
+	var kb [2][]int64
+	var written, syncs []float64
+	for i := range after {
+		kind := 1
+		if i < o.Seats {
+			kind = 0
+			written = append(written, float64(after[i].written-before[i].written)/span)
+			syncs = append(syncs, float64(after[i].syncs-before[i].syncs)/span)
+		}
+		cpu[kind] = append(cpu[kind], (after[i].CPU-before[i].CPU).Seconds()/span)
+		kb[kind] = append(kb[kind], after[i].ResidentKB)
+	}
+	out.SeatCPU, out.OtherCPU = middle(cpu[0]), middle(cpu[1])
+	out.SeatKB, out.OtherKB = middle(kb[0]), middle(kb[1])
+	out.WrittenPerS, out.SyncsPerS = middle(written), middle(syncs)
+	return out, nil
+}
+
+func middle[T int64 | float64](all []T) (m T) {
+	if len(all) == 0 {
+		return m
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
