A site that has just come back gets first what may be repeated

Need: its load is to come back first with the classes that lose least when it fails again (issue: the loss of a site). Sites.Gentle: keyed and unsafe requests are not begun at a returning site below half of its load while another is well; what has begun there keeps to the repeat rule. Ruled out: weights by class in the plan, which would have the solver split classes that the module sends by one choice.

--- a/balance/api.go
+++ b/balance/api.go
@@ -236,6 +236,8 @@
 		// is refused are refused first.
 		Admit []float64
 		Trial []bool // by zone: one request that may be repeated is to try it
+		// By zone: requests that may not simply be repeated are not begun there yet; they would lose most should it fail.
+		Gentle []bool
 		// Back says after how long a client whose request of a class is refused now is to come again; nil: as ever.
 		Back func(class int) time.Duration
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -437,6 +437,9 @@
 			b.now < t.turned(r.class).till || float64(len(t.out)) >= b.backMost() || !b.coldRoom(t, r) {
 			continue
 		}
+		if b.gentle(t, r) {
+			continue
+		}
 		share := b.share(t)
 		if share == 0 { // its site is lost: one request now and then tells whether it is back
 			if trials++; b.tries(t, r) && b.rng.Float64()*trials < 1 {
@@ -512,6 +515,12 @@
 	return 1
 }
 
+// gentle reports whether a request may not begin at a backend whose site has just come back.
+func (b *Balancer) gentle(t *backend, r *request) bool {
+	return t.Zone >= 0 && t.Zone < len(b.sites.Gentle) && b.sites.Gentle[t.Zone] &&
+		b.classes[r.class].Effect != Safe && len(r.attempts) == 0 && r.only == ""
+}
+
 // tries reports whether a request may try a lost site: where one is wanted, one that may be repeated.
 func (b *Balancer) tries(t *backend, r *request) bool {
 	return t.Zone < len(b.sites.Trial) && b.sites.Trial[t.Zone] && b.classes[r.class].Effect == Safe &&
--- a/balance/sites_test.go
+++ b/balance/sites_test.go
@@ -156,6 +156,22 @@
 	}
 }
 
+// What may not simply be repeated is not begun at a site that has just come back; the rest is.
+func TestASiteThatHasJustComeBackGetsWhatLosesLeast(t *testing.T) {
+	r := threeSites(t, 7)
+	r.step(balance.Sites{Share: []float64{1, 1, 1}, Gentle: []bool{false, true}})
+	if by := r.zones(300, 1); by['b'] != 0 {
+		t.Errorf("keyed requests went %v", by)
+	}
+	if by := r.zones(300, 0); by['b'] == 0 {
+		t.Errorf("those that may be repeated went %v", by)
+	}
+	r.step(balance.Sites{Share: []float64{1, 1, 1}})
+	if by := r.zones(300, 1); by['b'] == 0 {
+		t.Errorf("keyed requests went %v afterwards", by)
+	}
+}
+
 // The places of a lost site count for nothing: its share of the limit is gone with it.
 func TestTheLimitFollowsTheSites(t *testing.T) {
 	fill := func(share []float64) (n int) {
--- a/internal/site/pilot/pilot.go
+++ b/internal/site/pilot/pilot.go
@@ -206,7 +206,7 @@
 	for _, zone := range o.Cold { // before the order: from then on its backends are taken for cold
 		p.loop.Restarted(zone)
 	}
-	e := balance.Sites{Share: o.Share, Planned: o.Planned(), Admit: o.Admit, Trial: o.Trial}
+	e := balance.Sites{Share: o.Share, Planned: o.Planned(), Admit: o.Admit, Trial: o.Trial, Gentle: o.Gentle}
 	if o.Planned() {
 		e.Back = func(class int) time.Duration { return p.steer.Back(p.loop.Now(), class) }
 	}
--- a/internal/site/steer.go
+++ b/internal/site/steer.go
@@ -95,7 +95,8 @@
 	Share  []float64 // see balance.Sites
 	Admit  []float64
 	Trial  []bool
-	Cold   []int // sites whose backends count as just started, from this order on; once for each return
+	Gentle []bool // sites that have just come back: what may not simply be repeated is not begun there
+	Cold   []int  // sites whose backends count as just started, from this order on; once for each return
 }
 
 // steered is what Steer keeps of a site beside its state.
@@ -263,7 +264,7 @@
 }
 
 func same(a, b *Order) bool {
-	return a.Basis == b.Basis && slices.Equal(a.Remain, b.Remain) && slices.Equal(a.Share, b.Share) && slices.Equal(a.Admit, b.Admit)
+	return a.Basis == b.Basis && slices.Equal(a.Remain, b.Remain) && slices.Equal(a.Share, b.Share) && slices.Equal(a.Admit, b.Admit) && slices.Equal(a.Gentle, b.Gentle)
 }
 
 // Pace has a returning site's part follow what one agent says for all, until a time; the own ramp holds again after it.
@@ -381,11 +382,32 @@
 			o.Share[i] = max(o.Share[i]/top, s.cfg.Floor*o.Remain[i])
 		}
 	}
+	for i := range n {
+		if s.w.State(i) == Returning && o.Remain[i] < gentleUntil && s.elsewhere(i, o) {
+			if o.Gentle == nil {
+				o.Gentle = make([]bool, n)
+			}
+			o.Gentle[i] = true
+		}
+	}
 	if slices.ContainsFunc(admit, func(a float64) bool { return a < 1-1e-3 }) {
 		o.Admit = admit
 	}
 }
 
+// gentleUntil is the part of its load up to which a returning site gets only what may be repeated.
+const gentleUntil = 0.5
+
+// elsewhere reports whether another site is there for the rest.
+func (s *Steer) elsewhere(i int, o *Order) bool {
+	for k := range s.sites {
+		if k != i && s.w.State(k) == Well && o.Remain[k] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // row is what a plan says to this agent: its site's, or for one of no site the mean.
 func (s *Steer) row(p *Plan) (to, admit []float64) {
 	if s.own >= 0 {
--- a/internal/site/steer_test.go
+++ b/internal/site/steer_test.go
@@ -213,6 +213,9 @@
 	for x.s.Watch().State(1) == Returning {
 		x.play(step)
 		may := x.s.cfg.Ramp.Share(x.now-began+step, 1)
+		if g := x.order.Gentle != nil && x.order.Gentle[1]; x.order.Basis != Ordinary && g != (x.order.Remain[1] < gentleUntil) {
+			t.Fatalf("gentle: %v at %v of it", g, x.order.Remain[1])
+		}
 		if r := x.order.Remain[1]; x.order.Basis != Ordinary && (r < was || r > may+1e-9) {
 			t.Fatalf("%v of it after %v, by its ramp %v", r, x.now-began, may)
 		} else {
