One way to ask many doors, one sender of the rig's load; no new behaviour

Need: lemonctl asked doors in three copies, the rig read doors in three and sent the same classes in two. askAll and told are generic over what is told; shrink plays with the sender of cluster lose. Ruled out: one for the drivers' own loops (seat, clerk, link, pilot) too: their bounds and endings differ. Result: go test ./cmd/lemonctl ./internal/cluster pass.

--- a/cmd/lemonctl/duties.go
+++ b/cmd/lemonctl/duties.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -30,24 +29,8 @@
 }
 
 func lookAtDuties(ctx context.Context, doors []string) *dutiesLook {
-	l := &dutiesLook{At: time.Now(), Agents: map[string]*seat.Report{}, Silent: map[string]string{}}
-	client := &http.Client{Timeout: askLimit, Transport: &http.Transport{DisableKeepAlives: true}}
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	for _, d := range doors {
-		all.Go(func() {
-			r := &seat.Report{}
-			err := askDoor(ctx, client, d, "/api/duties", "it holds no duties (started without -duties)", r)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				l.Silent[d] = err.Error()
-			} else {
-				l.Agents[d] = r
-			}
-		})
-	}
-	all.Wait()
+	l := &dutiesLook{At: time.Now()}
+	l.Agents, l.Silent = askAll[seat.Report](ctx, doors, "/api/duties", "it holds no duties (started without -duties)")
 	return l
 }
 
--- a/cmd/lemonctl/members.go
+++ b/cmd/lemonctl/members.go
@@ -7,10 +7,8 @@
 	"fmt"
 	"html/template"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -95,32 +93,12 @@
 
 // lookAt asks all doors at once.
 func lookAt(ctx context.Context, doors []string) *fleetLook {
-	l := &fleetLook{At: time.Now(), Views: map[string]*link.Report{}, Silent: map[string]string{}}
-	client := &http.Client{Timeout: askLimit, Transport: &http.Transport{DisableKeepAlives: true}}
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	for _, door := range doors {
-		all.Go(func() {
-			r, err := askMembers(ctx, client, door)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				l.Silent[door] = err.Error()
-				return
-			}
-			l.Views[door] = r
-		})
-	}
-	all.Wait()
+	l := &fleetLook{At: time.Now()}
+	l.Views, l.Silent = askAll[link.Report](ctx, doors, "/api/members", "it keeps no view of the fleet (started without -members)")
 	l.compare()
 	return l
 }
 
-func askMembers(ctx context.Context, client *http.Client, door string) (*link.Report, error) {
-	r := &link.Report{}
-	return r, askDoor(ctx, client, door, "/api/members", "it keeps no view of the fleet (started without -members)", r)
-}
-
 // compare finds who holds the same view, and about whom others differ.
 func (l *fleetLook) compare() {
 	camps := map[string][]string{}
--- a/cmd/lemonctl/sitesshow.go
+++ b/cmd/lemonctl/sitesshow.go
@@ -8,11 +8,9 @@
 	"html/template"
 	"io"
 	"maps"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -84,53 +82,11 @@
 }
 
 func lookAtSites(ctx context.Context, doors []string) *sitesLook {
-	l := &sitesLook{At: time.Now(), Agents: map[string]*pilot.Report{}, Silent: map[string]string{}}
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	client := &http.Client{Timeout: askLimit, Transport: &http.Transport{DisableKeepAlives: true}}
-	for _, d := range doors {
-		all.Go(func() {
-			r := &pilot.Report{}
-			err := askDoor(ctx, client, d, "/api/sites", "it watches no sites (started without -sites)", r)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				l.Silent[d] = err.Error()
-			} else {
-				l.Agents[d] = r
-			}
-		})
-	}
-	all.Wait()
+	l := &sitesLook{At: time.Now()}
+	l.Agents, l.Silent = askAll[pilot.Report](ctx, doors, "/api/sites", "it watches no sites (started without -sites)")
 	return l
 }
 
-// askDoor asks a door for something that is told as JSON; without is what an agent lacks that doesn't tell.
-func askDoor(ctx context.Context, client *http.Client, door, path, without string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+path, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
-	switch {
-	case err != nil:
-		return err
-	case resp.StatusCode == http.StatusNotFound:
-		return errors.New(without)
-	case resp.StatusCode != http.StatusOK:
-		return fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(raw)))
-	}
-	if err := json.Unmarshal(raw, into); err != nil {
-		return fmt.Errorf("what it says can't be read: %w", err)
-	}
-	return nil
-}
-
 // text prints a line for each site and state that agents hold it for.
 func (l *sitesLook) text(w io.Writer) error {
 	type group struct {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -401,43 +401,26 @@
 }
 
 // Duties is how the agent's duties stand.
-func (a *Agent) Duties() (*seat.Report, error) {
-	status, body, err := a.Ask(http.MethodGet, "/api/duties")
-	if err != nil {
-		return nil, err
-	}
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("%s: %d: %s", a.Name, status, bytes.TrimSpace(body))
-	}
-	r := &seat.Report{}
-	return r, json.Unmarshal(body, r)
-}
+func (a *Agent) Duties() (*seat.Report, error) { return told[seat.Report](a.Door, "/api/duties") }
 
 // Members is the agent's view of the fleet.
 func (a *Agent) Members() (*link.Report, error) { return view(a.Door) }
 
 // Sites is what the agent holds the sites for.
-func (a *Agent) Sites() (*pilot.Report, error) {
-	status, body, err := a.Ask(http.MethodGet, "/api/sites")
-	if err != nil {
-		return nil, err
-	}
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("%s: %d: %s", a.Name, status, bytes.TrimSpace(body))
-	}
-	r := &pilot.Report{}
-	return r, json.Unmarshal(body, r)
-}
+func (a *Agent) Sites() (*pilot.Report, error) { return told[pilot.Report](a.Door, "/api/sites") }
+
+func view(door string) (*link.Report, error) { return told[link.Report](door, "/api/members") }
 
-func view(door string) (*link.Report, error) {
-	status, body, err := call(door, http.MethodGet, "/api/members")
+// told is what a door says as JSON.
+func told[T any](door, path string) (*T, error) {
+	status, body, err := call(door, http.MethodGet, path)
 	if err != nil {
 		return nil, err
 	}
 	if status != http.StatusOK {
 		return nil, fmt.Errorf("%s: %d: %s", door, status, bytes.TrimSpace(body))
 	}
-	r := &link.Report{}
+	r := new(T)
 	return r, json.Unmarshal(body, r)
 }
 
--- a/internal/cluster/shrink.go
+++ b/internal/cluster/shrink.go
@@ -5,15 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
 	"lemonrail/internal/ledger"
 	"lemonrail/internal/load"
 	"lemonrail/internal/standin"
-	"lemonrail/internal/trial"
 )
 
 // Shrink is a fleet of which most agents are killed, while their clients go to those that are left.
@@ -166,29 +163,8 @@
 
 // play sends requests to agents in an open loop.
 func (c *Cluster) play(ctx context.Context, l *ledger.Ledger, agents []*Agent, rate float64, span time.Duration, seed uint64) (ws []Window, err error) {
-	names := map[string]string{}
-	var targets []netip.AddrPort
-	for _, a := range agents {
-		targets = append(targets, a.Listen)
-		names[a.Listen.String()] = a.Name
-	}
-	rng := rand.New(rand.NewPCG(seed, 3))
-	at, n := 0.0, int64(0)
-	next := func() (*load.Request, error) {
-		if at += rng.ExpFloat64() / rate; at >= span.Seconds() {
-			return nil, io.EOF
-		}
-		n++
-		q := &load.Request{At: time.Duration(at * float64(time.Second)), Class: "read", Method: "GET", Target: "/read", Left: 600 * time.Millisecond, Origin: n, Seq: n}
-		if rng.Float64() < 0.4 {
-			q.Class, q.Method, q.Target, q.Left = "sub", "POST", "/sub", 800*time.Millisecond
-			q.Body, q.Effect = []byte(`{"for":"a rig"}`), fmt.Sprintf("%016x%016x", rng.Uint64(), uint64(n))
-		}
-		return q, nil
-	}
 	var begun time.Time
-	aims := map[string]time.Duration{"read": 300 * time.Millisecond, "sub": 400 * time.Millisecond}
-	_, err = load.Play(ctx, next, load.PlayOptions{Targets: targets, Seed: seed, Observer: &trial.Watch{Ledger: l, Agent: names}, Done: func(s *load.Sample) {
+	err = c.send(ctx, l, agents, rate, span, seed, func(s *load.Sample) {
 		if begun.IsZero() {
 			begun = s.Due
 		}
@@ -199,7 +175,7 @@
 		w := &ws[i]
 		w.Asked++
 		switch {
-		case s.Outcome == load.Served && s.Ended.Sub(s.Due) <= aims[s.Request.Class]:
+		case s.Outcome == load.Served && s.Ended.Sub(s.Due) <= classOf(s).aim:
 			w.InTime++
 		case s.Outcome == load.Served:
 			w.Late++
@@ -208,6 +184,6 @@
 		default:
 			w.Failed++
 		}
-	}})
+	})
 	return ws, err
 }
--- a/internal/cluster/siteloss.go
+++ b/internal/cluster/siteloss.go
@@ -92,6 +92,11 @@
 	aim, left time.Duration
 }
 
+// classOf is a played request's.
+func classOf(s *load.Sample) *lossClass {
+	return &lossClasses[slices.IndexFunc(lossClasses, func(k lossClass) bool { return k.name == s.Request.Class })]
+}
+
 // capacity of a site, in requests a second.
 const lossCapacity = lossNodes * lossCores * 1000 / lossWorkMs
 
@@ -349,7 +354,7 @@
 	book.mu.Unlock()
 	c.Site.Begin()
 	done := func(s *load.Sample) {
-		class := &lossClasses[slices.IndexFunc(lossClasses, func(k lossClass) bool { return k.name == s.Request.Class })]
+		class := classOf(s)
 		mu.Lock()
 		defer mu.Unlock()
 		i := int(max(0, s.Due.Sub(begun)) / lossWindow)
