Duties among processes: slow holders, links that lose, delay and stall; a paced return

Need: cases of the issue that were played in simulated time only. Result: five processes, a holder on a fiftieth of a core, links at 30 % loss, up to 1 s of delay, stalled: never two holders in an epoch, one afterwards, clients served; a site's return told by one agent to six.

--- a/internal/cluster/duties_test.go
+++ b/internal/cluster/duties_test.go
@@ -353,3 +353,59 @@
 		t.Error("nobody holds the duty")
 	}
 }
+
+// A holder that gets a fiftieth of a core, and links to the seats that lose, delay and stall: at every look at most one
+// agent holds the duty, and afterwards one does.
+func TestSlowHoldersAndLinks(t *testing.T) {
+	t.Parallel()
+	c := dutiesRig(t, 5)
+	all := []int{0, 1, 2, 3, 4}
+	seen := uint64(0)
+	// Reports of two agents are of two moments: two that say they hold it in one epoch are two holders, in two epochs they
+	// may be one after the other.
+	one := func() error {
+		by := map[uint64]string{}
+		for _, i := range all {
+			r, err := c.Agents[i].Duties()
+			if err != nil {
+				continue // too slow to answer
+			}
+			row := notes(r)
+			if row == nil {
+				continue
+			}
+			seen = max(seen, uint64(row.Epoch))
+			if row.Mine != "holding" {
+				continue
+			}
+			if other := by[uint64(row.Epoch)]; other != "" {
+				return fmt.Errorf("%s and %s hold epoch %d", other, r.Agent, row.Epoch)
+			}
+			by[uint64(row.Epoch)] = r.Agent
+		}
+		return nil
+	}
+	watch := func(d time.Duration) {
+		t.Helper()
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if err := one(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	holder, _ := heldBy(t, c, 0)
+	c.Agents[holder].Slow(0.02)
+	watch(3 * time.Second)
+	c.Agents[holder].Slow(1)
+	heldBy(t, c, 0)
+	for _, f := range []cluster.Fault{{Loss: 0.3}, {Delay: [2]time.Duration{0, time.Second}}, {Stall: true}} {
+		c.Link(all, []int{0, 1, 2}, func(x *cluster.Fault) { *x = f })
+		watch(2 * time.Second)
+		c.Link(all, []int{0, 1, 2}, func(x *cluster.Fault) { *x = cluster.Fault{} })
+		heldBy(t, c, 0)
+	}
+	if seen == 0 {
+		t.Error("nobody was ever seen to hold it")
+	}
+	served(t, c)
+}
--- a/internal/cluster/sites_test.go
+++ b/internal/cluster/sites_test.go
@@ -66,12 +66,15 @@
 )
 
 // sitesRig runs six agents that watch three sites, under load until the test ends; then no rule is broken.
-func sitesRig(t *testing.T) *cluster.Cluster {
+func sitesRig(t *testing.T) *cluster.Cluster { return sitesRigOf(t, "", 0) }
+
+func sitesRigOf(t *testing.T, duties string, seats int) *cluster.Cluster {
 	t.Helper()
 	sc, err := standin.ParseScenario("site", []byte(threeSites))
 	must(t, err)
 	l := ledger.New(standin.RulesOf(sc))
-	c, err := cluster.Open(cluster.Options{Program: built(t), Dir: t.TempDir(), Scenario: sc, Members: quick, Sites: quickSites, Seed: 1, Observer: l})
+	c, err := cluster.Open(cluster.Options{Program: built(t), Dir: t.TempDir(), Scenario: sc, Members: quick, Sites: quickSites, Seed: 1, Observer: l,
+		Duties: duties, Seats: seats})
 	must(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var loads sync.WaitGroup
@@ -324,3 +327,30 @@
 	end()
 	holds(t, c, everyone, "b", "well")
 }
+
+// One agent paces the return for all: its word stands in the table while a site is away, and changes as it comes back.
+func TestTheReturnIsPacedByOne(t *testing.T) {
+	t.Parallel()
+	c := sitesRigOf(t, "act_ms = 100\ntick_ms = 20\ndrift = 0.05\n[[duty]]\nname = \"pace\"\nlease_ms = 1200\n", 3)
+	told := func(so func(state string) bool) func() error {
+		return func() error {
+			r, err := c.Agents[4].Duties()
+			if err != nil {
+				return err
+			}
+			for _, row := range r.Duties {
+				if row.Duty == "pace" && row.Holder != "" && so(row.State) {
+					return nil
+				}
+			}
+			return fmt.Errorf("not told yet: %+v", r.Duties)
+		}
+	}
+	must(t, c.Until(patience, told(func(s string) bool { return s == "{}" })))
+	end := harm(t, c, standin.FaultSpec{What: "reset_before", Size: 1, Nodes: nb})
+	holds(t, c, everyone, "b", "lost")
+	must(t, c.Until(patience, told(func(s string) bool { return s == `{"b":0}` })))
+	end()
+	holds(t, c, everyone, "b", "well")
+	must(t, c.Until(patience, told(func(s string) bool { return s == "{}" })))
+}
