lemonctl: one loop watches doors; what nobody called in internal/duty is gone

Need: members and sites show kept the same loop of looks in two copies, sites show wrote its page past writeFile; duty.Sorted, Holder.Successor and a field of the test's disk had no user. watchDoors serves both. No behaviour changes. Result: go vet ./... and go test ./cmd/lemonctl ./internal/duty/... pass, by their exit code.

--- a/cmd/lemonctl/doors.go
+++ b/cmd/lemonctl/doors.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // askAll asks many doors at a time for something that is told as JSON: what each told, and why others didn't. without
@@ -35,6 +37,34 @@
 	return told, silent
 }
 
+const looksMost = 3600 // that are kept; the earliest go
+
+// watchDoors looks and shows, again each every (0: once) until span (0: no bound) or ctx is over, and returns the looks.
+func watchDoors[T any](ctx context.Context, every, span time.Duration, look func(context.Context) T, show func(T) error) (looks []T, err error) {
+	if span > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, span)
+		defer cancel()
+	}
+	for {
+		l := look(ctx)
+		if ctx.Err() != nil && len(looks) > 0 {
+			return looks, nil
+		}
+		if looks = append(looks, l); len(looks) > looksMost {
+			looks = slices.Delete(looks, 0, 1)
+		}
+		if err := show(l); err != nil || every <= 0 {
+			return looks, err
+		}
+		select {
+		case <-time.After(every):
+		case <-ctx.Done():
+			return looks, nil
+		}
+	}
+}
+
 // askDoor asks a door for something that is told as JSON; without is what an agent lacks that doesn't tell.
 func askDoor(ctx context.Context, client *http.Client, door, path, without string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+path, nil)
--- a/cmd/lemonctl/members.go
+++ b/cmd/lemonctl/members.go
@@ -41,42 +41,18 @@
 	if c.Keeper {
 		return keeperNotes(ctx, s, c.Doors)
 	}
-	if c.For > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, c.For)
-		defer cancel()
-	}
-	var looks []*fleetLook
 	last := ""
-	for {
-		look := lookAt(ctx, c.Doors)
-		if ctx.Err() != nil && len(looks) > 0 {
-			break
-		}
-		looks = append(looks, look)
-		if len(looks) > looksMost {
-			looks = slices.Delete(looks, 0, 1)
-		}
-		var err error
+	looks, err := watchDoors(ctx, c.Watch, c.For, func(ctx context.Context) *fleetLook { return lookAt(ctx, c.Doors) }, func(look *fleetLook) (err error) {
 		if text := look.text(); c.JSON {
 			err = json.NewEncoder(s.out).Encode(look)
 		} else if text != last {
 			last = text
 			_, err = fmt.Fprintf(s.out, "%s%s", map[bool]string{true: look.At.Format("15:04:05.0") + "\n"}[c.Watch > 0], text)
 		}
-		if err != nil {
-			return err
-		}
-		if c.Watch <= 0 {
-			break
-		}
-		select {
-		case <-time.After(c.Watch):
-		case <-ctx.Done():
-		}
-		if ctx.Err() != nil {
-			break
-		}
+		return err
+	})
+	if err != nil {
+		return err
 	}
 	if c.HTML != "" {
 		if err := writeFile(c.HTML, func(w io.Writer) error { return viewsPage(w, looks) }); err != nil {
@@ -89,8 +65,6 @@
 	return nil
 }
 
-const looksMost = 3600
-
 // lookAt asks all doors at once.
 func lookAt(ctx context.Context, doors []string) *fleetLook {
 	l := &fleetLook{At: time.Now()}
--- a/cmd/lemonctl/sitesshow.go
+++ b/cmd/lemonctl/sitesshow.go
@@ -8,7 +8,6 @@
 	"html/template"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -34,44 +33,17 @@
 }
 
 func (c *sitesShowCmd) Run(ctx context.Context, s streams) error {
-	if c.For > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, c.For)
-		defer cancel()
-	}
-	var looks []*sitesLook
-	for {
-		look := lookAtSites(ctx, c.Doors)
-		if ctx.Err() != nil && len(looks) > 0 {
-			break
-		}
-		if looks = append(looks, look); len(looks) > looksMost {
-			looks = slices.Delete(looks, 0, 1)
-		}
+	looks, err := watchDoors(ctx, c.Watch, c.For, func(ctx context.Context) *sitesLook { return lookAtSites(ctx, c.Doors) }, func(look *sitesLook) error {
 		if c.JSON {
-			if err := json.NewEncoder(s.out).Encode(look); err != nil {
-				return err
-			}
-		} else if err := look.text(s.out); err != nil {
-			return err
-		}
-		if c.Watch <= 0 {
-			break
-		}
-		select {
-		case <-time.After(c.Watch):
-		case <-ctx.Done():
-		}
-		if ctx.Err() != nil {
-			break
+			return json.NewEncoder(s.out).Encode(look)
 		}
+		return look.text(s.out)
+	})
+	if err != nil {
+		return err
 	}
 	if c.HTML != "" {
-		f, err := os.Create(c.HTML)
-		if err != nil {
-			return err
-		}
-		if err := errors.Join(sitesPage(f, looks), f.Close()); err != nil {
+		if err := writeFile(c.HTML, func(w io.Writer) error { return sitesPage(w, looks) }); err != nil {
 			return err
 		}
 	}
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -333,17 +333,6 @@
 	return c, true
 }
 
-// Successor names who is to take over; false: it doesn't hold the duty.
-func (h *Holder) Successor(now time.Duration, agent string) (Command, bool) {
-	if _, ok := h.May(now); !ok {
-		return Command{}, false
-	}
-	c := h.command(Name)
-	c.Agent = agent
-	c.ID = 0
-	return c, true
-}
-
 // Changes hands over what the agent has to act upon.
 func (h *Holder) Changes() []Change {
 	c := h.news
--- a/internal/duty/store/liar.go
+++ b/internal/duty/store/liar.go
@@ -24,7 +24,6 @@
 // lied is a file: what is written and what was synced.
 type lied struct {
 	now, kept []byte
-	synced    bool // its name too, with its content
 }
 
 // ErrInjected is the failure that was asked for.
@@ -151,7 +150,7 @@
 		return err
 	}
 	if !h.l.Lies {
-		h.f.kept, h.f.synced = bytes.Clone(h.f.now), true
+		h.f.kept = bytes.Clone(h.f.now)
 	}
 	return nil
 }
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -21,7 +21,6 @@
 package duty
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -355,9 +354,3 @@
 
 // ErrTable says that a table's bytes make no sense.
 var ErrTable = errors.New("duties: the table can't be read")
-
-// Sorted orders duties by name.
-func Sorted(all []Duty) []Duty {
-	slices.SortFunc(all, func(a, b Duty) int { return cmp.Compare(a.Name, b.Name) })
-	return all
-}
