An attempt not yet written is taken back: client gone, answered, or backend draining

Cause, by reading: core.send chose the backend and nothing looked again when the dial was over (upstream.once wrote at once); Left and answer only closed the call's entry. Ruled out: the list's way (the drain was told, or it would not count), a kept connection (Keep closes those only of backends that left the list, and a send on one does not wait). Change: each attempt has a core.Permit, which the loop takes back when the client has left, the call has its answer, or the backend takes nothing new (list, door, zone, leave, another address). The backend asks for it before the first byte and, dropped, is cut short before its last one. It ends as Withdrawn: never ran, no fault of the backend, chosen again at once at no cost. At a stop's end what was never written is refused instead of failed. The same for Diameter's queue. Test of leaving clients: TestClientLeaves now waits until the backend has the request (it left before the write by chance); stricter tests stand beside it for what is not written.

--- a/balance/api.go
+++ b/balance/api.go
@@ -284,10 +284,13 @@
 	Reset                       // the connection broke; may have run
 	Cancelled                   // withdrawn; may have run
 	NotSent                     // never sent
+	Withdrawn                   // never sent: its backend takes nothing new by now, or nobody waits for it; no fault of the backend
 )
 
 // NeverRan reports whether the result proves that the attempt had no effect.
-func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == NotSent }
+func (r Result) NeverRan() bool {
+	return r == Full || r == ConnectFailed || r == NotSent || r == Withdrawn
+}
 
 // EveryPeer as the addressee of a TellPeer means all the other agents.
 const EveryPeer = -1
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -261,7 +261,9 @@
 		return
 	}
 	r.failed = a.b
-	if r.open == 0 && !r.waiting && !r.holding {
+	if e.Result == Withdrawn && !r.waiting && !r.holding { // it costs nothing, nobody has seen it
+		b.hold(r)
+	} else if r.open == 0 && !r.waiting && !r.holding {
 		b.retry(r, e.Result)
 	}
 }
--- /dev/null
+++ b/balance/withdrawn_test.go
@@ -0,0 +1,79 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"lemonrail/balance"
+)
+
+// An attempt that was never begun, since its backend takes nothing new by now, is chosen again at once: whatever
+// the request may do, with an empty bucket too, and at another backend. Nobody has been at fault.
+func TestWithdrawnGoesElsewhere(t *testing.T) {
+	for class := range settings().Classes {
+		s := settings()
+		s.SecondCopies = class == keyedAll
+		r := newRig(t, s, 1, backends(2))
+		r.request("q", class)
+		first := r.sent["q"][0]
+		other := map[string]string{"a": "b", "b": "a"}[first]
+		r.step(balance.List{Kind: balance.ListDelta, Backends: []balance.Backend{{ID: first, State: balance.Draining}}},
+			balance.Outcome{Request: "q", Attempt: 0, Backend: first, Result: balance.Withdrawn, Load: balance.NoLoad()})
+		if got := r.sent["q"]; len(got) != 2 || got[1] != other {
+			t.Errorf("class %d: sent to %v", class, got)
+		}
+		if ejected := r.b.Ejected(r.now); len(ejected) != 0 {
+			t.Errorf("class %d: %v ejected", class, ejected)
+		}
+	}
+}
+
+// A client that leaves while its request is held, or waits for its next attempt, is sent nowhere later.
+func TestAbandonedIsNotSent(t *testing.T) {
+	for seed := range uint64(300) {
+		r := newRig(t, settings(), seed, backends(2))
+		r.request("backoff", safe)
+		r.step(balance.Outcome{Request: "backoff", Attempt: 0, Backend: r.sent["backoff"][0], Result: balance.ConnectFailed, Load: balance.NoLoad()})
+		// Leaves before the timer, with it in either order, or with the outcome.
+		switch seed % 4 {
+		case 0:
+			r.step(balance.Abandoned{Request: "backoff"})
+		case 1:
+			r.step(balance.Abandoned{Request: "backoff"}, r.timers[len(r.timers)-1])
+		case 2:
+			r.request("early", safe)
+			r.step(balance.Abandoned{Request: "early"}, balance.Outcome{Request: "early", Attempt: 0, Backend: r.sent["early"][0],
+				Result: balance.Withdrawn, Done: true, Load: balance.NoLoad()}, balance.Abandoned{Request: "backoff"})
+		case 3:
+			r.request("unsafe", unsafe)
+			r.step(balance.Outcome{Request: "unsafe", Attempt: 0, Backend: r.sent["unsafe"][0], Result: balance.Full, Load: balance.NoLoad()},
+				balance.Abandoned{Request: "unsafe"}, balance.Abandoned{Request: "backoff"})
+		}
+		for n := 0; n < 100; n++ { // fill it, so that what comes is held
+			r.request(string(rune(1000+n)), safe)
+		}
+		if len(r.sent["held"]) == 0 {
+			r.request("held", safe)
+		}
+		before := map[string]int{}
+		for _, id := range []string{"backoff", "held", "early", "unsafe"} {
+			before[id] = len(r.sent[id])
+			r.step(balance.Abandoned{Request: id})
+		}
+		for n := 0; n < 50; n++ { // room comes
+			id := string(rune(1000 + n))
+			if len(r.sent[id]) > 0 {
+				r.step(balance.Outcome{Request: id, Attempt: 0, Backend: r.sent[id][0], Result: balance.OK, Latency: time.Millisecond, Done: true, Load: balance.NoLoad()})
+			}
+		}
+		r.advance(5 * time.Second)
+		for id, n := range before {
+			if len(r.sent[id]) != n {
+				t.Fatalf("seed %d: %s was sent on after its client had left", seed, id)
+			}
+		}
+		if before["held"] != 0 {
+			t.Fatalf("seed %d: nothing was held", seed)
+		}
+	}
+}
--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -37,11 +37,11 @@
 	diameter *diameterback.Backend
 }
 
-func (b *both) Exchange(ctx context.Context, to core.Target, request any) core.Response {
+func (b *both) Exchange(ctx context.Context, p *core.Permit, to core.Target, request any) core.Response {
 	if r, ok := request.(*diameterback.Request); ok {
-		return b.diameter.Exchange(ctx, to, r)
+		return b.diameter.Exchange(ctx, p, to, r)
 	}
-	return b.http1.Exchange(ctx, to, request)
+	return b.http1.Exchange(ctx, p, to, request)
 }
 
 func (b *both) Probe(to core.Target) core.Response { return b.http1.Probe(to) }
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -1,10 +1,13 @@
 package agent
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -12,6 +15,7 @@
 
 	"lemonrail/balance"
 	"lemonrail/internal/core"
+	"lemonrail/internal/roster"
 	"lemonrail/internal/scripted"
 )
 
@@ -91,12 +95,17 @@
 
 // ask sends a read with an id of its own.
 func ask(client *http.Client, url, id string) (*http.Response, string, error) {
+	return askWithin(client, url, id, "10000m")
+}
+
+// askWithin is ask with the time that the client waits.
+func askWithin(client *http.Client, url, id, left string) (*http.Response, string, error) {
 	req, err := http.NewRequest(http.MethodGet, url+"/read?key=7f", nil)
 	if err != nil {
 		return nil, "", err
 	}
 	req.Header.Set("X-Correlation-Id", id)
-	req.Header.Set("X-Time-Left", "10000m")
+	req.Header.Set("X-Time-Left", left)
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, "", err
@@ -148,3 +157,37 @@
 	}
 	return a
 }
+
+// lists is a discovery that pushes what a test tells.
+type lists struct {
+	addr string
+	tell chan roster.List
+}
+
+func newLists(t testing.TB) *lists {
+	l := &lists{tell: make(chan roster.List, 10)}
+	l.addr = backend(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := receive(r); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		gone := make(chan struct{})
+		go func() {
+			r.ReadByte()
+			close(gone)
+		}()
+		for {
+			select {
+			case list := <-l.tell:
+				raw, err := json.Marshal(list)
+				if err != nil {
+					t.Error(err)
+				}
+				fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(raw)+1, raw)
+			case <-gone:
+				return
+			}
+		}
+	})
+	return l
+}
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -112,12 +112,13 @@
 	}
 }
 
-// A client that leaves is owed nothing; its attempt goes on and still has its one outcome.
+// A client that leaves is owed nothing; its attempt, which has been written, goes on and still has its one outcome.
 func TestClientLeaves(t *testing.T) {
-	release := make(chan struct{})
+	received, release := make(chan struct{}), make(chan struct{})
 	bal := newScripted(sendAll)
 	base, _, _ := running(t, testConfig(t, backend(t, func(c net.Conn, r *bufio.Reader) {
 		receive(r)
+		close(received)
 		<-release
 		io.WriteString(c, hello)
 	})), bal)
@@ -131,6 +132,7 @@
 	client := newClient(t)
 	go client.Do(req)
 	next[balance.Request](t, bal)
+	await(t, received)
 	leave()
 	if e := next[balance.Abandoned](t, bal); e.Request != "d1" {
 		t.Errorf("got %+v", e)
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -103,6 +103,8 @@
 type item struct {
 	raw   []byte
 	state itemState
+
+	permit *core.Permit // nil: of the base protocol
 }
 
 type itemState uint8
@@ -135,24 +137,35 @@
 }
 
 // Exchange makes one attempt.
-func (b *Backend) Exchange(ctx context.Context, to core.Target, request any) core.Response {
+func (b *Backend) Exchange(ctx context.Context, p *core.Permit, to core.Target, request any) core.Response {
 	r := request.(*Request)
 	s := b.server(to)
 	if s == nil {
 		return core.Response{Result: balance.NotSent}
 	}
-	if res, ok := s.await(ctx); !ok {
+	back := make(chan struct{})
+	if !p.Await(func() { close(back) }) {
+		return core.Response{Result: balance.Withdrawn}
+	}
+	if res, ok := s.await(ctx, back); !ok {
 		return core.Response{Result: res}
 	}
-	a, res := s.send(r)
+	a, res := s.send(r, p)
 	if a == nil {
 		return core.Response{Result: res}
 	}
-	select {
-	case got := <-a.done:
-		return got
-	case <-ctx.Done():
-		return s.giveUp(ctx, a)
+	for {
+		select {
+		case got := <-a.done:
+			return got
+		case <-ctx.Done():
+			return s.giveUp(ctx, a)
+		case <-back:
+			if s.withdraw(a) {
+				return core.Response{Result: balance.Withdrawn}
+			}
+			back = nil // it is out
+		}
 	}
 }
 
@@ -175,7 +188,7 @@
 }
 
 // await waits until requests may be sent, for as long as a connection may take.
-func (s *server) await(ctx context.Context) (balance.Result, bool) {
+func (s *server) await(ctx context.Context, back <-chan struct{}) (balance.Result, bool) {
 	s.mu.Lock()
 	opened := s.opened
 	s.mu.Unlock()
@@ -186,6 +199,8 @@
 		return 0, true
 	case <-limit.C:
 		return balance.ConnectFailed, false
+	case <-back:
+		return balance.Withdrawn, false
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return balance.Cancelled, false
@@ -194,7 +209,7 @@
 	}
 }
 
-func (s *server) send(r *Request) (*attempt, balance.Result) {
+func (s *server) send(r *Request, p *core.Permit) (*attempt, balance.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.open || s.conn == nil {
@@ -213,7 +228,7 @@
 		s.window.Answer(hop)
 		return nil, balance.NotSent
 	}
-	a.it = &item{raw: raw}
+	a.it = &item{raw: raw, permit: p}
 	select {
 	case s.writes <- a.it:
 	default: // the window bounds what waits, so that this is a full window too
@@ -224,6 +239,19 @@
 	return a, 0
 }
 
+// withdraw takes an attempt back whose turn to be written has not come. It reports whether it could.
+func (s *server) withdraw(a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.it.state != queued && a.it.state != dropped {
+		return false
+	}
+	a.it.state = dropped
+	delete(s.out, a.no)
+	s.window.Answer(a.hop)
+	return true
+}
+
 // giveUp ends an attempt whose time is up. A late answer to it finds nobody.
 func (s *server) giveUp(ctx context.Context, a *attempt) core.Response {
 	s.mu.Lock()
@@ -235,7 +263,7 @@
 	}
 	delete(s.out, a.no)
 	s.window.Answer(a.hop)
-	if a.it.state == queued {
+	if a.it.state == queued || a.it.state == dropped {
 		a.it.state = dropped
 		return core.Response{Result: balance.NotSent}
 	}
@@ -379,6 +407,9 @@
 			return
 		}
 		s.mu.Lock()
+		if it.state == queued && !it.permit.Begin(nil) {
+			it.state = dropped
+		}
 		skip := it.state == dropped
 		if !skip {
 			it.state = begun
@@ -556,7 +587,7 @@
 		}
 		delete(s.out, no)
 		res := balance.Reset
-		if a.it.state == queued || a.it.state == begun { // no whole message has left
+		if a.it.state != written { // no whole message has left
 			a.it.state = dropped
 			res = balance.ConnectFailed
 		}
--- a/internal/backend/diameter/backend_test.go
+++ b/internal/backend/diameter/backend_test.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	m := &diameter.Message{Flags: diameter.FlagRequest | diameter.FlagProxiable, Command: diameter.CreditControl, Application: diameter.AppCreditControl}
-	if r := b.Exchange(ctx, listed, &Request{Message: m, From: "c"}); r.Result != balance.OK {
+	if r := b.Exchange(ctx, nil, listed, &Request{Message: m, From: "c"}); r.Result != balance.OK {
 		t.Fatalf("got %v", r.Result)
 	}
 	b.Keep(func(to core.Target) bool { return to == listed })
--- /dev/null
+++ b/internal/backend/http1/permit_test.go
@@ -0,0 +1,198 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lemonrail/balance"
+	"lemonrail/internal/core"
+)
+
+const rounds = 300 // of each crossing
+
+// watched is a backend that tells how many requests it got, and counts what breaks before its end as none.
+func watched(t *testing.T) (addr string, got chan string) {
+	got = make(chan string, 2*rounds)
+	return backend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, _, err := receive(r)
+			if err != nil {
+				return
+			}
+			got <- req.Header.Get("X-Correlation-Id")
+			io.WriteString(c, hello)
+		}
+	}), got
+}
+
+// exchange makes an attempt beside the test.
+func exchange(t *testing.T, u *Upstream, p *core.Permit, addr string, out any) <-chan core.Response {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	done := make(chan core.Response, 1)
+	go func() { done <- u.Exchange(ctx, p, at(addr), out) }()
+	return done
+}
+
+// A permit that is taken back while the connection is being made: nothing is written, whether the dial ends with it
+// or the connection comes up in the same instant. The backend is not blamed, and no socket is left over.
+func TestTakenBackInADial(t *testing.T) {
+	back := map[string]func(*core.Permit){"dropped": func(p *core.Permit) { p.Drop() }, "withdrawn": (*core.Permit).Withdraw}
+	for name, take := range back {
+		for _, comesUp := range []bool{false, true} {
+			addr, got := watched(t)
+			u := newTestUpstream(t)
+			real := u.connect
+			dialling, goOn := make(chan struct{}), make(chan struct{})
+			u.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				dialling <- struct{}{}
+				if comesUp { // as late as can be: it has begun to be there, and the cancel finds nothing to end
+					<-goOn
+					return real(context.Background(), network, addr)
+				}
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			for range rounds {
+				p := &core.Permit{}
+				done := exchange(t, u, p, addr, read)
+				await(t, dialling)
+				take(p)
+				if comesUp {
+					goOn <- struct{}{}
+				}
+				if r := await(t, done); r.Result != balance.Withdrawn {
+					t.Fatalf("%s, comes up %v: got %v", name, comesUp, r.Result)
+				}
+				for u.Evict() { // else the next one needs no dial
+				}
+			}
+			if n := len(got); n != 0 {
+				t.Errorf("%s, comes up %v: %d of %d were sent on", name, comesUp, n, rounds)
+			}
+		}
+	}
+}
+
+// Behind a kept connection that turns out to have gone stale when it is written to, the attempt goes on to another:
+// one whose permit is taken back in that instant does not get it.
+func TestTakenBackBehindAStaleConnection(t *testing.T) {
+	for name, take := range map[string]func(*core.Permit){"dropped": func(p *core.Permit) { p.Drop() }, "withdrawn": (*core.Permit).Withdraw} {
+		addr, got := watched(t)
+		u := newTestUpstream(t)
+		for range rounds {
+			p := &core.Permit{}
+			c, err := u.dial(context.Background(), addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Conn = &staleConn{TCPConn: c.Conn.(*net.TCPConn), write: func() { take(p) }}
+			u.keep(at(addr), c)
+			u.mu.Lock()
+			c.since = c.since.Add(-restTime)
+			u.mu.Unlock()
+			if r := await(t, exchange(t, u, p, addr, read)); r.Result != balance.Withdrawn {
+				t.Fatalf("%s: got %v", name, r.Result)
+			}
+		}
+		if n := len(got); n != 0 {
+			t.Errorf("%s: %d of %d were sent on", name, n, rounds)
+		}
+	}
+}
+
+// staleConn looks well and can't be written to.
+type staleConn struct {
+	*net.TCPConn
+	write func()
+}
+
+func (c *staleConn) Write([]byte) (int, error) {
+	c.write()
+	return 0, errors.New("it has been closed")
+}
+
+// A body that a backend is slow to take: until its last byte is out it has not been sent. Dropped, it ends there and
+// then; withdrawn, it goes on, since for its backend it counts from its first byte.
+func TestTakenBackWhileItIsWritten(t *testing.T) {
+	body := strings.Repeat("x", 16<<20) // more than the kernel takes
+	out := rendered(http.MethodPost, "/sub", http.Header{"X-Correlation-Id": {"d1"}}, body)
+	for _, dropped := range []bool{true, false} {
+		began, goOn, whole := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+		addr := backend(t, func(c net.Conn, r *bufio.Reader) {
+			r.Peek(1)
+			close(began)
+			<-goOn
+			_, got, err := receive(r)
+			whole <- err == nil && len(got) == len(body)
+			io.WriteString(c, hello)
+		})
+		p := &core.Permit{}
+		done := exchange(t, newTestUpstream(t), p, addr, out)
+		await(t, began)
+		want := balance.OK
+		if dropped {
+			want = balance.Withdrawn
+			if p.Drop() {
+				t.Error("nothing of it is said to be out")
+			}
+			if r := await(t, done); r.Result != want {
+				t.Errorf("got %v", r.Result)
+			}
+			close(goOn)
+		} else {
+			p.Withdraw()
+			close(goOn)
+			if r := await(t, done); r.Result != want {
+				t.Errorf("got %v", r.Result)
+			}
+		}
+		if got := await(t, whole); got == dropped {
+			t.Errorf("dropped %v, came whole %v", dropped, got)
+		}
+	}
+}
+
+// Once its last byte is out an attempt is read to its end, whatever becomes of its permit in that instant.
+func TestTakenBackAsItIsSent(t *testing.T) {
+	addr, got := watched(t)
+	u := newTestUpstream(t)
+	for range rounds {
+		p := &core.Permit{}
+		c, err := u.dial(context.Background(), addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Conn = &lateConn{TCPConn: c.Conn.(*net.TCPConn), written: func() { p.Drop() }}
+		u.keep(at(addr), c)
+		u.mu.Lock()
+		c.since = c.since.Add(-restTime)
+		u.mu.Unlock()
+		if r := await(t, exchange(t, u, p, addr, read)); r.Result != balance.OK {
+			t.Fatalf("got %v", r.Result)
+		}
+		for u.Evict() {
+		}
+	}
+	if n := len(got); n != rounds {
+		t.Errorf("%d of %d came", n, rounds)
+	}
+}
+
+// lateConn has its bytes out before anybody learns of it.
+type lateConn struct {
+	*net.TCPConn
+	written func()
+}
+
+func (c *lateConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.written()
+	return n, err
+}
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -78,6 +78,7 @@
 	reports        bool // probes bring them
 	log            *slog.Logger
 	tries          *atomic.Int64 // attempts written whole
+	connect        func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[core.Target][]*conn // the newest last
@@ -99,7 +100,8 @@
 	if idle == 0 {
 		idle = maxIdleTime
 	}
-	return &Upstream{connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, log: log, reports: s.Reports != balance.ReportsOff,
+	d := net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}
+	return &Upstream{connect: d.DialContext, connectTimeout: s.ConnectTimeout, idleTime: idle, sockets: socks, log: log, reports: s.Reports != balance.ReportsOff,
 		tries: new(atomic.Int64), idle: map[core.Target][]*conn{}, busy: map[core.Target]int{}}
 }
 
@@ -107,9 +109,9 @@
 func (u *Upstream) CountTries(n *atomic.Int64) { u.tries = n }
 
 // Exchange makes one attempt: one request (an *http1.Request) on one connection, written once.
-func (u *Upstream) Exchange(ctx context.Context, to core.Target, request any) core.Response {
+func (u *Upstream) Exchange(ctx context.Context, p *core.Permit, to core.Target, request any) core.Response {
 	out := request.(*http1.Request)
-	r, broke := u.once(ctx, to, out)
+	r, broke := u.once(ctx, p, to, out)
 	if broke && (r.Result == balance.Reset || r.Result == balance.ConnectFailed) {
 		r.Standing = u.stands(ctx, to)
 	}
@@ -118,19 +120,29 @@
 
 // once is exchange but for what else is known of the backend. It reports whether there was a
 // connection, which may have broken.
-func (u *Upstream) once(ctx context.Context, to core.Target, out *http1.Request) (r core.Response, connected bool) {
+func (u *Upstream) once(ctx context.Context, p *core.Permit, to core.Target, out *http1.Request) (r core.Response, connected bool) {
 	if c := u.take(to); c != nil {
 		// Guards against blame for a kept connection that has gone stale: what could not be written
 		// to it is no attempt yet, and goes out on a new one.
-		if r := u.use(ctx, c, to, out); r.Result != balance.ConnectFailed {
+		if r := u.use(ctx, p, c, to, out); r.Result != balance.ConnectFailed {
 			return r, true
 		}
 	}
-	c, err := u.dial(ctx, to.Addr)
+	// Guards against a request that is written when its connection comes up at last, though its client has left
+	// meanwhile or its backend drains.
+	wait, stop := context.WithCancel(ctx)
+	defer stop()
+	if !p.Await(stop) {
+		return core.Response{Result: balance.Withdrawn, Load: balance.NoLoad()}, false
+	}
+	c, err := u.dial(wait, to.Addr)
 	if err != nil {
+		if p.Taken() {
+			return core.Response{Result: balance.Withdrawn, Load: balance.NoLoad()}, false
+		}
 		return core.Response{Result: dialResult(ctx, err), Load: balance.NoLoad(), Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
 	}
-	return u.use(ctx, c, to, out), true
+	return u.use(ctx, p, c, to, out), true
 }
 
 // settle is how long after a connection broke the others of the same process have broken too, if
@@ -161,10 +173,10 @@
 }
 
 // use makes an attempt on a connection, and keeps or closes it.
-func (u *Upstream) use(ctx context.Context, c *conn, to core.Target, out *http1.Request) core.Response {
+func (u *Upstream) use(ctx context.Context, p *core.Permit, c *conn, to core.Target, out *http1.Request) core.Response {
 	u.count(to, 1)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
-	r, reusable := c.roundTrip(ctx, out)
+	r, reusable := c.roundTrip(ctx, p, out)
 	if a, ok := r.Payload.(*http1.Answer); ok && a.More != nil {
 		// The rest of a long answer outlives the attempt.
 		if s := a.More.(*stream); stop() && c.SetDeadline(time.Time{}) == nil {
@@ -230,7 +242,7 @@
 
 // roundTrip writes the request and reads the whole answer. Whatever breaks before the last
 // byte is written proves that the request never ran; after that it may have.
-func (c *conn) roundTrip(ctx context.Context, out *http1.Request) (r core.Response, reusable bool) {
+func (c *conn) roundTrip(ctx context.Context, p *core.Permit, out *http1.Request) (r core.Response, reusable bool) {
 	buf := make([]byte, 0, len(out.Head)+len(out.Rest)+len(http1.TimeLeft)+24+joined)
 	buf = append(buf, out.Head...)
 	if out.Stream != nil {
@@ -239,7 +251,13 @@
 		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.TimeLeft, max(0, time.Until(deadline).Microseconds()))
 	}
 	buf = append(buf, out.Rest...)
+	if !p.Begin(func() { c.SetDeadline(longAgo) }) {
+		return core.Response{Result: balance.Withdrawn}, true
+	}
 	if err := c.send(buf, out); err != nil {
+		if p.Taken() {
+			return core.Response{Result: balance.Withdrawn}, false
+		}
 		if ctx.Err() != nil {
 			return core.Response{Result: dialResult(ctx, err)}, false
 		}
@@ -248,6 +266,12 @@
 		}
 		return core.Response{Result: balance.ConnectFailed}, false
 	}
+	if p.Whole() { // the cut came too late: what has been written may run, and its answer is read
+		c.SetDeadline(time.Time{})
+		if ctx.Err() != nil {
+			c.SetDeadline(longAgo)
+		}
+	}
 	var sent time.Time
 	if out.Stream != nil { // its time counts from here
 		sent = time.Now()
@@ -507,7 +531,7 @@
 	if err != nil {
 		return core.Response{Result: balance.NotSent, Load: balance.NoLoad()}
 	}
-	r := u.Exchange(ctx, to, out)
+	r := u.Exchange(ctx, nil, to, out)
 	if r.Result == balance.OK && u.reports && !r.Load.Valid {
 		r.Load, _ = wire.ParseLoad(r.Payload.(*http1.Answer).Body)
 	}
@@ -522,9 +546,8 @@
 		}
 	}
 	u.sockets.Open.Add(1)
-	d := net.Dialer{Timeout: u.connectTimeout, KeepAlive: -1}
 	began := time.Now()
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := u.connect(ctx, "tcp", addr)
 	if err != nil {
 		u.sockets.Open.Add(-1)
 		// Guards against a backend that says nothing and is taken for a client that had no time: net's own
--- a/internal/backend/http1/upstream_test.go
+++ b/internal/backend/http1/upstream_test.go
@@ -54,7 +54,7 @@
 	u.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return u.Exchange(ctx, at(addr), out)
+	return u.Exchange(ctx, nil, at(addr), out)
 }
 
 // The protocol's table of outcomes.
@@ -122,7 +122,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second) // enough to connect in
 	defer cancel()
-	if r := u.Exchange(ctx, at(addr), read); r.Result != balance.TimedOut {
+	if r := u.Exchange(ctx, nil, at(addr), read); r.Result != balance.TimedOut {
 		t.Errorf("got %v", r.Result)
 	}
 	await(t, over) // giving up closed the connection
@@ -138,7 +138,7 @@
 		io.Copy(io.Discard, r)
 		close(over)
 	})
-	if r := u.Exchange(ctx, at(addr), read); r.Result != balance.Cancelled {
+	if r := u.Exchange(ctx, nil, at(addr), read); r.Result != balance.Cancelled {
 		t.Errorf("got %v", r.Result)
 	}
 	await(t, over)
@@ -306,7 +306,7 @@
 			io.Copy(io.Discard, r) // until the agent gives up
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		if r := u.Exchange(ctx, at(addr), read); r.Result != balance.Errored || ctx.Err() != nil {
+		if r := u.Exchange(ctx, nil, at(addr), read); r.Result != balance.Errored || ctx.Err() != nil {
 			t.Errorf("%q: got %v, %v", answer, r.Result, ctx.Err())
 		}
 		cancel()
@@ -332,7 +332,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	for want := 1; want <= 3; want++ { // without a rest between
-		if r := u.Exchange(ctx, at(addr), read); r.Result != balance.OK || string(r.Payload.(*http1.Answer).Body) != fmt.Sprint(want) {
+		if r := u.Exchange(ctx, nil, at(addr), read); r.Result != balance.OK || string(r.Payload.(*http1.Answer).Body) != fmt.Sprint(want) {
 			t.Errorf("got %v %q, want %d", r.Result, r.Payload.(*http1.Answer).Body, want)
 		}
 	}
@@ -351,7 +351,7 @@
 	attemptOf(t, u, addr, read)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if r := u.Exchange(ctx, core.Target{ID: "h1", Addr: addr}, read); r.Result != balance.OK || conns.Load() != 3 {
+	if r := u.Exchange(ctx, nil, core.Target{ID: "h1", Addr: addr}, read); r.Result != balance.OK || conns.Load() != 3 {
 		t.Errorf("got %v, %d connections", r.Result, conns.Load())
 	}
 }
@@ -361,7 +361,7 @@
 func TestBlameForDials(t *testing.T) {
 	over, cancel := context.WithDeadline(context.Background(), longAgo)
 	defer cancel()
-	if r := newTestUpstream(t).Exchange(over, at(deadAddr(t)), read); r.Result != balance.NotSent {
+	if r := newTestUpstream(t).Exchange(over, nil, at(deadAddr(t)), read); r.Result != balance.NotSent {
 		t.Errorf("got %v", r.Result)
 	}
 	for err, want := range map[error]balance.Result{errOutOfSockets: balance.NotSent, syscall.EMFILE: balance.NotSent,
@@ -388,7 +388,7 @@
 			u.connectTimeout = tt.connect
 			ctx, cancel := context.WithTimeout(context.Background(), tt.left)
 			defer cancel()
-			if r := u.Exchange(ctx, at(deadAddr(t)), read); r.Result != tt.want {
+			if r := u.Exchange(ctx, nil, at(deadAddr(t)), read); r.Result != tt.want {
 				t.Errorf("result %v, want %v", r.Result, tt.want)
 			}
 		})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,9 +53,9 @@
 // ErrEnded is why nothing more is done once the loop has ended.
 var ErrEnded = errors.New("the loop has ended")
 
-// Backend makes attempts. Each is written once: nothing is sent again by itself.
+// Backend makes attempts. Each is written once: nothing is sent again by itself; and only with its permit.
 type Backend interface {
-	Exchange(ctx context.Context, to Target, request any) Response
+	Exchange(ctx context.Context, p *Permit, to Target, request any) Response
 	Probe(to Target) Response
 	Keep(wanted func(Target) bool) // closes idle connections to all others
 }
@@ -103,9 +103,12 @@
 // attempt is one Send.
 type attempt struct {
 	backend string
+	addr    string
 	sent    time.Time
 	cancel  context.CancelFunc
+	permit  *Permit
 	over    bool
+	ran     bool // once it is over: it may have run
 }
 
 // Watcher is told what passes through the loop, on its goroutine; it must not wait.
@@ -292,6 +295,7 @@
 	}
 	if l.calls[c.Event.ID] == c && !c.answered {
 		c.answered = true
+		c.drop()
 		l.Event(balance.Abandoned{Request: c.Event.ID})
 		l.forget(c)
 	}
@@ -304,10 +308,37 @@
 		return
 	}
 	c.answered = true
+	c.drop()
 	c.Reply <- a
 	l.forget(c)
 }
 
+// drop takes back what is yet to be written for a call that nobody waits for any more. It reports whether nothing
+// of it has run or will.
+func (c *Call) drop() (unsent bool) {
+	unsent = true
+	for _, a := range c.attempts {
+		if a.over {
+			unsent = unsent && !a.ran
+		} else if !a.permit.Drop() {
+			unsent = false
+		}
+	}
+	return unsent
+}
+
+// recall takes back what is yet to be written to a backend that takes nothing new by now, or is no longer where
+// it was: it is chosen again among the others.
+func (l *Loop) recall() {
+	for _, c := range l.calls {
+		for _, a := range c.attempts {
+			if !a.over && (!l.pool.Takes(a.backend) || l.addrs[a.backend] != a.addr) {
+				a.permit.Withdraw()
+			}
+		}
+	}
+}
+
 func (l *Loop) forget(c *Call) {
 	if c.answered && c.open == 0 && l.calls[c.Event.ID] == c {
 		delete(l.calls, c.Event.ID)
@@ -319,7 +350,7 @@
 func (l *Loop) ended(c *Call, n int, backend string, r Response) {
 	a := c.attempts[n]
 	a.cancel()
-	a.over = true
+	a.over, a.ran = true, !r.Result.NeverRan()
 	c.open--
 	if r.Result == balance.OK {
 		l.answer(c, Answer{Kind: Served, Payload: r.Payload})
@@ -368,6 +399,7 @@
 
 // list tells the module and who watches of a list.
 func (l *Loop) list(list balance.List) {
+	l.recall()
 	l.Event(list)
 	if l.Watcher != nil {
 		l.Watcher.Listed(list)
@@ -466,7 +498,7 @@
 			id, kind := t.call.Event.ID, Failed
 			if l.stopBy.IsZero() {
 				l.log.Error("no final answer in time", "request", id, "attempts", len(t.call.attempts))
-			} else if len(t.call.attempts) == 0 {
+			} else if t.call.drop() {
 				kind = Refused // nothing was sent: another try does no harm
 			}
 			l.answer(t.call, Answer{Kind: kind})
@@ -531,14 +563,15 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	n := len(c.attempts)
-	c.attempts = append(c.attempts, &attempt{backend: s.Backend, sent: now, cancel: cancel})
+	p := &Permit{}
+	c.attempts = append(c.attempts, &attempt{backend: s.Backend, addr: addr, sent: now, cancel: cancel, permit: p})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
 		l.ended(c, n, s.Backend, Response{Result: balance.NotSent})
 		return
 	}
 	go func() {
-		r := l.Backend.Exchange(ctx, Target{s.Backend, addr}, c.Request)
+		r := l.Backend.Exchange(ctx, p, Target{s.Backend, addr}, c.Request)
 		l.Post(func() { l.ended(c, n, s.Backend, r) })
 	}()
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -17,7 +17,7 @@
 // nobody is a backend that can't be reached.
 type nobody struct{}
 
-func (nobody) Exchange(context.Context, Target, any) Response {
+func (nobody) Exchange(context.Context, *Permit, Target, any) Response {
 	return Response{Result: balance.ConnectFailed}
 }
 func (nobody) Probe(Target) Response  { return Response{Result: balance.ConnectFailed} }
@@ -37,7 +37,7 @@
 	for _, served := range []bool{true, false} {
 		l, c := bare(nil)
 		l.Arrived(c)
-		c.attempts = []*attempt{{sent: time.Now(), cancel: func() {}}}
+		c.attempts = []*attempt{{sent: time.Now(), cancel: func() {}, permit: &Permit{}}}
 		c.open = 1
 		answered := func() { l.ended(c, 0, "h0", Response{Result: balance.OK, Payload: "hello"}) }
 		overdue := func() { l.due(c.Deadline.Add(time.Second)) }
@@ -133,3 +133,113 @@
 		t.Error("what the list no longer names is kept")
 	}
 }
+
+// asking is a backend that shows each attempt's permit and ends with what the test says.
+type asking struct {
+	nobody
+	permits chan *Permit
+	results chan Response
+}
+
+func (a asking) Exchange(_ context.Context, p *Permit, _ Target, _ any) Response {
+	a.permits <- p
+	return <-a.results
+}
+
+// waits is a loop with one call, which has one attempt out that waits to be written; list is as discovery has it.
+func waits(t *testing.T) (l *Loop, c *Call, p *Permit, list func(state balance.BackendState, addr string)) {
+	l, c = bare(nil)
+	back := asking{permits: make(chan *Permit, 1), results: make(chan Response, 1)}
+	l.Backend = back
+	list = func(state balance.BackendState, addr string) {
+		l.Listed(balance.List{Backends: []balance.Backend{{ID: "h0", State: state}}}, map[string]string{"h0": addr})
+	}
+	list(balance.Up, "x")
+	l.Arrived(c)
+	l.events = nil
+	l.do(balance.Send{Request: "d1", Backend: "h0"})
+	t.Cleanup(func() { // its outcome comes all the same
+		back.results <- Response{Result: balance.Withdrawn}
+		(<-l.inbox)()
+		if len(l.calls) != 0 && c.answered {
+			t.Error("a call that has ended is kept")
+		}
+	})
+	return l, c, <-back.permits, list
+}
+
+// What nobody waits for any more is not written: the client has left, the call has its answer, the stop's time is
+// up. What a backend wants no more isn't either: the list says that it drains or has gone or is elsewhere, staff
+// took it or its zone out, it took leave. The permit is asked for once by what has not begun.
+func TestPermitIsTakenBack(t *testing.T) {
+	for name, happens := range map[string]func(l *Loop, c *Call, list func(balance.BackendState, string)){
+		"left":     func(l *Loop, c *Call, _ func(balance.BackendState, string)) { l.Left(c) },
+		"refused":  func(l *Loop, c *Call, _ func(balance.BackendState, string)) { l.do(balance.Refuse{Request: "d1"}) },
+		"failed":   func(l *Loop, c *Call, _ func(balance.BackendState, string)) { l.do(balance.Fail{Request: "d1"}) },
+		"overdue":  func(l *Loop, c *Call, _ func(balance.BackendState, string)) { l.due(c.Deadline.Add(time.Second)) },
+		"drains":   func(_ *Loop, _ *Call, list func(balance.BackendState, string)) { list(balance.Draining, "x") },
+		"gone":     func(_ *Loop, _ *Call, list func(balance.BackendState, string)) { list(balance.Gone, "") },
+		"moved":    func(_ *Loop, _ *Call, list func(balance.BackendState, string)) { list(balance.Up, "y") },
+		"excluded": func(l *Loop, _ *Call, _ func(balance.BackendState, string)) { l.Exclude("h0") },
+		"zone out": func(l *Loop, _ *Call, _ func(balance.BackendState, string)) { l.ExcludeZone(0, true) },
+		"leave":    func(l *Loop, _ *Call, _ func(balance.BackendState, string)) { l.Leaves("h0", true) },
+		"adopted":  func(l *Loop, _ *Call, _ func(balance.BackendState, string)) { l.Adopt([]string{"h0"}, nil, nil) },
+		"left out of a whole list": func(l *Loop, _ *Call, _ func(balance.BackendState, string)) {
+			l.Listed(balance.List{Kind: balance.ListFull}, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, c, p, list := waits(t)
+			ended := false
+			if !p.Await(func() { ended = true }) {
+				t.Fatal("no permit at first")
+			}
+			happens(l, c, list)
+			if !ended || p.Begin(nil) {
+				t.Errorf("its wait has ended: %v; it may be written: %v", ended, p.Begin(nil))
+			}
+		})
+	}
+}
+
+// A list that says nothing new of a backend, or of others only, leaves its attempts alone.
+func TestPermitStays(t *testing.T) {
+	l, _, p, list := waits(t)
+	list(balance.Up, "x")
+	l.Listed(balance.List{Backends: []balance.Backend{{ID: "h1", State: balance.Draining}}}, map[string]string{"h1": "z"})
+	l.Listed(balance.List{Kind: balance.ListFailed}, nil)
+	if !p.Begin(nil) {
+		t.Error("it may not be written")
+	}
+}
+
+// At the end of a planned stop what has not been written is refused, so that it may be tried anew; what has been
+// is failed.
+func TestStopRefusesWhatIsUnsent(t *testing.T) {
+	for _, written := range []bool{false, true} {
+		l, c, p, _ := waits(t)
+		l.Stopping(time.Now())
+		want := Refused
+		if written {
+			p.Begin(nil)
+			p.Whole()
+			want = Failed
+		}
+		l.due(time.Now().Add(time.Second))
+		if a := <-c.Reply; a.Kind != want {
+			t.Errorf("written %v: got %v", written, a.Kind)
+		}
+	}
+}
+
+// The served answer of one copy takes the permit of another that waits.
+func TestCopyIsTakenBack(t *testing.T) {
+	l, c, p, _ := waits(t)
+	l.Backend = nobody{}
+	l.do(balance.Send{Request: "d1", Backend: "h0"})
+	<-l.inbox // how the second ended is told by the test
+	l.ended(c, 1, "h0", Response{Result: balance.OK})
+	if p.Begin(nil) {
+		t.Error("the other copy may be written")
+	}
+}
--- a/internal/pool/membership.go
+++ b/internal/pool/membership.go
@@ -241,5 +241,11 @@
 	return slices.DeleteFunc(p.Out(), func(id string) bool { _, known := p.listed[id]; return !known })
 }
 
+// Takes reports whether a backend takes new requests, as the decision module is told.
+func (p *Pool) Takes(id string) bool {
+	b, known := p.listed[id]
+	return known && p.seen(b).State == balance.Up
+}
+
 // Size is how many backends are listed.
 func (p *Pool) Size() int { return len(p.listed) }
