List watches: silence found out in 3 s, lists read however laid out, no way back

Cause (roster.go follow, balance ask): a silent watch was found out 5 s after its last line, up to 5 s of the 6 s after which what it missed counts as told; then the module's wait, up to AskWithin as a fleet grows, then the call. Change: silence is 3 s without a byte; a pushed watch that does not begin is asked anew after 1 s; a failure after a silence tells the module within which time to ask (1 s). Where discovery moves, an asked watch goes on there by itself. Beside it, by reading: lists were read line by line (an indented one, or two in a line, broke the watch for good), a field of the wrong kind took the whole list, a version that goes back brought drained backends back, a whole list without hosts took all backends, a deployment without zones or kinds had no usable backend. Seen to fail before: "TestIndentedOnAWatch: nothing came", "TestEntryOfTheWrongKind: nothing came", "TestVersionGoesBack: asked follow=1&since=49, told 1 more", "TestNoZonesNoKinds: unknown site", "TestAskedWatchMoves: nothing came".

--- a/balance/api.go
+++ b/balance/api.go
@@ -178,6 +178,7 @@
 		Kind     ListKind
 		Version  int64 // of the list; nothing reads it yet
 		Backends []Backend
+		Within   time.Duration // with ListFailed: in which it is to be asked for again; 0: as the settings say
 	}
 	// Request is a client's request. The balancer owes it one final answer.
 	Request struct {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -952,11 +952,11 @@
 		}
 		// Asked again after an exponential, fully jittered wait.
 		b.askFails++
-		b.ask(min(b.askFails, 4))
+		b.ask(min(b.askFails, 4), e.Within)
 		return
 	}
 	if e.Kind == ListCached && b.s.Subscribe {
-		b.ask(0)
+		b.ask(0, 0)
 	} else {
 		b.askFails = 0
 	}
@@ -995,9 +995,12 @@
 // ask asks for the list after an exponential, fully jittered wait. Departure: it grows with the fleet,
 // since all agents may start, or fail, at once: calls that a service can't keep up with wait there until
 // they fail, and those that come after them too. May harm where discovery has room for all.
-func (b *Balancer) ask(fails int) {
+func (b *Balancer) ask(fails int, within time.Duration) {
 	unit := askUnit * max(1, float64(b.s.Balancers)/askFleet)
 	wait := min(unit*math.Exp2(float64(fails)), 1) * float64(b.s.AskWithin)
+	if within > 0 { // what has been missed counts as told soon
+		wait = min(wait, float64(within))
+	}
 	b.askToken = b.alarm(time.Duration(b.rng.Float64() * wait))
 }
 
--- a/balance/withdrawn_test.go
+++ b/balance/withdrawn_test.go
@@ -77,3 +77,28 @@
 		}
 	}
 }
+
+// What a silent watch missed counts as told soon: with however many agents, and after however many failures, the
+// next ask comes within the time that the failure names. Without one it follows the fleet.
+func TestAskedAgainWithin(t *testing.T) {
+	for _, agents := range []int{1, 5, 300} {
+		longest := time.Duration(0)
+		for seed := range uint64(200) {
+			s := settings()
+			s.Balancers, s.Subscribe = agents, true
+			r := newRig(t, s, seed, backends(2))
+			for _, within := range []time.Duration{time.Second, time.Second, 0} {
+				for _, a := range r.step(balance.List{Kind: balance.ListFailed, Within: within}) {
+					if set, ok := a.(balance.SetTimer); ok && within > 0 && set.After > within {
+						t.Errorf("%d agents: asked again after %v", agents, set.After)
+					} else if ok && within == 0 {
+						longest = max(longest, set.After)
+					}
+				}
+			}
+		}
+		if agents == 300 && longest < 5*time.Second {
+			t.Errorf("the longest wait of 300 agents is %v", longest)
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/crossing_test.go
@@ -0,0 +1,277 @@
+package roster
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"lemonrail/balance"
+	"lemonrail/internal/wire"
+)
+
+// laidOut is two lists with heartbeats between them, laid out in every way that JSON allows.
+var laidOut = map[string]string{
+	"a line each":          "\n{\"seq\":42,\"whole\":false,\"hosts\":[]}\n\n\n{\"seq\":43,\"hosts\":[{\"host\":\"h{1\",\"health\":\"gone\"}]}\n\n",
+	"indented":             "\r\n{\r\n  \"seq\": 42,\r\n\r\n  \"whole\": false,\r\n  \"hosts\": [\r\n  ]\r\n}\r\n\r\n{\n\t\"seq\": 43,\n\t\"hosts\": [\n\t\t{\n\"host\": \"h{1\",\n\"health\": \"gone\" } ]\n}\n",
+	"two in one line":      `{"seq":42,"hosts":[]} {"seq":43,"hosts":[{"host":"h{1","health":"gone"}]}`,
+	"one behind the other": `{"seq":42,"hosts":[]}{"seq":43,"hosts":[{"host":"h{1","health":"gone"}]}` + "\n",
+}
+
+// Lists are read alike however they are laid out and wherever their bytes are cut, and every byte feeds the watchdog.
+func TestLayoutOfLists(t *testing.T) {
+	for name, text := range laidOut {
+		for cut := range len(text) + 1 { // in two at every byte; at last byte by byte
+			pieces := io.MultiReader(strings.NewReader(text[:cut]), strings.NewReader(text[cut:]))
+			if cut == len(text) {
+				pieces = iotest.OneByteReader(strings.NewReader(text))
+			}
+			fed := 0
+			o := newObjects(pieces, func() { fed++ })
+			for want := int64(42); want <= 43; want++ {
+				if l, err := o.next(); err != nil || l.Seq != want || len(l.Hosts) != int(want-42) {
+					t.Fatalf("%s, cut at %d: got %+v, %v", name, cut, l, err)
+				}
+			}
+			if _, err := o.next(); !errors.Is(err, io.EOF) {
+				t.Errorf("%s, cut at %d: ended with %v", name, cut, err)
+			}
+			if cut == len(text) && fed != len(text) {
+				t.Errorf("%s: fed %d times by %d bytes", name, fed, len(text))
+			}
+		}
+	}
+}
+
+// A list that ends too soon at whatever byte is an error, never a shorter list.
+func TestListsCutShort(t *testing.T) {
+	text := `{"seq":42,"whole":true,"hosts":[{"host":"h1","dial":"127.0.0.1:1","site":"a","class":"m1","health":"ready"}]}`
+	for cut := 1; cut < len(text); cut++ {
+		if l, err := newObjects(strings.NewReader(text[:cut]), func() {}).next(); err == nil || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("cut at %d: got %+v, %v", cut, l, err)
+		}
+	}
+}
+
+// What a list can't go without is named where it lacks. Without the check a whole list without backends would take
+// all of them, and one without a version would have the next watch ask from the beginning.
+func TestListsThatMakeNoSense(t *testing.T) {
+	for text, want := range map[string]string{
+		`{}`:                        "seq: missing",
+		`null`:                      "seq: missing",
+		`{"whole":true,"hosts":[]}`: "seq: missing",
+		`{"seq":42,"whole":true}`:   "hosts: missing",
+		`{"seq":"x","hosts":[]}`:    "seq",
+		`{"seq":42,"hosts":{}}`:     "hosts",
+		`[]`:                        "list",
+		`"seq"`:                     "list",
+		`{"seq":42,`:                "list",
+		`nonsense`:                  "list",
+	} {
+		if l, err := newObjects(strings.NewReader(text+"\n"), func() {}).next(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %+v, %v", text, l, err)
+		}
+	}
+}
+
+// Heartbeats leave nothing behind, however long nothing else comes; a list without end is given up.
+func TestListsAreBounded(t *testing.T) {
+	o := newObjects(io.MultiReader(io.LimitReader(endless(" \n"), 3*maxListBytes), strings.NewReader(`{"seq":42}`)), func() {})
+	if l, err := o.next(); err != nil || l.Seq != 42 {
+		t.Errorf("got %+v, %v", l, err)
+	}
+	o = newObjects(io.MultiReader(strings.NewReader(`{"seq":42,"hosts":[`), endless(" \n")), func() {})
+	if _, err := o.next(); err == nil {
+		t.Error("no end, and no error")
+	}
+	o = newObjects(strings.NewReader(` {"seq"`), func() {})
+	o.apart, o.begun = false, time.Now().Add(-objectMost-time.Second)
+	if _, err := o.next(); err == nil || !strings.Contains(err.Error(), "not whole after") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// endless gives a text over and over.
+type endless string
+
+func (e endless) Read(p []byte) (n int, err error) {
+	for n < len(p) {
+		n += copy(p[n:], e)
+	}
+	return n, nil
+}
+
+// A field of the wrong kind takes its entry, which counts as gone, and not the list.
+func TestEntryOfTheWrongKind(t *testing.T) {
+	r := newService(t)
+	d, lists := following(t, r, false)
+	go d.Run()
+	c := await(t, r.calls)
+	c.lines <- roll(42, false, `{"host":"h1","dial":"127.0.0.1:1","site":"a","class":"m1","block":"three","health":"ready"}`, `7`, entry("h2", "a", "m1", "draining"))
+	got := await(t, lists).list.Backends
+	if len(got) != 3 || got[0].ID != "h1" || got[0].State != balance.Gone || got[1].State != balance.Gone || got[2].State != balance.Draining {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// A deployment may have no zones and no kinds.
+func TestNoZonesNoKinds(t *testing.T) {
+	b, err := Host{Host: "h1", Dial: "127.0.0.1:1", Health: "ready"}.backend(wire.Names{})
+	if err != nil || b.State != balance.Up || b.Zone != 0 || b.Kind != 0 {
+		t.Errorf("got %+v, %v", b, err)
+	}
+}
+
+// An indented list on a watch, and a drain behind it in the same line.
+func TestIndentedOnAWatch(t *testing.T) {
+	r := newService(t)
+	d, lists := following(t, r, false)
+	go d.Run()
+	c := await(t, r.calls)
+	c.lines <- "{\n \"seq\": 42,\n\n \"whole\": true,\n \"hosts\": [\n" + entry("h1", "a", "m1", "ready") + "\n ]\n} " + roll(43, false, entry("h1", "a", "m1", "draining"))
+	if got := await(t, lists); got.list.Kind != balance.ListFull || got.list.Backends[0].State != balance.Up {
+		t.Errorf("got %+v", got)
+	}
+	if got := await(t, lists); got.list.Version != 43 || got.list.Backends[0].State != balance.Draining {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Changes that are older than what is known would bring drained backends back: they are left aside, and the next
+// watch asks for all. A whole list of a service that counts anew is taken.
+func TestVersionGoesBack(t *testing.T) {
+	r := newService(t)
+	d, lists := following(t, r, false)
+	go d.Run()
+	c := await(t, r.calls)
+	c.lines <- roll(50, false, entry("h1", "a", "m1", "draining"))
+	await(t, lists)
+	c.lines <- roll(49, false, entry("h1", "a", "m1", "ready"))
+	c = await(t, r.calls)
+	if c.query != "follow=1" || len(lists) != 0 {
+		t.Errorf("asked %q, told %d more", c.query, len(lists))
+	}
+	c.lines <- roll(3, true, entry("h1", "a", "m1", "draining"))
+	if got := await(t, lists); got.list.Version != 3 || got.list.Kind != balance.ListFull {
+		t.Errorf("got %+v", got)
+	}
+	c.lines <- roll(2, true, entry("h1", "a", "m1", "ready"))
+	if got := await(t, lists); got.list.Version != 2 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// A watch that falls silent behind its head, and one whose call hangs, are each opened anew: what they miss counts as
+// told 6 s after the silence, which the times have to stay under with one call that hangs between.
+func TestSilenceIsFoundOutInTime(t *testing.T) {
+	if worst := silence + reopenFirst + opening + 2*reopenFirst; worst > 5*time.Second {
+		t.Errorf("%v until the second call", worst)
+	}
+	r := newService(t)
+	d, lists := following(t, r, false)
+	d.opening, d.silence = 100*time.Millisecond, 50*time.Millisecond
+	go d.Run()
+	await(t, r.calls) // hangs in its head
+	c := await(t, r.calls)
+	c.lines <- roll(42, false) // and falls silent
+	await(t, lists)
+	c = await(t, r.calls)
+	c.lines <- roll(43, false)
+	if got := await(t, lists); got.list.Version != 43 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Where lists are asked for, the module learns that it has to ask soon, until a list has come. A break that is no
+// silence brings no such haste.
+func TestSilenceHurriesTheModule(t *testing.T) {
+	r := newService(t)
+	d, lists := following(t, r, true)
+	d.silence, d.opening = 50*time.Millisecond, patient
+	failed := func(want time.Duration) {
+		t.Helper()
+		if got := await(t, lists); got.list.Kind != balance.ListFailed || got.list.Within != want {
+			t.Errorf("got %+v", got)
+		}
+	}
+	d.Subscribe()
+	close(await(t, r.calls).lines)
+	failed(0)
+	d.Subscribe()
+	await(t, r.calls).lines <- ""
+	failed(within) // silent
+	d.Subscribe()
+	close(await(t, r.calls).lines)
+	failed(within) // nothing has come since
+	d.Subscribe()
+	c := await(t, r.calls)
+	c.lines <- roll(42, false)
+	await(t, lists)
+	close(c.lines)
+	failed(0)
+}
+
+const patient = 20 * time.Second
+
+// Where lists are asked for, a watch goes on at the new service without the module having to ask.
+func TestAskedWatchMoves(t *testing.T) {
+	one, two := newService(t), newService(t)
+	d, lists := following(t, one, true)
+	d.Subscribe()
+	c := await(t, one.calls)
+	c.lines <- roll(42, false)
+	await(t, lists)
+	d.Move(netip.MustParseAddrPort(two.srv.Listener.Addr().String()))
+	c = await(t, two.calls)
+	c.lines <- roll(3, true)
+	if got := await(t, lists); got.list.Kind != balance.ListFull || c.query != "follow=1" {
+		t.Errorf("asked %q, got %+v", c.query, got)
+	}
+}
+
+// SIGHUP in the instant of a silence, of a break and of a list, over and over: the last service is followed at the
+// end, and no list of an earlier one comes behind its first.
+func TestMovesCross(t *testing.T) {
+	services := []*service{newService(t), newService(t)}
+	d, lists := following(t, services[0], false)
+	go d.Run()
+	c := await(t, services[0].calls)
+	for n := range 100 {
+		to := services[(n+1)%2]
+		moved := make(chan struct{})
+		go func() {
+			d.Move(netip.MustParseAddrPort(to.srv.Listener.Addr().String()))
+			close(moved)
+		}()
+		switch n % 3 {
+		case 0:
+			close(c.lines)
+		case 1:
+			c.lines <- roll(1000-n, false)
+		}
+		await(t, moved)
+		for { // the old one may be called once more before it has moved
+			c = await(t, to.calls)
+			if c.query == "follow=1" {
+				break
+			}
+		}
+		c.lines <- roll(n, true, entry(fmt.Sprint("h", n), "a", "m1", "ready"))
+		for {
+			got := await(t, lists)
+			if got.list.Kind == balance.ListFull {
+				if got.list.Backends[0].ID != fmt.Sprint("h", n) {
+					t.Fatalf("move %d: got %+v", n, got)
+				}
+				break
+			}
+		}
+		for len(services[n%2].calls) > 0 { // of a watch that has ended
+			<-services[n%2].calls
+		}
+	}
+}
--- a/internal/roster/file_test.go
+++ b/internal/roster/file_test.go
@@ -29,7 +29,7 @@
 weight = 2.5
 state = "draining"
 `), fileNames)
-	want := []Host{{"x", "127.0.0.1:1", "a", "m1", 0, "ready", 1, 0}, {"y", "127.0.0.1:2", "b", "m2", 3, "draining", 2.5, 0}}
+	want := []Host{{"x", "127.0.0.1:1", "a", "m1", 0, "ready", 1, 0, nil}, {"y", "127.0.0.1:2", "b", "m2", 3, "draining", 2.5, 0, nil}}
 	if err != nil || !l.Whole || fmt.Sprint(l.Hosts) != fmt.Sprint(want) {
 		t.Errorf("%+v, %v", l, err)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,10 +4,7 @@
 package roster
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +16,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lemonrail/balance"
@@ -26,9 +24,15 @@
 )
 
 const (
-	silence      = 5 * time.Second // a watch has a heartbeat every 2 s: it is dead after this long without a line
+	// What a silent watch misses counts as told 6 s after it fell silent, which is up to 2 s after its last byte: by
+	// then it has to be found out, opened anew, if need be twice, and read.
+	silence = 3 * time.Second // a watch has a heartbeat every 2 s: it is dead after this long without a byte
+	opening = time.Second     // where lists are pushed the service answers at once: one that doesn't is asked anew
+	within  = time.Second     // where they are asked for, for the next call after a silent watch: the call may wait
+
+	objectMost   = 30 * time.Second // for one object, from its first byte on: longer than that is no list
 	reopenFirst  = 100 * time.Millisecond
-	reopenMost   = 500 * time.Millisecond
+	reopenMost   = 250 * time.Millisecond
 	fetchLimit   = 5 * time.Second
 	maxListBytes = 8 << 20
 )
@@ -50,6 +54,8 @@
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
 	BornMs float64 `json:"born_ms"`
+
+	bad error // why the entry can't be read, but for its host
 }
 
 // backend translates an entry by the settings' names.
@@ -57,9 +63,17 @@
 	b := balance.Backend{ID: h.Host, State: balance.Gone, Cell: h.Block, Weight: h.Share,
 		Zone: slices.Index(names.Zones, h.Site), Kind: slices.Index(names.Kinds, h.Class),
 		Started: wire.Duration(h.BornMs)}
+	if len(names.Zones) == 0 { // a deployment without zones or kinds has one of each
+		b.Zone = 0
+	}
+	if len(names.Kinds) == 0 {
+		b.Kind = 0
+	}
 	switch {
 	case h.Host == "":
 		return b, errors.New("no host")
+	case h.bad != nil:
+		return b, h.bad
 	case h.Health == "gone":
 		return b, nil
 	case b.Zone < 0:
@@ -90,7 +104,8 @@
 	http  *http.Client
 	ctx   context.Context // ends all calls
 
-	silence time.Duration // a watch without a line for so long is dead
+	silence time.Duration // a watch without a byte for so long is dead
+	opening time.Duration // and one that has not begun by then
 
 	mu    sync.Mutex // held while a list is told, so never by the loop
 	base  string     // URL of the list
@@ -100,6 +115,8 @@
 	watch context.CancelFunc // ends the watch that is open; nil: none
 	wake  chan struct{}      // ends the wait for the next one
 
+	missing atomic.Bool // a watch fell silent, and no list has come since
+
 	stop context.CancelFunc // ends the watch that was asked for; nil: none; the loop's own
 }
 
@@ -113,8 +130,12 @@
 
 // New returns a client that hands lists, with the addresses of their backends, to told until ctx ends.
 func New(ctx context.Context, c Config, told func(balance.List, map[string]string), log *slog.Logger) *Client {
+	begin := opening
+	if c.Ask { // a call may wait there
+		begin = silence
+	}
 	return &Client{base: listURL(c.Service), wake: make(chan struct{}, 1), ask: c.Ask,
-		names: c.Names, told: told, log: log, ctx: ctx, seq: c.Seq, silence: silence,
+		names: c.Names, told: told, log: log, ctx: ctx, seq: c.Seq, silence: silence, opening: begin,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
@@ -171,7 +192,11 @@
 	}
 	d.log.Warn("discovery", "err", err)
 	if d.ask {
-		d.told(balance.List{Kind: balance.ListFailed}, nil)
+		failed := balance.List{Kind: balance.ListFailed}
+		if d.missing.Load() {
+			failed.Within = within
+		}
+		d.told(failed, nil)
 	}
 }
 
@@ -182,8 +207,8 @@
 	}
 	wait := reopenFirst
 	for d.ctx.Err() == nil {
-		lines, err := d.follow(d.ctx)
-		if lines > 0 {
+		spoke, err := d.follow(d.ctx)
+		if spoke {
 			wait = reopenFirst
 		}
 		d.failed(err)
@@ -201,20 +226,28 @@
 	}
 }
 
-// follow watches the list until the connection ends or falls silent, or the service moves. It returns the number of lines.
-func (d *Client) follow(ctx context.Context) (lines int, err error) {
+var (
+	errSilent = errors.New("watch is silent")
+	errMoved  = errors.New("discovery has moved")
+)
+
+// follow watches the list until the connection ends or falls silent, or the service moves. It reports whether anything came.
+func (d *Client) follow(ctx context.Context) (spoke bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(d.silence, func() { cancel(errors.New("watch is silent")) })
+	watchdog := time.AfterFunc(d.opening, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	defer func() {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
+		if errors.Is(err, errSilent) {
+			d.missing.Store(true)
+		}
 	}()
 	d.mu.Lock()
 	from := d.source()
-	d.watch = func() { cancel(errors.New("discovery has moved")) }
+	d.watch = func() { cancel(errMoved) }
 	d.mu.Unlock()
 	query := "?follow=1"
 	if !from.fresh { // versions of another service mean nothing
@@ -222,39 +255,41 @@
 	}
 	body, err := d.get(ctx, from.base+query)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	defer body.Close()
-	scan := bufio.NewScanner(body)
-	scan.Buffer(nil, maxListBytes)
-	for scan.Scan() {
+	watchdog.Reset(d.silence)
+	in := newObjects(body, func() {
+		spoke = true
 		watchdog.Reset(d.silence)
-		lines++
-		line := bytes.TrimSpace(scan.Bytes())
-		if len(line) == 0 {
-			continue // a heartbeat
+	})
+	for {
+		l, err := in.next()
+		if errors.Is(err, io.EOF) {
+			return spoke, errors.New("watch ended")
 		}
-		if err := d.take(line, from, true); err != nil {
-			return lines, err
+		if err != nil {
+			return spoke, fmt.Errorf("watch: %w", err)
+		}
+		if err := d.take(l, from, true); err != nil {
+			return spoke, err
 		}
 	}
-	if err := scan.Err(); err != nil {
-		return lines, fmt.Errorf("watch: %w", err)
-	}
-	return lines, errors.New("watch ended")
 }
 
-// take reads and passes on one list.
-func (d *Client) take(raw []byte, from source, watched bool) error {
-	var l List
-	if err := json.Unmarshal(raw, &l); err != nil {
-		return fmt.Errorf("list: %w", err)
-	}
+// take passes on one list.
+func (d *Client) take(l List, from source, watched bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock() // lists reach the module in the order of their versions
 	if from.moved != d.moved && watched {
 		return errors.New("watch of a service that was replaced")
 	}
+	// Guards against changes that are older than what is known, which would bring drained backends back: they don't
+	// follow on it, so that the next watch asks for all. A whole list is taken: its service may count anew.
+	if watched && !d.fresh && !l.Whole && l.Seq < d.seq {
+		d.fresh = true
+		return fmt.Errorf("list: seq: %d after %d: all of it is asked for anew", l.Seq, d.seq)
+	}
 	// Guards against a fetched list that a watch or another service has overtaken: it would bring
 	// drained backends back. Its call is still owed an answer: nothing has changed.
 	if from.moved != d.moved || !watched && !d.fresh && l.Seq < d.seq {
@@ -266,6 +301,7 @@
 	if l.Whole {
 		kind = balance.ListFull
 	}
+	d.missing.Store(false)
 	d.Tell(l, kind)
 	return nil
 }
@@ -298,11 +334,17 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.stop = cancel
 	go func() {
-		_, err := d.follow(ctx)
-		if ctx.Err() == nil { // not ended by unsubscribe
-			d.failed(err)
+		defer cancel()
+		for {
+			_, err := d.follow(ctx)
+			if errors.Is(err, errMoved) && ctx.Err() == nil {
+				continue // it was asked for, of whichever service
+			}
+			if ctx.Err() == nil { // not ended by unsubscribe
+				d.failed(err)
+			}
+			return
 		}
-		cancel()
 	}()
 }
 
@@ -327,8 +369,12 @@
 			var raw []byte
 			raw, err = io.ReadAll(io.LimitReader(body, maxListBytes))
 			body.Close()
+			var l List
+			if err == nil {
+				l, err = parseList(raw)
+			}
 			if err == nil {
-				err = d.take(raw, from, false)
+				err = d.take(l, from, false)
 			}
 		}
 		if err != nil {
