A keyed repeat is not written after its window, however late its connection comes up

Cause: balance.mayRepeat looks at the window when it chooses; the connection then takes up to its time-out (900 ms there) before core and upstream write. Change: Send tells by when it may be written, the permit ends then, dials and writes are bound by it; what was too late ends as Withdrawn, and its request fails at once where nothing else is allowed. Withdrawn goes through retry now, so that it is not held in vain.

--- a/balance/api.go
+++ b/balance/api.go
@@ -285,7 +285,7 @@
 	Reset                       // the connection broke; may have run
 	Cancelled                   // withdrawn; may have run
 	NotSent                     // never sent
-	Withdrawn                   // never sent: its backend takes nothing new by now, or nobody waits for it; no fault of the backend
+	Withdrawn                   // never sent: its backend takes nothing new by now, it is too late or nobody waits for it; no fault of the backend
 )
 
 // NeverRan reports whether the result proves that the attempt had no effect.
@@ -306,6 +306,7 @@
 	Send struct {
 		Request, Backend string
 		Timeout          time.Duration
+		By               time.Duration // it may not be written later; 0: whenever
 	}
 	// Cancel withdraws an attempt; its Outcome still comes.
 	Cancel struct {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -261,9 +261,7 @@
 		return
 	}
 	r.failed = a.b
-	if e.Result == Withdrawn && !r.waiting && !r.holding { // it costs nothing, nobody has seen it
-		b.hold(r)
-	} else if r.open == 0 && !r.waiting && !r.holding {
+	if r.open == 0 && !r.waiting && !r.holding {
 		b.retry(r, e.Result)
 	}
 }
@@ -565,6 +563,9 @@
 		why = NeverSent
 	case !possible:
 		why = NoAttempt
+	case res == Withdrawn: // it costs nothing: nobody has seen it
+		b.hold(r)
+		return
 	case b.tokens < cost:
 		why = NoTokens
 	case at >= r.deadline:
@@ -1030,6 +1031,10 @@
 		send.Timeout = b.classes[r.class].Aim / 2
 		b.sites.Trial[t.Zone] = false
 	}
+	// Guards against a connection that comes up when backends have forgotten the key.
+	if c := &b.classes[r.class]; c.Effect == Keyed && r.anchor != a {
+		send.By = r.anchor.sent + c.Window
+	}
 	b.actions = append(b.actions, send)
 }
 
--- a/balance/withdrawn_test.go
+++ b/balance/withdrawn_test.go
@@ -102,3 +102,51 @@
 		}
 	}
 }
+
+// A repeat of a keyed request may not be written once backends have forgotten the key, though it was chosen before:
+// a connection may take longer to come up than is left of the window. Other sends are bound to no time.
+func TestRepeatIsBoundByItsWindow(t *testing.T) {
+	for class, c := range settings().Classes {
+		r := newRig(t, settings(), 1, backends(2))
+		r.request("q", class)
+		first := r.now
+		send := func() (s balance.Send) {
+			for _, a := range r.actions {
+				if x, ok := a.(balance.Send); ok {
+					s = x
+				}
+			}
+			return s
+		}
+		if s := send(); s.By != 0 {
+			t.Errorf("class %d: the first attempt is bound to %v", class, s.By)
+		}
+		res := balance.Reset
+		if class == unsafe {
+			res = balance.Full
+		}
+		r.outcome("q", res, time.Millisecond)
+		var again balance.Send
+		for _, a := range r.advance(250 * ms) {
+			if x, ok := a.(balance.Send); ok {
+				again = x
+			}
+		}
+		want := time.Duration(0)
+		if c.Effect == balance.Keyed {
+			want = first + c.Window
+		}
+		if again.Request != "q" || again.By != want {
+			t.Errorf("class %d: sent again %+v, want by %v", class, again, want)
+			continue
+		}
+		if c.Effect != balance.Keyed {
+			continue
+		}
+		r.now = first + c.Window // the connection has not come up by then: its answer is at once that it has failed
+		got := r.step(balance.Outcome{Request: "q", Attempt: 1, Backend: again.Backend, Result: balance.Withdrawn, Load: balance.NoLoad()})
+		if len(got) != 1 || got[0] != (balance.Fail{Request: "q"}) {
+			t.Errorf("class %d: got %v", class, got)
+		}
+	}
+}
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -147,7 +147,13 @@
 	if !p.Await(func() { close(back) }) {
 		return core.Response{Result: balance.Withdrawn}
 	}
-	if res, ok := s.await(ctx, back); !ok {
+	var late <-chan time.Time
+	if by := p.By(); !by.IsZero() {
+		t := time.NewTimer(time.Until(by))
+		defer t.Stop()
+		late = t.C
+	}
+	if res, ok := s.await(ctx, back, late); !ok {
 		return core.Response{Result: res}
 	}
 	a, res := s.send(r, p)
@@ -165,6 +171,11 @@
 				return core.Response{Result: balance.Withdrawn}
 			}
 			back = nil // it is out
+		case <-late:
+			if s.withdraw(a) {
+				return core.Response{Result: balance.Withdrawn}
+			}
+			late = nil
 		}
 	}
 }
@@ -188,7 +199,7 @@
 }
 
 // await waits until requests may be sent, for as long as a connection may take.
-func (s *server) await(ctx context.Context, back <-chan struct{}) (balance.Result, bool) {
+func (s *server) await(ctx context.Context, back <-chan struct{}, late <-chan time.Time) (balance.Result, bool) {
 	s.mu.Lock()
 	opened := s.opened
 	s.mu.Unlock()
@@ -201,6 +212,8 @@
 		return balance.ConnectFailed, false
 	case <-back:
 		return balance.Withdrawn, false
+	case <-late:
+		return balance.Withdrawn, false
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return balance.Cancelled, false
--- a/internal/backend/diameter/permit_test.go
+++ b/internal/backend/diameter/permit_test.go
@@ -17,7 +17,7 @@
 		p, back := &core.Permit{}, make(chan struct{})
 		p.Await(func() { close(back) })
 		take(p)
-		if res, ok := s.await(context.Background(), back); ok || res != balance.Withdrawn {
+		if res, ok := s.await(context.Background(), back, nil); ok || res != balance.Withdrawn {
 			t.Errorf("%s while it waits for the server: got %v, %v", name, res, ok)
 		}
 		for _, state := range []itemState{queued, begun, written} {
--- a/internal/backend/http1/permit_test.go
+++ b/internal/backend/http1/permit_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"lemonrail/balance"
 	"lemonrail/internal/core"
@@ -196,3 +197,47 @@
 	c.written()
 	return n, err
 }
+
+// A connection that comes up when the attempt may not be written any more, and a backend that does not take all of
+// it by then: no whole request arrives.
+func TestTooLateToBeWritten(t *testing.T) {
+	addr, got := watched(t)
+	u := newTestUpstream(t)
+	real := u.connect
+	u.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		<-ctx.Done()
+		return real(context.Background(), network, addr) // it comes up in that instant
+	}
+	for range 50 {
+		if r := await(t, exchange(t, u, core.NewPermit(time.Now().Add(time.Millisecond)), addr, read)); r.Result != balance.Withdrawn {
+			t.Fatalf("got %v", r.Result)
+		}
+		for u.Evict() {
+		}
+	}
+	u.connect = real
+	if r := await(t, exchange(t, u, core.NewPermit(time.Now()), addr, read)); r.Result != balance.Withdrawn {
+		t.Errorf("got %v", r.Result)
+	}
+	if r := await(t, exchange(t, u, core.NewPermit(time.Now().Add(patience)), addr, read)); r.Result != balance.OK {
+		t.Errorf("in time: got %v", r.Result)
+	}
+	if n := len(got); n != 1 {
+		t.Errorf("%d came, one was in time", n)
+	}
+	goOn := make(chan struct{})
+	whole := make(chan bool, 1)
+	slow := backend(t, func(c net.Conn, r *bufio.Reader) {
+		<-goOn
+		_, body, err := receive(r)
+		whole <- err == nil && len(body) == 16<<20
+	})
+	out := rendered(http.MethodPost, "/sub", http.Header{"X-Correlation-Id": {"d1"}}, strings.Repeat("x", 16<<20))
+	if r := await(t, exchange(t, newTestUpstream(t), core.NewPermit(time.Now().Add(50*time.Millisecond)), slow, out)); r.Result != balance.Withdrawn {
+		t.Errorf("half written: got %v", r.Result)
+	}
+	close(goOn)
+	if await(t, whole) {
+		t.Error("all of it arrived")
+	}
+}
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -132,6 +132,10 @@
 	// meanwhile or its backend drains.
 	wait, stop := context.WithCancel(ctx)
 	defer stop()
+	if by := p.By(); !by.IsZero() {
+		wait, stop = context.WithDeadline(wait, by)
+		defer stop()
+	}
 	if !p.Await(stop) {
 		return core.Response{Result: balance.Withdrawn, Load: balance.NoLoad()}, false
 	}
@@ -251,6 +255,12 @@
 		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.TimeLeft, max(0, time.Until(deadline).Microseconds()))
 	}
 	buf = append(buf, out.Rest...)
+	if by := p.By(); !by.IsZero() {
+		c.SetWriteDeadline(by)
+		if ctx.Err() != nil { // it may have struck before, and been overwritten
+			c.SetDeadline(longAgo)
+		}
+	}
 	if !p.Begin(func() { c.SetDeadline(longAgo) }) {
 		return core.Response{Result: balance.Withdrawn}, true
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,6 +36,11 @@
 	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
 }
 
+// time is at's inverse.
+func (c clock) time(d time.Duration) time.Time {
+	return c.start.Add(d - time.Duration(c.start.UnixNano()))
+}
+
 // Target is a backend at its address. Guards against an address that passes from one backend to
 // another: neither is sent what a connection to the other was kept for.
 type Target struct{ ID, Addr string }
@@ -563,7 +568,11 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	n := len(c.attempts)
-	p := &Permit{}
+	var by time.Time
+	if s.By > 0 {
+		by = l.clock.time(s.By)
+	}
+	p := NewPermit(by)
 	c.attempts = append(c.attempts, &attempt{backend: s.Backend, addr: addr, sent: now, cancel: cancel, permit: p})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -243,3 +243,28 @@
 		t.Error("the other copy may be written")
 	}
 }
+
+// A Send that may not be written later than a time has a permit that ends with it, to the nanosecond.
+func TestSendBy(t *testing.T) {
+	for _, past := range []bool{true, false} {
+		l, c := bare(nil)
+		back := asking{permits: make(chan *Permit, 1), results: make(chan Response, 1)}
+		l.Backend = back
+		l.Listed(balance.List{Backends: []balance.Backend{{ID: "h0"}}}, map[string]string{"h0": "x"})
+		l.Arrived(c)
+		by := time.Now().Add(time.Hour)
+		if past {
+			by = time.Now()
+		}
+		l.do(balance.Send{Request: "d1", Backend: "h0", By: l.At(by)})
+		p := <-back.permits
+		if !p.By().Equal(by) {
+			t.Errorf("by %v, want %v", p.By(), by)
+		}
+		if got := p.Begin(nil); got == past || p.Taken() != past {
+			t.Errorf("past %v: may begin %v, taken %v", past, got, p.Taken())
+		}
+		back.results <- Response{Result: balance.Withdrawn}
+		(<-l.inbox)()
+	}
+}
--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -1,6 +1,9 @@
 package core
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Permit says whether an attempt may still be written. The loop takes it back where the client has left or has
 // had its answer, and where the backend takes nothing new by now; a Backend asks for it before the first byte.
@@ -12,8 +15,9 @@
 	mu    sync.Mutex
 	stage stage
 	taken bool
-	cut   func() // ends what the attempt waits for now; must not wait
-	cuts  bool   // it was called
+	by    time.Time // it can't be begun later; zero: whenever
+	cut   func()    // ends what the attempt waits for now; must not wait
+	cuts  bool      // it was called
 }
 
 type stage uint8
@@ -24,6 +28,9 @@
 	whole                // the last one has been
 )
 
+// NewPermit is one for an attempt whose last byte must have been written by a time; zero: whenever.
+func NewPermit(by time.Time) *Permit { return &Permit{by: by} }
+
 // Await notes that the attempt waits, and what ends the wait. false: it may not be written.
 func (p *Permit) Await(cut func()) bool { return p.enter(waiting, cut) }
 
@@ -36,7 +43,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.taken {
+	if p.late(); p.taken {
 		return false
 	}
 	p.stage, p.cut = s, cut
@@ -62,9 +69,26 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.late()
 	return p.taken
 }
 
+// By is when the last byte must have been written; zero: whenever. Guards against the repeat of a keyed request that
+// is written, after a wait for its connection, when backends no longer know the key.
+func (p *Permit) By() time.Time {
+	if p == nil {
+		return time.Time{}
+	}
+	return p.by
+}
+
+// late takes the permit back once it is too late. The lock is held.
+func (p *Permit) late() {
+	if p.stage != whole && !p.by.IsZero() && !time.Now().Before(p.by) {
+		p.taken = true
+	}
+}
+
 // Withdraw keeps an attempt from being begun. One that has been is left alone: for its backend it counts from its
 // first byte.
 func (p *Permit) Withdraw() {
