A SIGHUP that crosses with the wait after a bad file is heeded at once

Cause (agent.follow): a configuration that makes no sense is tried again after 50 ms, then twice as long each time, up to 6.4 s; a second signal meanwhile, with a good file, waited for that. Found by reading; ruled out: a signal during a move (the channel keeps one). Change: a signal ends the wait and the tries begin anew.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -292,7 +292,7 @@
 	}
 	d := roster.New(ctx, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, told, log)
 	return source{lists: d, begin: func() { d.Tell(cfg.Known, balance.ListCached) }, run: d.Run,
-		follow: func(hup <-chan os.Signal) { follow(ctx, hup, cfg.path, d.Move, log) }}
+		follow: func(hup <-chan os.Signal) { follow(ctx, hup, cfg.path, rereadFirst, d.Move, log) }}
 }
 
 // pause waits, if anything is left to wait for, but not past the failure of a part.
