Only a watch that had begun and fell silent hurries the next ask

Cause, by reading what does where a whole fleet asks: a call that hangs from the beginning also counted as a silence, so that 300 agents would ask again within a second of each hang and keep an overloaded service from coming back, where the module's waits grow with the fleet on purpose. A call that never began has missed nothing. Lists that are pushed are not concerned. Change: roster.follow notes that the head has come. Ruled out: a call that hangs after a silence, which keeps the haste (the test's second half). Seen to fail without it: TestSilenceHurriesTheModule, "a call that hangs" is told with Within 1s.

--- a/internal/roster/crossing_test.go
+++ b/internal/roster/crossing_test.go
@@ -191,7 +191,7 @@
 func TestSilenceHurriesTheModule(t *testing.T) {
 	r := newService(t)
 	d, lists := following(t, r, true)
-	d.silence, d.opening = 50*time.Millisecond, patient
+	d.silence, d.opening = 50*time.Millisecond, 50*time.Millisecond
 	failed := func(want time.Duration) {
 		t.Helper()
 		if got := await(t, lists); got.list.Kind != balance.ListFailed || got.list.Within != want {
@@ -202,6 +202,10 @@
 	close(await(t, r.calls).lines)
 	failed(0)
 	d.Subscribe()
+	await(t, r.calls)
+	failed(0) // a call that hangs
+	d.opening = patient
+	d.Subscribe()
 	await(t, r.calls).lines <- ""
 	failed(within) // silent
 	d.Subscribe()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -237,11 +237,13 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(d.opening, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	begun := false
 	defer func() {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		if errors.Is(err, errSilent) {
+		// A call that never began has missed nothing: haste of a whole fleet would keep its service from coming back.
+		if begun && errors.Is(err, errSilent) {
 			d.missing.Store(true)
 		}
 	}()
@@ -258,6 +260,7 @@
 		return false, err
 	}
 	defer body.Close()
+	begun = true
 	watchdog.Reset(d.silence)
 	in := newObjects(body, func() {
 		spoke = true
