--- a/cmd/lemonrail/main_test.go
+++ b/cmd/lemonrail/main_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -41,7 +42,7 @@
 		ended <- run(hup, w, files{})
 		w.Close()
 	}()
-	addr, reread := make(chan string, 1), make(chan bool, 1)
+	addr, reread, stopping := make(chan string, 1), make(chan bool, 3), make(chan bool, 1)
 	go func() {
 		for lines := bufio.NewScanner(log); lines.Scan(); { // to the end: the program waits for its log
 			if _, rest, ok := strings.Cut(lines.Text(), "listen="); ok {
@@ -51,6 +52,9 @@
 			if strings.Contains(lines.Text(), "read again") {
 				reread <- true
 			}
+			if strings.Contains(lines.Text(), "msg=stopping") {
+				stopping <- true
+			}
 		}
 	}()
 	limit := time.After(20 * time.Second)
@@ -79,10 +83,23 @@
 	case <-limit:
 		t.Fatal("the configuration is not read again")
 	}
+	again := make(chan os.Signal, 3) // a slow machine may end the program before the second signal has come
+	signal.Notify(again, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(again)
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	select {
+	case <-stopping:
+	case <-limit:
+		t.Fatal("no stop begins")
+	}
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} { // they cross with the stop, and change nothing
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
 	case err := <-ended:
 		if err != nil {
 			t.Error(err)
