Duties: an expiry that crosses with a renewal is void; seeded timetables repeat

Cause of the two holders, from the log of timetable 2069: entry 29 renews, entry 30 expires the same epoch. The leading seat had proposed the expiry (grantor.Due) before the renewal was carried out; the holder was told "done" and the duty was free at once (table.apply, Expire). An expiry names how often the lease had been kept and is void if it was kept once more. Beside it: a seat that led counts itself for what it sends, and nobody took that for a promise (seat.step): 4 timetables.

--- a/internal/duty/grantor.go
+++ b/internal/duty/grantor.go
@@ -30,7 +30,8 @@
 	epoch Epoch
 	at    time.Duration // when the last command that keeps it was agreed on, or this seat began to lead
 	lease time.Duration
-	asked bool // an Expire of it is on its way
+	kept  uint64 // how often it had been kept by then
+	asked bool   // an Expire of it is on its way
 }
 
 // NewGrantor is that of a seat that doesn't lead.
@@ -43,7 +44,7 @@
 	clear(g.since)
 	for _, d := range t.duties {
 		if d.Holder != "" {
-			g.since[d.Name] = grant{d.Epoch, now, d.Lease, false}
+			g.since[d.Name] = grant{epoch: d.Epoch, at: now, lease: d.Lease, kept: d.Kept}
 		}
 	}
 }
@@ -60,7 +61,7 @@
 	}
 	was := g.since[c.Duty]
 	if was.epoch != d.Epoch || (c.Kind == Renew || c.Kind == Tell) && c.Epoch == d.Epoch && c.Agent == d.Holder {
-		g.since[c.Duty] = grant{d.Epoch, now, d.Lease, false}
+		g.since[c.Duty] = grant{epoch: d.Epoch, at: now, lease: d.Lease, kept: d.Kept}
 	}
 }
 
@@ -83,7 +84,7 @@
 		}
 		s.asked = true
 		g.since[name] = s
-		all = append(all, Command{Kind: Expire, Duty: name, Epoch: s.epoch})
+		all = append(all, Command{Kind: Expire, Duty: name, Epoch: s.epoch, Kept: s.kept})
 	}
 	return all
 }
--- a/internal/duty/seat/clerk.go
+++ b/internal/duty/seat/clerk.go
@@ -38,6 +38,7 @@
 	Work     map[string]Work // by duty: those that the agent is there for
 	Log      *slog.Logger
 	Now      func() time.Duration // nil: the monotonic clock
+	Rand     *rand.Rand           // for waits, numbers of asks and which seat is asked; nil: one of its own
 }
 
 // Clerk is an agent's side of the duties: it asks the seats, and does the work of those that the agent holds. One
@@ -75,6 +76,9 @@
 
 // NewClerk makes one that has asked nobody.
 func NewClerk(o ClerkOptions) *Clerk {
+	if o.Rand == nil {
+		o.Rand = newRand()
+	}
 	c := &Clerk{o: o, begun: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}), dialers: map[string]*dialer{}, holders: map[string]*duty.Holder{},
 		states: map[string][]byte{}, stepped: map[string]time.Duration{}}
 	mine := hello{magic, o.Settings.Fleet, o.Name}
@@ -87,7 +91,7 @@
 			continue
 		}
 		h := duty.NewHolder(duty.HolderConfig{Agent: o.Name, Zone: o.Zone, Spec: spec, Clocks: duty.Clocks{Drift: o.Settings.Drift}, Act: o.Settings.act(),
-			Round: 4 * o.Settings.tick(), Seed: rand.Uint64()}, rand.Uint64()>>2, 0)
+			Round: 4 * o.Settings.tick(), Seed: o.Rand.Uint64()}, o.Rand.Uint64()>>2, 0)
 		h.Want(0, true)
 		c.holders[spec.Name] = h
 	}
@@ -204,7 +208,7 @@
 	if d := c.dialers[c.leader]; d != nil {
 		all = append(all, d)
 	}
-	for _, i := range rand.Perm(len(c.names)) {
+	for _, i := range c.o.Rand.Perm(len(c.names)) {
 		if c.names[i] != c.leader {
 			all = append(all, c.dialers[c.names[i]])
 		}
--- a/internal/duty/seat/seat.go
+++ b/internal/duty/seat/seat.go
@@ -49,6 +49,7 @@
 	// nil: there is no view, and no seat is replaced but one that comes back under another identity.
 	Members func() (dead map[string]time.Duration, lives map[string]bool)
 	Now     func() time.Duration // nil: the monotonic clock
+	Rand    *rand.Rand           // for identities; nil: one of its own
 }
 
 // Seat is one of those that agree.
@@ -98,6 +99,9 @@
 	if !ok {
 		return nil, fmt.Errorf("duties: %q has no seat", o.Name)
 	}
+	if o.Rand == nil {
+		o.Rand = newRand()
+	}
 	s := &Seat{o: o, ln: o.Listener, begun: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}), dialers: map[string]*dialer{}, open: map[*line]bool{},
 		table: duty.NewTable(), grantor: duty.NewGrantor(duty.Clocks{Drift: o.Settings.Drift}), seats: map[uint64]string{}, came: map[string]uint64{},
 		promised: map[uint64]duty.Promise{}, via: map[uint64]string{}, waiting: map[string][]func(duty.Answer){}}
@@ -122,7 +126,7 @@
 }
 
 func (s *Seat) openStore() {
-	st, empty, err := store.Open(s.o.FS, newID())
+	st, empty, err := store.Open(s.o.FS, newID(s.o.Rand))
 	if err != nil {
 		s.distrust(err)
 		return
@@ -136,9 +140,12 @@
 	s.o.Log.Info("seat", "identity", fmt.Sprintf("%016x", st.ID()), "new", empty, "term", has.Term, "entry", has.Index)
 }
 
-func newID() uint64 {
+// newRand is a source that nobody can foretell.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func newID(rng *rand.Rand) uint64 {
 	for {
-		if id := rand.Uint64() >> 1; id != raft.None {
+		if id := rng.Uint64() >> 1; id != raft.None {
 			return id
 		}
 	}
@@ -271,9 +278,7 @@
 	}
 	if s.seats[s.st.ID()] == "" && now-s.lastAsk >= checkInEvery { // it is to be let in
 		s.lastAsk = now
-		for _, d := range s.dialers {
-			d.sendJSON(frameJoin, checkIn{s.o.Name, s.st.ID()})
-		}
+		s.tellAll(frameJoin)
 	}
 	s.ready()
 	if s.rn != nil && s.leads {
@@ -282,13 +287,20 @@
 	}
 }
 
+// tellAll sends the other seats who this one is, in the settings' order.
+func (s *Seat) tellAll(k frameKind) {
+	for _, p := range s.o.Settings.seats {
+		if d := s.dialers[p.name]; d != nil {
+			d.sendJSON(k, checkIn{s.o.Name, s.st.ID()})
+		}
+	}
+}
+
 // begin asks the other seats and does what follows.
 func (s *Seat) begin(now time.Duration) {
 	if now-s.lastAsk >= checkInEvery || s.lastAsk == 0 {
 		s.lastAsk = now
-		for _, d := range s.dialers {
-			d.sendJSON(frameCheckIn, checkIn{s.o.Name, s.st.ID()})
-		}
+		s.tellAll(frameCheckIn)
 	}
 	d := s.seating.Decide(now)
 	if d.Start != s.decision.Start || d.Why != s.decision.Why {
@@ -696,6 +708,8 @@
 	switch {
 	case m.GetType() == pb.MsgAppResp && !m.GetReject() && m.GetTerm() == p.Term:
 		p.Index = max(p.Index, m.GetIndex())
+	case m.GetType() == pb.MsgApp && m.GetTerm() == p.Term: // whoever leads keeps an entry before it sends it, and counts itself
+		p.Index = max(p.Index, m.GetIndex()+uint64(len(m.GetEntries())))
 	case m.GetType() == pb.MsgVoteResp && !m.GetReject():
 		p.Voted = max(p.Voted, m.GetTerm())
 	}
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -73,6 +73,7 @@
 	Epoch  Epoch  // of the holder, or of the last one
 	State  []byte // what it has done so far, as its holders told
 	Acts   uint64 // times that state was told, over all holders
+	Kept   uint64 // times that a lease was renewed, or told within, over all holders
 	Next   string // who is to take over; empty: nobody is named
 	Ready  bool   // Next has said that it can begin at once
 }
@@ -85,7 +86,7 @@
 	Claim               // Agent wants to hold Duty, which nobody holds
 	Renew               // Agent, holder in Epoch, goes on
 	Release             // Agent, holder in Epoch, lets go
-	Expire              // the lease of Epoch has run out, by the Grantor
+	Expire              // the lease of Epoch has run out, by the Grantor, who saw it kept Kept times
 	Tell                // Agent, holder in Epoch, has the state be State, and goes on
 	Name                // Agent is to take over: by hand, or by the holder
 	Prepare             // Agent, who was named, can begin at once
@@ -111,6 +112,7 @@
 	Epoch Epoch
 	State []byte
 	Acts  uint64 // of Tell: what the table has to count before it, so that an earlier one that comes late is void
+	Kept  uint64 // of Expire: as often as the lease was kept when it ran out; once more, and it goes on
 	Spec  Spec   // of Define
 }
 
@@ -125,7 +127,7 @@
 	Ineligible     // the agent may not hold it
 	NotNamed       // nobody, or another one, is named to take over
 	NotReady       // the one that is named is not ready
-	Stale          // state that others were told after
+	Stale          // state that others were told after; an expiry that was decided before a renewal
 	Senseless      // the command makes no sense, or is over a bound
 	whys
 )
@@ -242,6 +244,7 @@
 		if !mine {
 			return NotHolder
 		}
+		d.Kept++
 	case Tell:
 		switch {
 		case !mine:
@@ -251,14 +254,18 @@
 		}
 		d.State = slices.Clone(c.State)
 		d.Acts++
+		d.Kept++
 	case Release:
 		if !mine {
 			return NotHolder
 		}
 		d.Holder, d.Next, d.Ready = "", "", false
 	case Expire:
-		if d.Holder == "" || d.Epoch != c.Epoch {
+		switch {
+		case d.Holder == "" || d.Epoch != c.Epoch:
 			return NotHolder
+		case d.Kept != c.Kept: // it crossed with a renewal, which the holder has been told of: two would act
+			return Stale
 		}
 		d.Holder, d.Next, d.Ready = "", "", false
 	case Name:
