A request whose client left before it was read is not sent on

Cause: a request that lies in the kernel while the agent is busy, waits for room or has just been started is read with the end of its client's sending behind it, and nobody looks: front.ServeHTTP hands it to the loop, net/http's background read sees the end only while the attempt is already on its way (or, over a kept connection, written). Ruled out: core.Left and permits, which do what they are to do once they are told; the backlog itself (a reset connection never reaches the handler). Change: ServeHTTP looks once, when the request is whole, whether the client's side has ended (admission.Conn.HungUp, one poll).

--- a/internal/admission/ahead.go
+++ b/internal/admission/ahead.go
@@ -88,6 +88,9 @@
 // Gone is closed when the client is seen to have gone while its request is in hand, where net/http can't see it.
 func (c *Conn) Gone() <-chan struct{} { return c.gone }
 
+// HungUp reports whether the client's side has ended by now, whatever it has sent before that.
+func (c *Conn) HungUp() bool { return peek.HungUp(c.Conn) }
+
 // endAhead ends the look ahead, if there is one. What was taken in is read next.
 func (c *Conn) endAhead() {
 	c.mu.Lock()
--- a/internal/agent/leavers_test.go
+++ b/internal/agent/leavers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -195,3 +196,60 @@
 		t.Errorf("only %d of %d left before another attempt", once, all)
 	}
 }
+
+// Clients send their requests and leave before the agent takes their connections: it was busy, or has just been started.
+// The module is told of none of them, and no backend gets one.
+func TestLeftBeforeTheyWereRead(t *testing.T) {
+	const leave, stay = 300, 10
+	got := make(chan string, leave+stay)
+	cfg := testConfig(t, backend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, _, err := receive(r)
+			if err != nil {
+				return
+			}
+			got <- req.Header.Get("X-Correlation-Id")
+			io.WriteString(c, hello)
+		}
+	}))
+	ln := listen(t)
+	for n := range leave {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, readOf(fmt.Sprint("left", n)))
+		c.Close()
+	}
+	told := make(chan string, leave+stay)
+	bal := stepFunc(func(e balance.Event) []balance.Action {
+		if r, ok := e.(balance.Request); ok {
+			told <- r.ID
+		}
+		return sendAll(e)
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, cfg, bal, ln, nil, nil, nil, quiet) }()
+	for n := range stay {
+		if resp, _, err := ask(newClient(t), "http://"+ln.Addr().String(), fmt.Sprint("stays", n)); err != nil || resp.StatusCode != 200 {
+			t.Errorf("one that stays: %v, %v", resp, err)
+		}
+	}
+	stop() // all that was accepted has been dealt with once it has ended
+	if err := await(t, ended); err != nil {
+		t.Error(err)
+	}
+	for what, ids := range map[string]chan string{"the module was told of": told, "the backend got": got} {
+		close(ids)
+		n := 0
+		for id := range ids {
+			if strings.HasPrefix(id, "left") {
+				n++
+			}
+		}
+		if n > 0 {
+			t.Errorf("%s %d of %d requests whose clients had left", what, n, leave)
+		}
+	}
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -86,6 +86,12 @@
 		return
 	}
 	stream := c.Request.(*http1.Request).Stream
+	// Guards against a request that is sent on long after its client has left: it lay in the kernel while this process
+	// was busy, or had just been started.
+	if conn.HungUp() {
+		leave(conn, w, stream)
+		return
+	}
 	if stream == nil {
 		conn.Taken()
 	}
@@ -125,6 +131,11 @@
 // left ends what is in hand for a client that has gone.
 func (s *Server) left(conn *admission.Conn, w http.ResponseWriter, c *core.Call, stream *http1.Stream) {
 	s.Loop.Post(func() { s.Loop.Left(c) })
+	leave(conn, w, stream)
+}
+
+// leave ends a request for whom nobody waits.
+func leave(conn *admission.Conn, w http.ResponseWriter, stream *http1.Stream) {
 	if stream != nil {
 		stream.Whole() // nobody reads the body once this returns
 	}
