A test of a cut site begins once others have said that they reach it

Seen: TestWhatIsNoLossOfASite failed in one of six runs alone on the machine ("n0: [doubted lost cut returning well]; others kept it warm") and in both runs of the whole package. Cause, from n0's log: the cut was made right after the load began; n0's own attempts had failed for 0.4 s before any member had told that it is answered at b. Without such word a cut can't be told from a loss, and the design says so (judge.go, told: nothing).

--- a/internal/cluster/sites_test.go
+++ b/internal/cluster/sites_test.go
@@ -185,6 +185,8 @@
 	t.Run("the agents of one site are cut off from another", func(t *testing.T) {
 		t.Parallel()
 		c := sitesRig(t)
+		// Until members elsewhere have said that they are answered there, an agent can't tell a cut from a loss.
+		until(t, c, "every agent has heard that others are answered at b", func(r *pilot.Report) bool { return r.Sites[1].Reach >= 2 })
 		end := harm(t, c, standin.FaultSpec{What: "cut", Nodes: nb, Agents: []string{"site:a"}})
 		holds(t, c, []int{0, 3}, "b", "cut")
 		holds(t, c, []int{1, 2, 4, 5}, "b", "well")
