A watch that hung or fell silent is opened anew without a pause; lists may not trickle

Lines: roster.Run's pause, drawn anew whatever the call had lasted. Change: the pause counts from the call's beginning: only one that ended soon is followed by any. An object that is not whole 3 s (30 s before) after its first byte ends its watch: trickling bytes fed the watchdog. Ruled out: the service's own readiness (the head came in 0 to 1 ms whenever it was up). Without: TestOpenedAnewWithoutAPause "a pause of 44.46499ms after a call that hung", TestListThatTrickles "all but the last byte was waited for". internal/roster passes, with -race too.

--- a/internal/roster/crossing_test.go
+++ b/internal/roster/crossing_test.go
@@ -1,11 +1,16 @@
 package roster
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -31,7 +36,7 @@
 				pieces = iotest.OneByteReader(strings.NewReader(text))
 			}
 			fed := 0
-			o := newObjects(pieces, func() { fed++ })
+			o := newObjects(pieces, silence, func() { fed++ })
 			for want := int64(42); want <= 43; want++ {
 				if l, err := o.next(); err != nil || l.Seq != want || len(l.Hosts) != int(want-42) {
 					t.Fatalf("%s, cut at %d: got %+v, %v", name, cut, l, err)
@@ -51,7 +56,7 @@
 func TestListsCutShort(t *testing.T) {
 	text := `{"seq":42,"whole":true,"hosts":[{"host":"h1","dial":"127.0.0.1:1","site":"a","class":"m1","health":"ready"}]}`
 	for cut := 1; cut < len(text); cut++ {
-		if l, err := newObjects(strings.NewReader(text[:cut]), func() {}).next(); err == nil || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if l, err := newObjects(strings.NewReader(text[:cut]), silence, func() {}).next(); err == nil || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Errorf("cut at %d: got %+v, %v", cut, l, err)
 		}
 	}
@@ -72,7 +77,7 @@
 		`{"seq":42,`:                "list",
 		`nonsense`:                  "list",
 	} {
-		if l, err := newObjects(strings.NewReader(text+"\n"), func() {}).next(); err == nil || !strings.Contains(err.Error(), want) {
+		if l, err := newObjects(strings.NewReader(text+"\n"), silence, func() {}).next(); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: got %+v, %v", text, l, err)
 		}
 	}
@@ -80,16 +85,16 @@
 
 // Heartbeats leave nothing behind, however long nothing else comes; a list without end is given up.
 func TestListsAreBounded(t *testing.T) {
-	o := newObjects(io.MultiReader(io.LimitReader(endless(" \n"), 3*maxListBytes), strings.NewReader(`{"seq":42}`)), func() {})
+	o := newObjects(io.MultiReader(io.LimitReader(endless(" \n"), 3*maxListBytes), strings.NewReader(`{"seq":42}`)), silence, func() {})
 	if l, err := o.next(); err != nil || l.Seq != 42 {
 		t.Errorf("got %+v, %v", l, err)
 	}
-	o = newObjects(io.MultiReader(strings.NewReader(`{"seq":42,"hosts":[`), endless(" \n")), func() {})
+	o = newObjects(io.MultiReader(strings.NewReader(`{"seq":42,"hosts":[`), endless(" \n")), silence, func() {})
 	if _, err := o.next(); err == nil {
 		t.Error("no end, and no error")
 	}
-	o = newObjects(strings.NewReader(` {"seq"`), func() {})
-	o.apart, o.begun = false, time.Now().Add(-objectMost-time.Second)
+	o = newObjects(strings.NewReader(` {"seq"`), silence, func() {})
+	o.apart, o.begun = false, time.Now().Add(-silence-time.Second)
 	if _, err := o.next(); err == nil || !strings.Contains(err.Error(), "not whole after") {
 		t.Errorf("got %v", err)
 	}
@@ -190,6 +195,81 @@
 	}
 }
 
+// No call is open between two: what the service is told then would be known too late. So a watch that has hung, or fallen
+// silent, is opened anew without a pause, and one that ended at once after one.
+func TestOpenedAnewWithoutAPause(t *testing.T) {
+	r := newService(t)
+	d, lists := following(t, r, false)
+	d.opening, d.silence = 2*reopenMost, 2*reopenMost
+	pauses := make(chan time.Duration, 100)
+	d.after = func(p time.Duration) <-chan time.Time {
+		pauses <- p
+		return time.After(p)
+	}
+	go d.Run()
+	await(t, r.calls)           // hangs in its head
+	for told := false; !told; { // the next says one thing and falls silent; a slow machine may need several
+		select {
+		case c := <-r.calls:
+			c.lines <- roll(42, false)
+		case <-lists:
+			told = true
+		case <-time.After(patient):
+			t.Fatal("nothing came")
+		}
+	}
+	c := await(t, r.calls)
+	for len(pauses) > 0 {
+		t.Errorf("a pause of %v after a call that hung, or a watch that fell silent", <-pauses)
+	}
+	for len(pauses) == 0 { // chance may have it that none is left
+		close(c.lines)
+		c = await(t, r.calls)
+	}
+	if p := <-pauses; p > reopenMost {
+		t.Errorf("a pause of %v", p)
+	}
+}
+
+// A list that comes byte by byte keeps a watch from falling silent, and is not whole in time: the watch is opened anew.
+func TestListThatTrickles(t *testing.T) {
+	trickle, whole := make(chan struct{}), roll(43, false, entry("h1", "a", "m1", "draining"))
+	var calls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			io.WriteString(w, whole+"\n")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			return
+		}
+		for n := 0; n < len(whole)-1; n++ { // never the last one
+			io.WriteString(w, whole[n:n+1])
+			w.(http.Flusher).Flush()
+			select {
+			case <-time.After(10 * time.Millisecond):
+			case <-r.Context().Done():
+				close(trickle)
+				return
+			}
+		}
+		<-r.Context().Done()
+		t.Error("all but the last byte was waited for")
+		close(trickle)
+	}))
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(srv.Close)
+	t.Cleanup(stop)
+	lists := make(chan balance.List, 10)
+	d := New(ctx, Config{Service: netip.MustParseAddrPort(srv.Listener.Addr().String()), Names: wire.Names{Zones: []string{"a"}, Kinds: []string{"m1"}}},
+		func(l balance.List, _ map[string]string) { lists <- l }, slog.New(slog.DiscardHandler))
+	d.silence = 200 * time.Millisecond
+	go d.Run()
+	await(t, trickle)
+	if got := await(t, lists); got.Version != 43 || got.Backends[0].State != balance.Draining {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // Where lists are asked for, the module learns that it has to ask soon, until a list has come. A break that is no
 // silence brings no such haste.
 func TestSilenceHurriesTheModule(t *testing.T) {
--- a/internal/roster/objects.go
+++ b/internal/roster/objects.go
@@ -15,15 +15,16 @@
 // lines, or several in one. Blank lines between them are heartbeats.
 type objects struct {
 	r     io.Reader
-	fed   func() // called whenever something has come
+	most  time.Duration // for one object, from its first byte on
+	fed   func()        // called whenever something has come
 	d     *json.Decoder
 	apart bool      // no byte of the next object has come
 	bytes int       // of the object that is being read
 	begun time.Time // when its first one came
 }
 
-func newObjects(r io.Reader, fed func()) *objects {
-	o := &objects{r: r, fed: fed, apart: true}
+func newObjects(r io.Reader, most time.Duration, fed func()) *objects {
+	o := &objects{r: r, most: most, fed: fed, apart: true}
 	o.d = json.NewDecoder(o)
 	return o
 }
@@ -64,8 +65,9 @@
 		if o.bytes += n; o.bytes > maxListBytes {
 			return n, fmt.Errorf("over %d bytes", maxListBytes)
 		}
-		if !o.apart && time.Since(o.begun) > objectMost {
-			return n, fmt.Errorf("not whole after %v", objectMost)
+		// Guards against a list that trickles in, which feeds the watchdog and is as good as silence.
+		if !o.apart && time.Since(o.begun) > o.most {
+			return n, fmt.Errorf("not whole after %v", o.most)
 		}
 		return n, err
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,9 +30,8 @@
 	opening = time.Second     // where lists are pushed the service answers at once: one that doesn't is asked anew
 	within  = time.Second     // where they are asked for, for the next call after a silent watch: the call may wait
 
-	objectMost   = 30 * time.Second // for one object, from its first byte on: longer than that is no list
-	reopenFirst  = 100 * time.Millisecond
-	reopenMost   = 250 * time.Millisecond
+	reopenFirst  = 100 * time.Millisecond // between the beginnings of two watches at first, by chance
+	reopenMost   = 250 * time.Millisecond // and at the most
 	fetchLimit   = 5 * time.Second
 	maxListBytes = 8 << 20
 )
@@ -106,6 +105,7 @@
 
 	silence time.Duration // a watch without a byte for so long is dead
 	opening time.Duration // and one that has not begun by then
+	after   func(time.Duration) <-chan time.Time
 
 	mu    sync.Mutex // held while a list is told, so never by the loop
 	base  string     // URL of the list
@@ -135,7 +135,7 @@
 		begin = silence
 	}
 	return &Client{base: listURL(c.Service), wake: make(chan struct{}, 1), ask: c.Ask,
-		names: c.Names, told: told, log: log, ctx: ctx, seq: c.Seq, silence: silence, opening: begin,
+		names: c.Names, told: told, log: log, ctx: ctx, seq: c.Seq, silence: silence, opening: begin, after: time.After,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
@@ -207,20 +207,22 @@
 	}
 	wait := reopenFirst
 	for d.ctx.Err() == nil {
+		began := time.Now()
 		spoke, err := d.follow(d.ctx)
 		if spoke {
 			wait = reopenFirst
 		}
 		d.failed(err)
-		pause := time.NewTimer(time.Duration(rand.Float64() * float64(wait)))
-		select {
-		case <-pause.C:
-		case <-d.wake:
-			pause.Stop()
-			wait = reopenFirst
-			continue
-		case <-d.ctx.Done():
-			pause.Stop()
+		// Guards against a drain that is told while no call is open: what the service has counts as told all the same. So
+		// only a call that ended soon is followed by a pause; one that hung or fell silent has lasted for long enough.
+		if pause := time.Duration(rand.Float64()*float64(wait)) - time.Since(began); pause > 0 {
+			select {
+			case <-d.after(pause):
+			case <-d.wake:
+				wait = reopenFirst
+				continue
+			case <-d.ctx.Done():
+			}
 		}
 		wait = min(2*wait, reopenMost)
 	}
@@ -262,7 +264,7 @@
 	defer body.Close()
 	begun = true
 	watchdog.Reset(d.silence)
-	in := newObjects(body, func() {
+	in := newObjects(body, d.silence, func() {
 		spoke = true
 		watchdog.Reset(d.silence)
 	})
