A stop takes in the backlog of its listener before it closes it

Cause: admission.Listener.Close closed the descriptor at once. Connections that this machine had accepted, requests and all, were reset without a word where the loop that accepts was behind or waited for room (admit), which is where a stop finds it in a crowd. Ruled out: the successor's case (Leave leaves the backlog to it), idle connections (their requests come again). Change: Close has Accept go on until nothing has come for 10 ms, 100 ms at the most; whoever finds no room is turned away whole, several at a time as far as descriptors allow (Governor.LastSpare).

--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -442,6 +442,18 @@
 	g.counts.TurnedNow++
 }
 
+// LastSpare is how many may be turned away at a time once nothing else is accepted: what is left for requests in hand is
+// theirs too.
+func (g *Governor) LastSpare() int {
+	spare := max(g.cfg.Spare, lastSpare)
+	if by := &g.counts.By; g.cfg.Total > 0 {
+		spare = min(spare, g.cfg.Total-g.counts.Held-by[Body]-by[InHand]-by[Answering])
+	}
+	return max(g.cfg.Spare, spare)
+}
+
+const lastSpare = 64
+
 // Turned ends a Turn.
 func (g *Governor) Turned() { g.counts.TurnedNow-- }
 
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -25,6 +25,9 @@
 	turnBytes   = 64 << 10
 	exhausted   = 50 * time.Millisecond // pause after an accept that found no descriptor free
 	bodyChunk   = 16 << 10              // bytes of a body that are read with one deadline
+
+	sweepStep = 10 * time.Millisecond  // without another connection in the backlog, after which a listener closes
+	sweepMost = 100 * time.Millisecond // for all that lie there
 )
 
 // Listener accepts clients' connections as its Governor decides.
@@ -38,6 +41,10 @@
 	freed    chan struct{} // says that a Newcomer may be decided on anew
 	stopped  chan struct{}
 	stop     sync.Once
+	begun    atomic.Bool   // Accept has been called
+	ended    chan struct{} // it returns nothing more
+	end      sync.Once
+	sweepBy  time.Time // set before stopped is closed
 	turning  sync.WaitGroup
 	lingers  atomic.Bool  // connections are given time to read their last answer
 	ahead    atomic.Int64 // bytes taken in ahead of answers
@@ -62,7 +69,7 @@
 	}
 	nothing := func() {}
 	l := &Listener{Listener: ln, gov: gov, opened: nothing, closed: nothing, room: nothing, start: time.Now(),
-		freed: make(chan struct{}, 1), stopped: make(chan struct{}), turnAway: Refusal(http.StatusServiceUnavailable, retryAfter)}
+		freed: make(chan struct{}, 1), stopped: make(chan struct{}), ended: make(chan struct{}), turnAway: Refusal(http.StatusServiceUnavailable, retryAfter)}
 	l.lingers.Store(true)
 	if h.Opened != nil {
 		l.opened = h.Opened
@@ -116,10 +123,20 @@
 // listener is closed or broken: want of descriptors is waited out here, since net/http would
 // sleep for up to a second on it.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.begun.Store(true)
 	for {
+		until, sweeps := l.sweep()
+		tries := !sweeps || time.Now().Before(until)
 		nc, err := l.Listener.Accept()
 		if err != nil {
-			if !outOfDescriptors(err) {
+			if errors.Is(err, os.ErrDeadlineExceeded) && (!sweeps || !tries && time.Now().Before(l.sweepBy)) {
+				continue // the listener is to close: a last look
+			}
+			if !outOfDescriptors(err) || sweeps && !time.Now().Before(l.sweepBy) {
+				l.end.Do(func() { close(l.ended) })
+				if sweeps {
+					err = net.ErrClosed
+				}
 				return nil, err
 			}
 			l.room()
@@ -139,6 +156,28 @@
 	}
 }
 
+// sweep bounds the next accept of a listener that is to close: what lies in its backlog has been accepted by this machine,
+// and is owed an answer.
+func (l *Listener) sweep() (until time.Time, sweeps bool) {
+	select {
+	case <-l.stopped:
+	default:
+		return time.Time{}, false
+	}
+	until = time.Now().Add(sweepStep)
+	if until.After(l.sweepBy) {
+		until = l.sweepBy
+	}
+	l.wakeAccept(until)
+	return until, true
+}
+
+// wakeAccept has an Accept return by a time, where the listener can.
+func (l *Listener) wakeAccept(by time.Time) bool {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(by) == nil
+}
+
 // outOfDescriptors reports whether accepting failed for want of something that comes back.
 func outOfDescriptors(err error) bool {
 	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
@@ -176,8 +215,13 @@
 		if !l.wait(v.Wait) { // the listener closes: what was accepted gets its word all the same
 			l.mu.Lock()
 			l.gov.Turn()
+			few := l.gov.counts.TurnedNow <= l.gov.LastSpare()
 			l.mu.Unlock()
-			l.turn(nc)
+			if few {
+				l.turning.Go(func() { l.turn(nc) })
+			} else {
+				l.turn(nc)
+			}
 			return nil
 		}
 	}
@@ -232,9 +276,19 @@
 	}
 }
 
-// Close ends accepting. Connections go on.
+// Close ends accepting, once what lies in the backlog has been taken in. Connections go on. Guards against those that are
+// reset with their requests unread, since the loop that accepts was behind or waited for room.
 func (l *Listener) Close() error {
-	l.stop.Do(func() { close(l.stopped) })
+	l.stop.Do(func() {
+		l.sweepBy = time.Now().Add(sweepMost)
+		close(l.stopped)
+		if l.begun.Load() && l.wakeAccept(time.Now().Add(sweepStep)) {
+			select {
+			case <-l.ended:
+			case <-time.After(sweepMost + sweepStep):
+			}
+		}
+	})
 	return l.Listener.Close()
 }
 
--- a/internal/admission/listener_test.go
+++ b/internal/admission/listener_test.go
@@ -468,6 +468,39 @@
 	}
 }
 
+// The listener closes while connections lie in its backlog, each with a whole request: this machine has accepted them,
+// so each is owed an answer, if only that there is no room.
+func TestStopWithABacklog(t *testing.T) {
+	s := newSite(t, Config{Most: 1, Spare: 1, Fresh: time.Hour, Stall: time.Hour, Granted: time.Hour, Patience: time.Hour})
+	release := s.holding("held")
+	held := s.dial(t)
+	io.WriteString(held, request("held", "body"))
+	for s.hasRead("held") == 0 {
+		runtime.Gosched()
+	}
+	var waiting []*client
+	for n := range 20 {
+		c := s.dial(t)
+		io.WriteString(c, request(fmt.Sprint("waits", n), "body"))
+		waiting = append(waiting, c)
+	}
+	s.l.Close()
+	for n, c := range waiting {
+		if status, _, last, err := c.answer(); err != nil || status != http.StatusServiceUnavailable || !last {
+			t.Errorf("%d in the backlog got %d, %v", n, status, err)
+		}
+	}
+	release()
+	if status, body, _, err := held.answer(); err != nil || status != http.StatusOK || body != "answer to held" {
+		t.Errorf("the one in hand got %d %q, %v", status, body, err)
+	}
+	s.stop(t)
+	if nc, err := net.Dial("tcp", s.l.Addr().String()); err == nil {
+		t.Error("it still listens")
+		nc.Close()
+	}
+}
+
 // scarce is a listener that is out of descriptors as often as it is told, and not before it may be.
 type scarce struct {
 	net.Listener
