A new process hears discovery's first list before it takes its first client

With a grace of 20 ms a backend that drains may be sent to by the old list. Ruled out: lists that are asked for (told when written). Change: the first accept waits until the first list was told or the first call failed, 0.2 s at the most; clients lie in the backlog.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,7 +25,10 @@
 
 const reservedSockets = 32 // for standard streams, listeners, discovery, peers and the poller
 
-const listPatience = 1500 * time.Millisecond // for discovery, before this process says that it serves
+const (
+	listPatience = 1500 * time.Millisecond // for discovery, before this process says that it serves
+	firstWord    = 200 * time.Millisecond  // for what is pushed, before it takes the first client
+)
 
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
 // With each hup it reads its configuration again.
@@ -149,12 +152,14 @@
 	if err != nil {
 		return parts{dia}, err
 	}
+	list, word := listPart(ctx, cfg, l, hup, log)
+	door.word, door.wait = word, cfg.firstWord
 	all = parts{
 		{name: "staff", leave: func(time.Time) { staffed.stops.Store(true) }}, // before all: no yes while it stops
 		loopPart(l),
 		{name: "backends", start: func(t *tasks) { t.Go(func(ctx context.Context) error { up.Run(ctx); return nil }) }},
 		home.part(),
-		listPart(ctx, cfg, l, hup, log),
+		list,
 		peersPart(peers, l),
 		sites,
 		membersPart(members),
@@ -191,6 +196,25 @@
 	*admission.Listener
 	home  *household
 	ready func() bool
+	word  <-chan struct{} // closed once discovery has said what it has, where lists are pushed; else nil
+	wait  time.Duration   // for that
+}
+
+// hold waits with the first client until this process may serve it: until one of an earlier generation need not, and
+// until discovery has said what it has. That counts as told from the process's first moment on, while the list that is
+// known may be of any age; clients wait in the listener's queue meanwhile.
+func (d *clientDoor) hold(ctx context.Context) {
+	d.home.hold(ctx, d.ready)
+	if d.word == nil {
+		return
+	}
+	late := time.NewTimer(d.wait)
+	defer late.Stop()
+	select {
+	case <-d.word:
+	case <-late.C: // it is down
+	case <-ctx.Done():
+	}
 }
 
 func clientsPart(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, ln net.Listener,
@@ -215,7 +239,7 @@
 	return &part{name: "clients",
 		start: func(t *tasks) {
 			t.Go(func(ctx context.Context) error {
-				door.home.hold(ctx, door.ready)
+				door.hold(ctx)
 				if err := srv.Serve(gate); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 					return fmt.Errorf("clients: %w", err)
 				}
@@ -244,8 +268,8 @@
 		}}, door, nil
 }
 
-// listPart is where the list of backends comes from.
-func listPart(ctx context.Context, cfg *Config, l *core.Loop, hup <-chan os.Signal, log *slog.Logger) *part {
+// listPart is where the list of backends comes from, and when it has first said what it has; nil: that needs no wait.
+func listPart(ctx context.Context, cfg *Config, l *core.Loop, hup <-chan os.Signal, log *slog.Logger) (*part, <-chan struct{}) {
 	var fresh atomic.Bool // discovery has spoken
 	listed := listing(ctx, cfg, func(list balance.List, addrs map[string]string) {
 		l.Post(func() {
@@ -264,7 +288,7 @@
 			t.Go(func(context.Context) error { listed.follow(hup); return nil })
 		},
 		// Guards against a yes that rests on the list that was known, of any age; but discovery may be down.
-		ready: func() bool { return fresh.Load() || time.Since(begun) > listPatience }}
+		ready: func() bool { return fresh.Load() || time.Since(begun) > listPatience }}, listed.word
 }
 
 // source is where the list of backends comes from.
@@ -273,6 +297,7 @@
 	begin  func()                 // tells what is known
 	run    func()                 // follows it until the agent ends
 	follow func(<-chan os.Signal) // reads what has changed with each signal
+	word   <-chan struct{}        // closed once it has said what it has; nil: that needs no wait
 }
 
 // listing is discovery, or a file in its place.
@@ -291,7 +316,11 @@
 		}}
 	}
 	d := roster.New(ctx, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, told, log)
-	return source{lists: d, begin: func() { d.Tell(cfg.Known, balance.ListCached) }, run: d.Run,
+	var word <-chan struct{}
+	if !cfg.Settings.Subscribe { // where lists are asked for, a new process has been told nothing yet
+		word = d.Spoken()
+	}
+	return source{lists: d, begin: func() { d.Tell(cfg.Known, balance.ListCached) }, run: d.Run, word: word,
 		follow: func(hup <-chan os.Signal) { follow(ctx, hup, cfg.path, rereadFirst, d.Move, log) }}
 }
 
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -53,6 +53,8 @@
 	linger   time.Duration // after a stop, for which the listener stays open at the least
 	crossing time.Duration // once idle connections have been closed, for which it does
 	answerBy time.Duration // after a stop, by which all has been answered
+
+	firstWord time.Duration // after a start, for which discovery is waited for before the first client is taken
 }
 
 // ReadConfig reads and checks the file at path.
@@ -140,6 +142,7 @@
 	}
 	cfg.stay, cfg.linger, cfg.answerBy = planStop(&cfg.Settings)
 	cfg.crossing = planCrossing(cfg.stay, cfg.answerBy)
+	cfg.firstWord = firstWord
 	return cfg, nil
 }
 
--- a/internal/agent/crossing_test.go
+++ b/internal/agent/crossing_test.go
@@ -79,6 +79,53 @@
 	}
 }
 
+// A client asks in the instant in which its agent is started, with a known list that is old by now: the request waits until
+// discovery has said what it has, since that counts as told from the first moment on.
+func TestFirstClientCrossesFirstList(t *testing.T) {
+	for range 10 {
+		service, bal := newLists(t), newScripted(sendAll)
+		cfg := testConfig(t, backend(t, always(hello)))
+		cfg.Discovery, cfg.firstWord = addrPort(t, service.addr), time.Hour
+		base, _, _ := running(t, cfg, bal)
+		c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, readOf("first"))
+		time.Sleep(5 * time.Millisecond) // an agent that doesn't wait has begun with it by now; the verdict on one that does is the same
+		service.tell <- roster.List{Seq: 42, Hosts: []roster.Host{{Host: "h9", Dial: cfg.Known.Hosts[0].Dial, Site: "a", Class: "m1", Health: "draining"}}}
+		for told := false; ; {
+			e := await(t, bal.seen)
+			if l, ok := e.(balance.List); ok && l.Kind == balance.ListDelta {
+				told = true
+			}
+			if r, ok := e.(balance.Request); ok {
+				if !told {
+					t.Errorf("%s came before discovery's list", r.ID)
+				}
+				break
+			}
+		}
+	}
+}
+
+// Discovery that is down, or says nothing, holds nobody up for long.
+func TestFirstClientWithoutAList(t *testing.T) {
+	silent := backend(t, func(_ net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) })
+	for _, c := range []struct {
+		service string
+		wait    time.Duration
+	}{{deadAddr(t), time.Hour}, {silent, time.Millisecond}} {
+		cfg := testConfig(t, backend(t, always(hello)))
+		cfg.Discovery, cfg.firstWord = addrPort(t, c.service), c.wait
+		base, _, _ := running(t, cfg, nil)
+		if resp, _, err := ask(newClient(t), base, "first"); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%v: %v, %v", c, resp, err)
+		}
+	}
+}
+
 // readOf is a read as its bytes stand on the connection.
 func readOf(id string) string {
 	return "GET /read?key=7f HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Time-Left: 3600000m\r\n\r\n"
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -117,6 +117,9 @@
 
 	missing atomic.Bool // a watch fell silent, and no list has come since
 
+	spoken chan struct{} // closed once a list has been told, or the first call for one has failed
+	speak  sync.Once
+
 	stop context.CancelFunc // ends the watch that was asked for; nil: none; the loop's own
 }
 
@@ -134,7 +137,7 @@
 	if c.Ask { // a call may wait there
 		begin = silence
 	}
-	return &Client{base: listURL(c.Service), wake: make(chan struct{}, 1), ask: c.Ask,
+	return &Client{base: listURL(c.Service), spoken: make(chan struct{}), wake: make(chan struct{}, 1), ask: c.Ask,
 		names: c.Names, told: told, log: log, ctx: ctx, seq: c.Seq, silence: silence, opening: begin, after: time.After,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
@@ -160,6 +163,11 @@
 	}
 }
 
+// Spoken is closed once the first list has been told, or the first call has come to nothing.
+func (d *Client) Spoken() <-chan struct{} { return d.spoken }
+
+func (d *Client) spoke() { d.speak.Do(func() { close(d.spoken) }) }
+
 // source is the service that a call goes to: a list of one that has been replaced counts no more.
 type source struct {
 	base  string
@@ -191,6 +199,7 @@
 		return // the agent stops
 	}
 	d.log.Warn("discovery", "err", err)
+	defer d.spoke()
 	if d.ask {
 		failed := balance.List{Kind: balance.ListFailed}
 		if d.missing.Load() {
@@ -308,6 +317,7 @@
 	}
 	d.missing.Store(false)
 	d.Tell(l, kind)
+	d.spoke()
 	return nil
 }
 
