--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -146,7 +146,9 @@
 			if e != nil {
 				e.Tag.(*Conn).rouse()
 			}
-			l.wait(exhausted)
+			if !l.wait(exhausted) {
+				time.Sleep(sweepStep)
+			}
 			continue
 		}
 		l.opened()
