--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -47,7 +47,6 @@
 	agent    int
 	came     time.Duration
 	attempts int
-	class    int
 }
 
 type crowdItem struct {
--- a/internal/backend/http1/helpers_test.go
+++ b/internal/backend/http1/helpers_test.go
@@ -16,7 +16,6 @@
 var (
 	quiet    = slog.New(slog.DiscardHandler)
 	deadAddr = scripted.DeadAddr
-	listen   = scripted.Listen
 	backend  = scripted.Backend
 	receive  = scripted.Receive
 	always   = scripted.Always
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -180,7 +180,7 @@
 			t.Errorf("n%d saw %d changes, want 2", i, n-before[i])
 		}
 	}
-	before = moved(t, c)
+	moved(t, c) // each of them answers before it is stopped
 	for _, a := range c.Agents {
 		must(t, a.Signal(syscall.SIGSTOP))
 	}
--- a/internal/cluster/duties_test.go
+++ b/internal/cluster/duties_test.go
@@ -140,7 +140,7 @@
 	c := dutiesRig(t, 5)
 	first, epoch := heldBy(t, c, 0)
 	must(t, c.Agents[first].Kill())
-	second, next := heldBy(t, c, epoch)
+	second, _ := heldBy(t, c, epoch)
 	if second == first {
 		t.Errorf("n%d holds it, and is gone", first)
 	}
@@ -148,7 +148,7 @@
 	must(t, c.Ready(patience))
 	heldBy(t, c, epoch)
 	// Stopped for longer than its lease, it finds out when it goes on, and another goes on in between.
-	second, next = heldBy(t, c, epoch)
+	second, next := heldBy(t, c, epoch)
 	must(t, c.Agents[second].Signal(syscall.SIGSTOP))
 	third, last := heldBy(t, c, next)
 	must(t, c.Agents[second].Signal(syscall.SIGCONT))
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -33,11 +33,10 @@
 	own      netip.AddrPort // of the diagonal: the agent's own address
 	conn     *net.UDPConn
 
-	mu     sync.Mutex
-	fault  Fault
-	rng    *rand.Rand
-	held   [][]byte
-	closed bool
+	mu    sync.Mutex
+	fault Fault
+	rng   *rand.Rand
+	held  [][]byte
 }
 
 const everyone = -1
--- a/internal/duty/seat/history_test.go
+++ b/internal/duty/seat/history_test.go
@@ -51,7 +51,6 @@
 	holders map[duty.Epoch]string
 	acked   uint64 // the most acts that were said to be kept
 	broken  string
-	lied    bool // a disk has said yes and kept nothing, at the seat that did
 	liar    int
 	began   int
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -139,6 +139,7 @@
 	}
 	var ok bool
 	if s.Weights, ok = weights[f.Weights]; !ok {
+		//lint:ignore ST1005 the error begins with the name of the field
 		return s, fmt.Errorf("Weights: unknown meaning %q", f.Weights)
 	}
 	if s.Reports, ok = sources[f.Report.Source]; !ok {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -240,6 +240,7 @@
 		}
 		data, err := hex.DecodeString(*m.Text)
 		if err != nil {
+			//lint:ignore ST1005 the error begins with the name of the field
 			return fmt.Errorf("Msg: %w", err)
 		}
 		e.Event = balance.PeerMessage{From: *m.From, Data: data}
@@ -293,6 +294,7 @@
 	}
 	list, ok := r.lists[*m.Sheet]
 	if !ok {
+		//lint:ignore ST1005 the error begins with the name of the field
 		return nil, fmt.Errorf("Sheet %d was never defined", *m.Sheet)
 	}
 	return balance.List{Kind: kind, Version: m.Index, Backends: list}, nil
