--- a/cmd/lemonctl/doors_test.go
+++ b/cmd/lemonctl/control_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"lemonrail/internal/duty/seat"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 )
 
 // tells answers a path as an agent's door does; changes are noted.
@@ -33,8 +33,8 @@
 }
 
 func TestSitesShow(t *testing.T) {
-	report := func(state, cause string) *pilot.Report {
-		return &pilot.Report{Own: "a", Basis: "planned", Sites: []pilot.Row{{Site: "a", State: "well", Since: time.Now(), Remain: 1, Attempts: 7},
+	report := func(state, cause string) *driver.Report {
+		return &driver.Report{Own: "a", Basis: "planned", Sites: []driver.Row{{Site: "a", State: "well", Since: time.Now(), Remain: 1, Attempts: 7},
 			{Site: "b", State: state, Cause: cause, Since: time.Now(), FailShare: 1}}}
 	}
 	x, y := tells(t, "/api/sites", report("lost", ""), nil), tells(t, "/api/sites", report("cut", "mine"), nil)
--- a/cmd/lemonctl/sitesshow.go
+++ b/cmd/lemonctl/sitesshow.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"lemonrail/internal/chart"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 )
 
 type sitesShowCmd struct {
@@ -27,9 +27,9 @@
 
 // sitesLook is what all doors said at a time.
 type sitesLook struct {
-	At     time.Time                `json:"at"`
-	Agents map[string]*pilot.Report `json:"agents"` // by door
-	Silent map[string]string        `json:"silent,omitempty"`
+	At     time.Time                 `json:"at"`
+	Agents map[string]*driver.Report `json:"agents"` // by door
+	Silent map[string]string         `json:"silent,omitempty"`
 }
 
 func (c *sitesShowCmd) Run(ctx context.Context, s streams) error {
@@ -55,7 +55,7 @@
 
 func lookAtSites(ctx context.Context, doors []string) *sitesLook {
 	l := &sitesLook{At: time.Now()}
-	l.Agents, l.Silent = askAll[pilot.Report](ctx, doors, "/api/sites", "it watches no sites (started without -sites)")
+	l.Agents, l.Silent = askAll[driver.Report](ctx, doors, "/api/sites", "it watches no sites (started without -sites)")
 	return l
 }
 
@@ -63,7 +63,7 @@
 func (l *sitesLook) text(w io.Writer) error {
 	type group struct {
 		doors []string
-		row   pilot.Row
+		row   driver.Row
 		basis string
 	}
 	groups := map[string]*group{}
@@ -147,7 +147,7 @@
 		chart.Plot("Agents that hold a site for lost or cut", "", step, away)}})
 }
 
-func siteRow(r *pilot.Report, name string) *pilot.Row {
+func siteRow(r *driver.Report, name string) *driver.Row {
 	if r == nil {
 		return nil
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -144,11 +144,11 @@
 	home := newHousehold(cfg, l, up, socks, door, members, log)
 	door.home = home
 	staffed := &staff{loop: l, figures: l.Figures, home: home}
-	sites, pilots, err := sitesPart(cfg, l, members, staffed, log)
+	sites, siteDriver, err := sitesPart(cfg, l, members, staffed, log)
 	if err != nil {
 		return parts{dia}, err
 	}
-	duties, err := dutiesPart(cfg, pilots, members, log)
+	duties, err := dutiesPart(cfg, siteDriver, members, log)
 	if err != nil {
 		return parts{dia}, err
 	}
--- a/internal/agent/duties.go
+++ b/internal/agent/duties.go
@@ -18,7 +18,7 @@
 	"lemonrail/internal/figures"
 	"lemonrail/internal/member"
 	"lemonrail/internal/member/link"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 )
 
 // WithDuties has the agent hold duties with others, by the settings of a file; one of the file's seats is its own where
@@ -34,7 +34,7 @@
 }
 
 // dutiesPart makes seat and clerk.
-func dutiesPart(cfg *Config, sites *pilot.Pilot, members *link.Link, log *slog.Logger) (*part, error) {
+func dutiesPart(cfg *Config, sites *driver.Driver, members *link.Link, log *slog.Logger) (*part, error) {
 	s := cfg.duties
 	if s == nil {
 		return &part{name: "duties"}, nil
@@ -139,7 +139,7 @@
 
 // pacing is the duty of pacing a site's return: its holder tells the ramp, all agents follow it while they hear of it.
 type pacing struct {
-	sites *pilot.Pilot
+	sites *driver.Driver
 	fence *duty.Fence
 	span  time.Duration
 	log   *slog.Logger
--- a/internal/agent/sites.go
+++ b/internal/agent/sites.go
@@ -9,7 +9,7 @@
 	"lemonrail/internal/core"
 	"lemonrail/internal/member/link"
 	"lemonrail/internal/site"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 	"lemonrail/internal/takeover"
 )
 
@@ -29,14 +29,14 @@
 		return errors.New("sites: the platform names none")
 	}
 	c.sites = &sitesSet{f, p}
-	if _, err := c.steer(); err != nil {
+	if _, err := c.controllerConfig(); err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
 	return nil
 }
 
-// steer is what the file and the platform say together.
-func (c *Config) steer() (site.SteerConfig, error) {
+// controllerConfig is what the file and the platform say together.
+func (c *Config) controllerConfig() (site.ControllerConfig, error) {
 	var classes []site.Class
 	for i, k := range c.Settings.Classes {
 		name := fmt.Sprint("class ", i)
@@ -49,19 +49,19 @@
 	if cold == 0 {
 		cold = 1
 	}
-	s, err := c.sites.file.Steer(c.sites.problem, c.Names.Zones, classes, cold, c.Settings.RampTime)
+	s, err := c.sites.file.ControllerConfig(c.sites.problem, c.Names.Zones, classes, cold, c.Settings.RampTime)
 	if advice := c.Settings.MaxRetryAfter; advice > 0 {
 		s.Advice = advice
 	}
 	return s, err
 }
 
-// sitesPart makes the pilot, which watches the loop.
-func sitesPart(cfg *Config, l *core.Loop, members *link.Link, staffed *staff, log *slog.Logger) (*part, *pilot.Pilot, error) {
+// sitesPart makes the driver, which watches the loop.
+func sitesPart(cfg *Config, l *core.Loop, members *link.Link, staffed *staff, log *slog.Logger) (*part, *driver.Driver, error) {
 	if cfg.sites == nil {
 		return &part{name: "sites"}, nil, nil
 	}
-	steer, err := cfg.steer()
+	config, err := cfg.controllerConfig()
 	if err != nil {
 		return nil, nil, err
 	}
@@ -69,11 +69,11 @@
 	if own >= len(cfg.Names.Zones) {
 		own = -1
 	}
-	o := pilot.Options{Steer: steer, Own: own, Seed: cfg.Seed, Log: log, Hand: staffed.excludeZone}
+	o := driver.Options{Controller: config, Own: own, Seed: cfg.Seed, Log: log, Hand: staffed.excludeZone}
 	if members != nil {
 		o.Members = members
 	}
-	p, err := pilot.New(o, l)
+	p, err := driver.New(o, l)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -31,7 +31,7 @@
 	"lemonrail/internal/duty/seat"
 	"lemonrail/internal/ledger"
 	"lemonrail/internal/member/link"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 	"lemonrail/internal/standin"
 )
 
@@ -407,7 +407,7 @@
 func (a *Agent) Members() (*link.Report, error) { return view(a.Door) }
 
 // Sites is what the agent holds the sites for.
-func (a *Agent) Sites() (*pilot.Report, error) { return told[pilot.Report](a.Door, "/api/sites") }
+func (a *Agent) Sites() (*driver.Report, error) { return told[driver.Report](a.Door, "/api/sites") }
 
 func view(door string) (*link.Report, error) { return told[link.Report](door, "/api/members") }
 
--- a/internal/cluster/sites_test.go
+++ b/internal/cluster/sites_test.go
@@ -11,7 +11,7 @@
 
 	"lemonrail/internal/cluster"
 	"lemonrail/internal/ledger"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 	"lemonrail/internal/standin"
 )
 
@@ -106,7 +106,7 @@
 // holds waits until agents hold a site for one of some states.
 func holds(t *testing.T, c *cluster.Cluster, agents []int, site string, states ...string) {
 	t.Helper()
-	var last *pilot.Report
+	var last *driver.Report
 	err := c.Until(patience, func() error {
 		for _, i := range agents {
 			r, err := c.Agents[i].Sites()
@@ -186,7 +186,7 @@
 		t.Parallel()
 		c := sitesRig(t)
 		// Until members elsewhere have said that they are answered there, an agent can't tell a cut from a loss.
-		until(t, c, "every agent has heard that others are answered at b", func(r *pilot.Report) bool { return r.Sites[1].Reach >= 2 })
+		until(t, c, "every agent has heard that others are answered at b", func(r *driver.Report) bool { return r.Sites[1].Reach >= 2 })
 		end := harm(t, c, standin.FaultSpec{What: "cut", Nodes: nb, Agents: []string{"site:a"}})
 		holds(t, c, []int{0, 3}, "b", "cut")
 		holds(t, c, []int{1, 2, 4, 5}, "b", "well")
@@ -202,7 +202,7 @@
 		t.Parallel()
 		c := sitesRig(t)
 		end := harm(t, c, standin.FaultSpec{What: "fail_fast", Size: 1, Nodes: nb})
-		until(t, c, "every agent has met errors at b", func(r *pilot.Report) bool { return r.Sites[1].Kinds["errored"] > 0 })
+		until(t, c, "every agent has met errors at b", func(r *driver.Report) bool { return r.Sites[1].Kinds["errored"] > 0 })
 		end()
 		harm(t, c, standin.FaultSpec{What: "restart", Size: 8, Nodes: []string{"nc-1"}})
 		met := map[string]bool{}
@@ -255,7 +255,7 @@
 }
 
 // until waits until all agents' reports are as wanted.
-func until(t *testing.T, c *cluster.Cluster, what string, so func(*pilot.Report) bool) {
+func until(t *testing.T, c *cluster.Cluster, what string, so func(*driver.Report) bool) {
 	t.Helper()
 	must(t, c.Until(patience, func() error {
 		for _, a := range c.Agents {
@@ -312,7 +312,7 @@
 		end()
 		holds(t, c, everyone, "b", "returning", "well")
 	}
-	until(t, c, "two losses or more", func(r *pilot.Report) bool { return r.Sites[1].Losses >= 2 })
+	until(t, c, "two losses or more", func(r *driver.Report) bool { return r.Sites[1].Losses >= 2 })
 	holds(t, c, everyone, "b", "well")
 }
 
--- a/internal/site/steer.go
+++ b/internal/site/controller.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// SteerConfig says how states become orders. DefaultSteer fills all but Watch, Classes and Figures.
-type SteerConfig struct {
+// ControllerConfig says how states become orders. DefaultControllerConfig fills all but Watch, Classes and Figures.
+type ControllerConfig struct {
 	Watch   Config
 	Ramp    Ramp
 	Classes []Class // in the decision module's order
@@ -33,14 +33,14 @@
 	Way      Way
 }
 
-// DefaultSteer is for agents that see some requests a second.
-func DefaultSteer(sites []string, coldShare float64, ramp time.Duration) SteerConfig {
-	return SteerConfig{Watch: DefaultConfig(sites), Ramp: DefaultRamp(coldShare, ramp), Figures: Figures{Headroom: 0.05, Load: 0.7, Cross: 0.02, Way: Best},
+// DefaultControllerConfig is for agents that see some requests a second.
+func DefaultControllerConfig(sites []string, coldShare float64, ramp time.Duration) ControllerConfig {
+	return ControllerConfig{Watch: DefaultConfig(sites), Ramp: DefaultRamp(coldShare, ramp), Figures: Figures{Headroom: 0.05, Load: 0.7, Cross: 0.02, Way: Best},
 		Advice: time.Second, Trial: time.Second, Longest: 4 * time.Second, Lean: 0.1, Floor: 0.02}
 }
 
 // Check names the first value that makes no sense.
-func (c *SteerConfig) Check() error {
+func (c *ControllerConfig) Check() error {
 	if err := c.Watch.Check(); err != nil {
 		return err
 	}
@@ -99,8 +99,8 @@
 	Cold   []int  // sites whose backends count as just started, from this order on; once for each return
 }
 
-// steered is what Steer keeps of a site beside its state.
-type steered struct {
+// controlledSite is what Controller keeps of a site beside its state.
+type controlledSite struct {
 	trialAt time.Duration // when the next trial is wanted
 	wait    time.Duration
 	was     State
@@ -109,17 +109,17 @@
 	most    int // backends that were up, at the most lately
 }
 
-// Steer makes orders out of what a Watch holds, and plans out of a Book. Like both it belongs to one goroutine and
+// Controller makes orders out of what a Watch holds, and plans out of a PlanCache. Like both it belongs to one goroutine and
 // performs no I/O; plans are worked out elsewhere (Job, Done).
-type Steer struct {
-	cfg   SteerConfig
+type Controller struct {
+	cfg   ControllerConfig
 	w     *Watch
 	own   int
 	rng   *rand.Rand
 	now   time.Duration
-	sites []steered
-	cap   []float64 // listed, by site
-	book  *Book     // nil: no figures yet
+	sites []controlledSite
+	cap   []float64  // listed, by site
+	plans *PlanCache // nil: no figures yet
 	order Order
 	said  uint64
 	moves []Change
@@ -133,8 +133,8 @@
 	till  time.Duration
 }
 
-// NewSteer returns one for an agent of a site (-1: of none), at a time.
-func NewSteer(cfg SteerConfig, own int, seed uint64, now time.Duration) (*Steer, error) {
+// NewController returns one for an agent of a site (-1: of none), at a time.
+func NewController(cfg ControllerConfig, own int, seed uint64, now time.Duration) (*Controller, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, fmt.Errorf("sites: %w", err)
 	}
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Steer{cfg: cfg, w: w, own: own, rng: rand.New(rand.NewPCG(seed, 32)), now: now, sites: make([]steered, len(cfg.Watch.Sites)),
+	s := &Controller{cfg: cfg, w: w, own: own, rng: rand.New(rand.NewPCG(seed, 32)), now: now, sites: make([]controlledSite, len(cfg.Watch.Sites)),
 		cap: make([]float64, len(cfg.Watch.Sites))}
 	s.order.Remain = slices.Repeat([]float64{1}, len(s.sites))
 	if s.came, err = newReturns(s, seed); err != nil {
@@ -150,7 +150,7 @@
 	}
 	if cfg.Figures.Problem != nil {
 		p := *cfg.Figures.Problem
-		if s.book, err = NewBook(p); err != nil {
+		if s.plans, err = NewPlanCache(p); err != nil {
 			return nil, err
 		}
 	}
@@ -158,11 +158,11 @@
 }
 
 // Watch is where evidence is told.
-func (s *Steer) Watch() *Watch { return s.w }
+func (s *Controller) Watch() *Watch { return s.w }
 
 // List takes what the list says now. Capacity is each site's sum of its backends' weights; plans rest on it where
 // the settings give no figures.
-func (s *Steer) List(now time.Duration, listed []Listed, capacity []float64) {
+func (s *Controller) List(now time.Duration, listed []Listed, capacity []float64) {
 	s.now = max(now, s.now)
 	s.w.List(now, listed)
 	for i := range s.sites {
@@ -173,7 +173,7 @@
 	if s.cfg.Figures.Problem != nil {
 		return
 	}
-	moved := s.book == nil
+	moved := s.plans == nil
 	for i := range s.cap {
 		c := 0.0
 		if i < len(capacity) {
@@ -190,39 +190,39 @@
 	p, err := Plain(s.cap, s.cfg.Classes, s.cfg.Figures.Load, s.cfg.Figures.Cross, s.cfg.Figures.Headroom)
 	if err == nil {
 		p.Way = s.cfg.Figures.Way
-		if b, err := NewBook(p); err == nil {
-			s.book = b
+		if b, err := NewPlanCache(p); err == nil {
+			s.plans = b
 		}
 	}
 }
 
 const capacitySlack = 0.1 // by which a site grows before plans are worked out anew
 
-// Job is the problem whose plan is wanted next, if any. It is worked out (Problem.Work) wherever there is time, and
+// Job is the problem whose plan is wanted next, if any. It is worked out (Problem.Plan) wherever there is time, and
 // told to Done.
-func (s *Steer) Job() (Problem, bool) {
-	if s.book == nil {
+func (s *Controller) Job() (Problem, bool) {
+	if s.plans == nil {
 		return Problem{}, false
 	}
-	return s.book.Next()
+	return s.plans.Next()
 }
 
 // Done takes the plan for a job.
-func (s *Steer) Done(p Problem, plan *Plan, err error) {
-	if s.book != nil && slices.Equal(p.Capacity, s.book.whole.Capacity) {
-		s.book.Add(p.Remain, plan, err)
+func (s *Controller) Done(p Problem, plan *Plan, err error) {
+	if s.plans != nil && slices.Equal(p.Capacity, s.plans.whole.Capacity) {
+		s.plans.Add(p.Remain, plan, err)
 	}
 }
 
 // Changes hands over the sites' changes of state since the last call.
-func (s *Steer) Changes() []Change {
+func (s *Controller) Changes() []Change {
 	c := s.moves
 	s.moves = nil
 	return c
 }
 
 // Tick brings states up to date, and returns the order in force and whether it is another one than before.
-func (s *Steer) Tick(now time.Duration) (Order, bool) {
+func (s *Controller) Tick(now time.Duration) (Order, bool) {
 	s.now = max(now, s.now)
 	for i := range s.sites {
 		if s.w.State(i) == Returning && s.ramp(i) >= 1 {
@@ -268,7 +268,7 @@
 }
 
 // Pace has a returning site's part follow what one agent says for all, until a time; the own ramp holds again after it.
-func (s *Steer) Pace(site int, share float64, till time.Duration) {
+func (s *Controller) Pace(site int, share float64, till time.Duration) {
 	if s.paced == nil {
 		s.paced = make([]pace, len(s.sites))
 	}
@@ -278,7 +278,7 @@
 }
 
 // Ramps are the parts that sites may have by this agent's own ramps.
-func (s *Steer) Ramps() []float64 {
+func (s *Controller) Ramps() []float64 {
 	all := make([]float64, len(s.sites))
 	for i := range all {
 		switch s.w.State(i) {
@@ -293,7 +293,7 @@
 }
 
 // ramp is the part of its load that a returning site may have by now, in steps.
-func (s *Steer) ramp(i int) float64 {
+func (s *Controller) ramp(i int) float64 {
 	share := s.cfg.Ramp.Share(s.now-s.w.sites[i].since, s.w.losses(i))
 	if s.paced != nil && s.now < s.paced[i].till {
 		share = s.paced[i].share
@@ -305,7 +305,7 @@
 }
 
 // remains is what plans reckon with of a site.
-func (s *Steer) remains(i int) float64 {
+func (s *Controller) remains(i int) float64 {
 	left := 1.0
 	if x := &s.sites[i]; x.most > 0 { // in halves: a release of a few at a time is no loss
 		left = math.Round(2*float64(s.w.sites[i].listed.Up)/float64(x.most)) / 2
@@ -325,7 +325,7 @@
 }
 
 // fill says what is made of what remains.
-func (s *Steer) fill(o *Order) {
+func (s *Controller) fill(o *Order) {
 	n := len(s.sites)
 	if slices.Max(o.Remain) == 0 { // nobody would be served: as if all were well
 		o.Basis = Unplanned
@@ -348,8 +348,8 @@
 	}
 	var plan *Plan
 	known := false
-	if s.book != nil {
-		plan, known = s.book.Find(o.Remain)
+	if s.plans != nil {
+		plan, known = s.plans.Find(o.Remain)
 	}
 	switch {
 	case plan == nil:
@@ -399,7 +399,7 @@
 const gentleUntil = 0.5
 
 // elsewhere reports whether another site is there for the rest.
-func (s *Steer) elsewhere(i int, o *Order) bool {
+func (s *Controller) elsewhere(i int, o *Order) bool {
 	for k := range s.sites {
 		if k != i && s.w.State(k) == Well && o.Remain[k] > 0 {
 			return true
@@ -409,7 +409,7 @@
 }
 
 // row is what a plan says to this agent: its site's, or for one of no site the mean.
-func (s *Steer) row(p *Plan) (to, admit []float64) {
+func (s *Controller) row(p *Plan) (to, admit []float64) {
 	if s.own >= 0 {
 		return p.To[s.own], p.Admit[s.own]
 	}
@@ -427,7 +427,7 @@
 
 // trial reports whether a request is to try a site now, and sets the time of the next one: twice as far each time,
 // at once where members elsewhere are answered there or one has been served, and never at the same time at all agents.
-func (s *Steer) trial(i int) bool {
+func (s *Controller) trial(i int) bool {
 	x, site := &s.sites[i], &s.w.sites[i]
 	if site.state != Lost && site.state != Cut || site.byHand {
 		x.trialAt, x.wait, x.trials, x.started = 0, 0, 0, 0
@@ -452,7 +452,7 @@
 }
 
 // Note is what this agent tells the others of the sites: two bits each, lowest first. Silence of long says nothing.
-func (s *Steer) Note() []byte {
+func (s *Controller) Note() []byte {
 	note := make([]byte, (len(s.sites)+3)/4)
 	for i := range s.sites {
 		x := &s.w.sites[i]
@@ -494,7 +494,7 @@
 }
 
 // Members takes what the fleet's view holds.
-func (s *Steer) Members(now time.Duration, majority bool, all []Member) {
+func (s *Controller) Members(now time.Duration, majority bool, all []Member) {
 	n := len(s.sites)
 	f := Fleet{Known: true, Majority: majority, Alive: make([]int, n), Expected: make([]int, n), Reach: make([]int, n), Asked: make([]int, n)}
 	for _, m := range all {
@@ -534,10 +534,10 @@
 }
 
 // Report returns how things stand now.
-func (s *Steer) Report() Report {
+func (s *Controller) Report() Report {
 	r := Report{Order: s.order}
-	if s.book != nil {
-		r.Plans, r.Fails = s.book.Size(), s.book.Fails
+	if s.plans != nil {
+		r.Plans, r.Fails = s.plans.Size(), s.plans.Fails
 	}
 	for i := range s.sites {
 		r.Evidence = append(r.Evidence, s.w.Evidence(i))
--- a/internal/site/steer_test.go
+++ b/internal/site/controller_test.go
@@ -12,11 +12,11 @@
 
 var twoClasses = []Class{{"read", 1}, {"sub", 3}}
 
-// steering plays an agent of site 0 with three sites of four backends: forty attempts a second to each, but for those
+// controlled plays an agent of site 0 with three sites of four backends: forty attempts a second to each, but for those
 // that its order keeps off, which get their trials.
-type steering struct {
+type controlled struct {
 	t      *testing.T
-	s      *Steer
+	s      *Controller
 	now    time.Duration
 	do     map[int]Kind // by site; none: served
 	order  Order
@@ -24,9 +24,9 @@
 	tries  map[int]int // trials sent
 }
 
-func newSteering(t *testing.T, own int, change func(*SteerConfig)) *steering {
+func newControlled(t *testing.T, own int, change func(*ControllerConfig)) *controlled {
 	t.Helper()
-	cfg := DefaultSteer([]string{"a", "b", "c"}, 0.3, 4*time.Second)
+	cfg := DefaultControllerConfig([]string{"a", "b", "c"}, 0.3, 4*time.Second)
 	cfg.Classes = twoClasses
 	p := Problem{Capacity: []float64{100, 100, 100}, Remain: []float64{1, 1, 1}, Classes: twoClasses, Headroom: 0.1}
 	for o := range 3 {
@@ -38,11 +38,11 @@
 	if change != nil {
 		change(&cfg)
 	}
-	s, err := NewSteer(cfg, own, 1, 0)
+	s, err := NewController(cfg, own, 1, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := &steering{t: t, s: s, do: map[int]Kind{}, tries: map[int]int{}}
+	x := &controlled{t: t, s: s, do: map[int]Kind{}, tries: map[int]int{}}
 	x.list(4, 4, 4)
 	x.work()
 	x.play(2 * time.Second)
@@ -52,7 +52,7 @@
 	return x
 }
 
-func (x *steering) list(up ...int) {
+func (x *controlled) list(up ...int) {
 	listed, capacity := make([]Listed, len(up)), make([]float64, len(up))
 	for i, n := range up {
 		listed[i], capacity[i] = Listed{Backends: n, Up: n}, float64(n)
@@ -60,19 +60,19 @@
 	x.s.List(x.now, listed, capacity)
 }
 
-func (x *steering) work() {
+func (x *controlled) work() {
 	for range 64 {
 		p, ok := x.s.Job()
 		if !ok {
 			return
 		}
-		plan, err := p.Work()
+		plan, err := p.Plan()
 		x.s.Done(p, plan, err)
 	}
 	x.t.Fatal("plans without end")
 }
 
-func (x *steering) play(d time.Duration) {
+func (x *controlled) play(d time.Duration) {
 	for end := x.now + d; x.now < end; x.now += step {
 		for i := range 3 {
 			n := 2
@@ -96,7 +96,7 @@
 }
 
 func TestALostSitesLoadGoesWhereThePlanSays(t *testing.T) {
-	x := newSteering(t, 1, nil)
+	x := newControlled(t, 1, nil)
 	x.do[1] = Refused
 	x.play(2 * time.Second)
 	o := x.order
@@ -109,7 +109,7 @@
 	}
 	mean := 0.0
 	for own := range 3 {
-		y := newSteering(t, own, nil)
+		y := newControlled(t, own, nil)
 		y.do[1] = Refused
 		y.play(2 * time.Second)
 		if y.order.Admit != nil {
@@ -125,7 +125,7 @@
 
 // A doubt leans off a site at once, and lets go again where it was nothing.
 func TestADoubtLeansAndLetsGo(t *testing.T) {
-	x := newSteering(t, 0, nil)
+	x := newControlled(t, 0, nil)
 	x.do[1] = Silent
 	for x.order.Basis == Ordinary && x.now < 10*time.Second {
 		x.play(step)
@@ -142,7 +142,7 @@
 
 // Attempts that are late tell of silence before the first client has given up.
 func TestLateAttemptsTellOfSilence(t *testing.T) {
-	x := newSteering(t, 0, nil)
+	x := newControlled(t, 0, nil)
 	began := x.now
 	var late []Late
 	for x.s.Watch().State(1) == Well && x.now < began+3*time.Second {
@@ -172,7 +172,7 @@
 }
 
 func TestTrialsAreRareAndBringItBack(t *testing.T) {
-	x := newSteering(t, 0, nil)
+	x := newControlled(t, 0, nil)
 	x.do[1] = Silent
 	x.play(20 * time.Second)
 	if n := x.tries[1]; n < 4 || n > 12 {
@@ -201,7 +201,7 @@
 
 // What a returning site may have grows in steps, never over its ramp, and is nothing again at once when it fails.
 func TestTheReturnIsARamp(t *testing.T) {
-	x := newSteering(t, 0, nil)
+	x := newControlled(t, 0, nil)
 	x.do[1] = Reset
 	x.play(3 * time.Second)
 	delete(x.do, 1)
@@ -241,7 +241,7 @@
 
 // One agent paces the return for all; without word of it each goes by its own ramp.
 func TestThePaceIsToldByOne(t *testing.T) {
-	x := newSteering(t, 0, nil)
+	x := newControlled(t, 0, nil)
 	x.do[1] = Reset
 	x.play(3 * time.Second)
 	delete(x.do, 1)
@@ -269,7 +269,7 @@
 
 // Others reach it: this agent alone keeps off, and takes it for warm when it is back.
 func TestACutIsNoLoss(t *testing.T) {
-	x := newSteering(t, 0, nil)
+	x := newControlled(t, 0, nil)
 	others := func(says told) {
 		var all []Member
 		for site := range 3 {
@@ -311,7 +311,7 @@
 	for x.s.Watch().State(1) != Lost && x.now < began+5*time.Second {
 		x.play(step)
 	}
-	alone := newSteering(t, 0, nil)
+	alone := newControlled(t, 0, nil)
 	alone.do[1] = Silent
 	begun := alone.now
 	for alone.s.Watch().State(1) != Lost && alone.now < begun+5*time.Second {
@@ -321,7 +321,7 @@
 		t.Errorf("%v with others' word, %v without", x.now-began, alone.now-begun)
 	}
 	// One failure of its own is enough where all say the same, and none is without it.
-	y := newSteering(t, 0, nil)
+	y := newControlled(t, 0, nil)
 	var all []Member
 	for site := range 3 {
 		for range 3 {
@@ -350,7 +350,7 @@
 // Every order keeps something in use, whatever the evidence.
 func TestSomethingIsAlwaysInUse(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		x := newSteering(t, rapid.IntRange(-1, 2).Draw(r, "own"), func(c *SteerConfig) {
+		x := newControlled(t, rapid.IntRange(-1, 2).Draw(r, "own"), func(c *ControllerConfig) {
 			if rapid.Bool().Draw(r, "no figures") {
 				c.Figures.Problem = nil
 			}
@@ -380,7 +380,7 @@
 
 // Refused clients are told to come as the ramp opens, not together.
 func TestReturnsFollowTheRamp(t *testing.T) {
-	x := newSteering(t, 0, func(c *SteerConfig) { c.Advice = 4 * time.Second })
+	x := newControlled(t, 0, func(c *ControllerConfig) { c.Advice = 4 * time.Second })
 	x.do[1] = Refused
 	x.play(3 * time.Second)
 	spread := map[int]int{}
@@ -397,7 +397,7 @@
 		}
 	}
 	// During the return: as the ramp opens, so the more the later, and some at once.
-	x = newSteering(t, 0, func(c *SteerConfig) { c.Advice = 4 * time.Second })
+	x = newControlled(t, 0, func(c *ControllerConfig) { c.Advice = 4 * time.Second })
 	x.do[1] = Refused
 	x.play(3 * time.Second)
 	delete(x.do, 1)
@@ -418,12 +418,12 @@
 }
 
 func TestSteerConfigIsChecked(t *testing.T) {
-	for name, change := range map[string]func(*SteerConfig){
-		"classes": func(c *SteerConfig) { c.Classes = nil }, "trial": func(c *SteerConfig) { c.Trial = 0 }, "lean": func(c *SteerConfig) { c.Lean = 0 },
-		"floor": func(c *SteerConfig) { c.Floor = 2 }, "ramp": func(c *SteerConfig) { c.Ramp.ColdShare = 0 }, "advice": func(c *SteerConfig) { c.Advice = 0 },
-		"figures": func(c *SteerConfig) { c.Figures.Problem = &Problem{} }, "sites": func(c *SteerConfig) { c.Watch.Sites = nil },
+	for name, change := range map[string]func(*ControllerConfig){
+		"classes": func(c *ControllerConfig) { c.Classes = nil }, "trial": func(c *ControllerConfig) { c.Trial = 0 }, "lean": func(c *ControllerConfig) { c.Lean = 0 },
+		"floor": func(c *ControllerConfig) { c.Floor = 2 }, "ramp": func(c *ControllerConfig) { c.Ramp.ColdShare = 0 }, "advice": func(c *ControllerConfig) { c.Advice = 0 },
+		"figures": func(c *ControllerConfig) { c.Figures.Problem = &Problem{} }, "sites": func(c *ControllerConfig) { c.Watch.Sites = nil },
 	} {
-		c := DefaultSteer([]string{"a", "b"}, 0.3, time.Second)
+		c := DefaultControllerConfig([]string{"a", "b"}, 0.3, time.Second)
 		c.Classes = twoClasses
 		change(&c)
 		if err := c.Check(); err == nil {
--- a/internal/site/pilot/pilot.go
+++ b/internal/site/driver/driver.go
@@ -1,11 +1,11 @@
-// Package pilot drives internal/site in an agent: it tells it what passes through the loop and what the fleet's members
+// Package driver drives internal/site in an agent: it tells it what passes through the loop and what the fleet's members
 // say, has plans worked out beside the service, and hands its orders to the decision module. It decides nothing.
 //
 // All that it knows belongs to the loop's goroutine, but for the plan that is being worked out: one at a time, on a
 // goroutine of its own. Run wakes the loop ten times a second.
 //
 // Bounds: what is known of a backend is kept while it is listed; internal/site's own.
-package pilot
+package driver
 
 import (
 	"context"
@@ -34,31 +34,31 @@
 	Say([]byte) bool
 }
 
-// Options say what a Pilot is made from.
+// Options say what a Driver is made from.
 type Options struct {
-	Steer   site.SteerConfig
-	Own     int // this agent's site; -1: none
-	Seed    uint64
-	Members Members // nil: none
-	Log     *slog.Logger
+	Controller site.ControllerConfig
+	Own        int // this agent's site; -1: none
+	Seed       uint64
+	Members    Members // nil: none
+	Log        *slog.Logger
 	// Hand takes a zone out by hand or puts it back, at all processes of the agent, and waits until it is so.
 	Hand func(ctx context.Context, zone int, out bool) error
 }
 
-// Pilot is one agent's.
-type Pilot struct {
-	o      Options
-	loop   *core.Loop
-	steer  *site.Steer
-	listed map[string]balance.Backend
-	late   [][]site.Late // by site
-	ended  []uint64      // attempts that ended, by site
-	byHand []int
-	solves bool // a plan is being worked out
-	note   []byte
-	noted  time.Duration
-	looked time.Duration
-	log    []Happened // the last ones
+// Driver is one agent's.
+type Driver struct {
+	o          Options
+	loop       *core.Loop
+	controller *site.Controller
+	listed     map[string]balance.Backend
+	late       [][]site.Late // by site
+	ended      []uint64      // attempts that ended, by site
+	byHand     []int
+	solves     bool // a plan is being worked out
+	note       []byte
+	noted      time.Duration
+	looked     time.Duration
+	log        []Happened // the last ones
 
 	lost, doubted, away atomic.Int64
 	ramps               atomic.Pointer[map[string]float64]
@@ -76,23 +76,23 @@
 
 const happenedMost = 256
 
-// New makes a pilot and has it watch the loop, which must not run yet.
-func New(o Options, l *core.Loop) (*Pilot, error) {
-	s, err := site.NewSteer(o.Steer, o.Own, o.Seed, l.Now())
+// New makes a driver and has it watch the loop, which must not run yet.
+func New(o Options, l *core.Loop) (*Driver, error) {
+	s, err := site.NewController(o.Controller, o.Own, o.Seed, l.Now())
 	if err != nil {
 		return nil, err
 	}
-	p := &Pilot{o: o, loop: l, steer: s, listed: map[string]balance.Backend{}, late: make([][]site.Late, len(o.Steer.Watch.Sites)),
-		ended: make([]uint64, len(o.Steer.Watch.Sites))}
+	p := &Driver{o: o, loop: l, controller: s, listed: map[string]balance.Backend{}, late: make([][]site.Late, len(o.Controller.Watch.Sites)),
+		ended: make([]uint64, len(o.Controller.Watch.Sites))}
 	l.Watcher = p
 	return p, nil
 }
 
 // Arrived takes that a request has come.
-func (p *Pilot) Arrived(_ int, repeat bool) { p.steer.Arrived(p.loop.Now(), repeat) }
+func (p *Driver) Arrived(_ int, repeat bool) { p.controller.Arrived(p.loop.Now(), repeat) }
 
 // Listed takes a list as the module gets it.
-func (p *Pilot) Listed(list balance.List) {
+func (p *Driver) Listed(list balance.List) {
 	if list.Kind == balance.ListFailed {
 		return
 	}
@@ -116,17 +116,17 @@
 		l.Backends++
 		if b.State == balance.Up {
 			l.Up++
-			if w := p.steer.Watch(); w.State(b.Zone) == site.Lost && b.Started > w.Since(b.Zone) {
+			if w := p.controller.Watch(); w.State(b.Zone) == site.Lost && b.Started > w.Since(b.Zone) {
 				l.Started++
 			}
 			capacity[b.Zone] += max(b.Weight, 0)
 		}
 	}
-	p.steer.List(p.loop.Now(), listed, capacity)
+	p.controller.List(p.loop.Now(), listed, capacity)
 }
 
 // Ended takes how an attempt ended.
-func (p *Pilot) Ended(backend string, r core.Response, latency time.Duration) {
+func (p *Driver) Ended(backend string, r core.Response, latency time.Duration) {
 	b, known := p.listed[backend]
 	if !known {
 		return
@@ -150,11 +150,11 @@
 	if b.Zone >= 0 && b.Zone < len(p.ended) {
 		p.ended[b.Zone]++
 	}
-	p.steer.Watch().Outcome(p.loop.Now(), b.Zone, backend, kind, latency)
+	p.controller.Watch().Outcome(p.loop.Now(), b.Zone, backend, kind, latency)
 }
 
 // Run wakes the loop until ctx ends.
-func (p *Pilot) Run(ctx context.Context) error {
+func (p *Driver) Run(ctx context.Context) error {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -168,8 +168,8 @@
 }
 
 // turn brings all up to date. It belongs to the loop.
-func (p *Pilot) turn() {
-	now, w := p.loop.Now(), p.steer.Watch()
+func (p *Driver) turn() {
+	now, w := p.loop.Now(), p.controller.Watch()
 	p.hands(now)
 	for i := range p.late {
 		p.late[i] = p.late[i][:0]
@@ -184,17 +184,17 @@
 	for i := range p.late {
 		w.Pending(now, i, p.late[i])
 	}
-	order, moved := p.steer.Tick(now)
+	order, moved := p.controller.Tick(now)
 	if moved {
 		p.give(&order)
 	}
-	for _, c := range p.steer.Changes() {
+	for _, c := range p.controller.Changes() {
 		p.tell(c)
 	}
 	p.count(w)
 	ramps := map[string]float64{}
-	for i, share := range p.steer.Ramps() {
-		ramps[p.o.Steer.Watch.Sites[i]] = share
+	for i, share := range p.controller.Ramps() {
+		ramps[p.o.Controller.Watch.Sites[i]] = share
 	}
 	p.ramps.Store(&ramps)
 	p.solve()
@@ -202,36 +202,36 @@
 }
 
 // give hands an order to the module.
-func (p *Pilot) give(o *site.Order) {
+func (p *Driver) give(o *site.Order) {
 	for _, zone := range o.Cold { // before the order: from then on its backends are taken for cold
 		p.loop.Restarted(zone)
 	}
 	e := balance.Sites{Share: o.Share, Planned: o.Planned(), Admit: o.Admit, Trial: o.Trial, Gentle: o.Gentle}
 	if o.Planned() {
-		e.Back = func(class int) time.Duration { return p.steer.Back(p.loop.Now(), class) }
+		e.Back = func(class int) time.Duration { return p.controller.Back(p.loop.Now(), class) }
 	}
 	p.loop.Event(e)
 }
 
 // hands has what staff did to sites count as evidence.
-func (p *Pilot) hands(now time.Duration) {
+func (p *Driver) hands(now time.Duration) {
 	out := p.loop.ZonesOut()
 	for i := range p.late {
 		if was, is := slices.Contains(p.byHand, i), slices.Contains(out, i); was != is {
-			p.steer.Watch().ByHand(now, i, is)
+			p.controller.Watch().ByHand(now, i, is)
 		}
 	}
 	p.byHand = out
 }
 
-func (p *Pilot) tell(c site.Change) {
-	h := Happened{At: time.Now(), Site: p.o.Steer.Watch.Sites[c.Site], From: c.From.String(), To: c.To.String(), Cause: c.Cause.String()}
+func (p *Driver) tell(c site.Change) {
+	h := Happened{At: time.Now(), Site: p.o.Controller.Watch.Sites[c.Site], From: c.From.String(), To: c.To.String(), Cause: c.Cause.String()}
 	p.log = append(p.log, h)
 	p.log = p.log[max(0, len(p.log)-happenedMost):]
 	p.o.Log.Info("site", "site", h.Site, "was", h.From, "is", h.To, "cause", h.Cause)
 }
 
-func (p *Pilot) count(w *site.Watch) {
+func (p *Driver) count(w *site.Watch) {
 	var n [3]int64
 	for i := range p.late {
 		switch w.State(i) {
@@ -249,11 +249,11 @@
 }
 
 // solve has the next plan worked out beside the loop.
-func (p *Pilot) solve() {
+func (p *Driver) solve() {
 	if p.solves {
 		return
 	}
-	job, ok := p.steer.Job()
+	job, ok := p.controller.Job()
 	if !ok {
 		return
 	}
@@ -262,7 +262,7 @@
 		plan, err := work(&job)
 		p.loop.Post(func() {
 			p.solves = false
-			p.steer.Done(job, plan, err)
+			p.controller.Done(job, plan, err)
 			if err != nil {
 				p.fails.Add(1)
 				p.o.Log.Warn("no plan for the loss of sites", "remain", job.Remain, "err", err)
@@ -280,11 +280,11 @@
 			err = fmt.Errorf("%w: the solver panicked: %v", site.ErrPlan, r)
 		}
 	}()
-	return job.Work()
+	return job.Plan()
 }
 
 // members asks what the fleet's members say, and tells them what this agent sees.
-func (p *Pilot) members(now time.Duration) {
+func (p *Driver) members(now time.Duration) {
 	if p.o.Members == nil {
 		return
 	}
@@ -292,7 +292,7 @@
 		p.looked = now
 		p.o.Members.Look(func(v member.View) { go p.loop.Post(func() { p.view(&v) }) }) // Post may wait
 	}
-	note := p.steer.Note()
+	note := p.controller.Note()
 	if slices.Equal(note, p.note) || now-p.noted < noteEvery && !site.Worse(p.note, note) {
 		return
 	}
@@ -301,21 +301,21 @@
 	}
 }
 
-func (p *Pilot) view(v *member.View) {
+func (p *Driver) view(v *member.View) {
 	all := make([]site.Member, 0, len(v.Members))
 	for i := range v.Members {
 		m := &v.Members[i]
 		if m.ID == v.Self {
 			continue
 		}
-		all = append(all, site.Member{Site: slices.Index(p.o.Steer.Watch.Sites, m.Zone), Alive: m.State == member.Alive, Note: []byte(m.Note)})
+		all = append(all, site.Member{Site: slices.Index(p.o.Controller.Watch.Sites, m.Zone), Alive: m.State == member.Alive, Note: []byte(m.Note)})
 	}
-	p.steer.Members(p.loop.Now(), v.Majority(), all)
+	p.controller.Members(p.loop.Now(), v.Majority(), all)
 }
 
 // Ramps are the parts of their load that sites may have, as this agent sees it, by name; nil: it has not begun. It may
 // be called from any goroutine.
-func (p *Pilot) Ramps() map[string]float64 {
+func (p *Driver) Ramps() map[string]float64 {
 	if r := p.ramps.Load(); r != nil {
 		return *r
 	}
@@ -323,19 +323,19 @@
 }
 
 // Pace has returning sites follow what one agent says for all, for so long. It may be called from any goroutine.
-func (p *Pilot) Pace(ramps map[string]float64, span time.Duration) {
+func (p *Driver) Pace(ramps map[string]float64, span time.Duration) {
 	go p.loop.Post(func() { // Post may wait
 		till := p.loop.Now() + span
-		for i, name := range p.o.Steer.Watch.Sites {
+		for i, name := range p.o.Controller.Watch.Sites {
 			if share, told := ramps[name]; told {
-				p.steer.Pace(i, share, till)
+				p.controller.Pace(i, share, till)
 			}
 		}
 	})
 }
 
 // Gauges are the figures.
-func (p *Pilot) Gauges() []figures.Gauge {
+func (p *Driver) Gauges() []figures.Gauge {
 	return []figures.Gauge{{Name: "sites_lost", Value: p.lost.Load}, {Name: "sites_doubted", Value: p.doubted.Load},
 		{Name: "sites_cut", Value: p.away.Load}, {Name: "sites_plans", Value: p.plans.Load}, {Name: "sites_plans_failed", Value: p.fails.Load}}
 }
--- a/internal/site/pilot/door.go
+++ b/internal/site/driver/routes.go
@@ -1,4 +1,4 @@
-package pilot
+package driver
 
 import (
 	"context"
@@ -56,12 +56,12 @@
 }
 
 // Report returns how things stand.
-func (p *Pilot) Report(ctx context.Context) (r *Report, err error) {
+func (p *Driver) Report(ctx context.Context) (r *Report, err error) {
 	err = p.ask(ctx, func() { r = p.report() })
 	return r, err
 }
 
-func (p *Pilot) ask(ctx context.Context, do func()) error {
+func (p *Driver) ask(ctx context.Context, do func()) error {
 	done := make(chan struct{})
 	go p.loop.Post(func() { do(); close(done) }) // Post waits where the loop is behind
 	select {
@@ -74,14 +74,14 @@
 	}
 }
 
-func (p *Pilot) report() *Report {
-	now, s := time.Now(), p.steer.Report()
+func (p *Driver) report() *Report {
+	now, s := time.Now(), p.controller.Report()
 	r := &Report{At: now, Number: s.Order.Number, Basis: s.Order.Basis.String(), Plans: s.Plans, Failed: s.Fails, Happened: slices.Clone(p.log)}
 	if p.o.Own >= 0 {
-		r.Own = p.o.Steer.Watch.Sites[p.o.Own]
+		r.Own = p.o.Controller.Watch.Sites[p.o.Own]
 	}
 	for i, a := range s.Order.Admit {
-		r.Admit = append(r.Admit, Admitted{p.o.Steer.Classes[i].Name, a})
+		r.Admit = append(r.Admit, Admitted{p.o.Controller.Classes[i].Name, a})
 	}
 	for i := range s.Evidence {
 		e := &s.Evidence[i]
@@ -102,7 +102,7 @@
 }
 
 // Routes are the calls at the operators' door.
-func (p *Pilot) Routes() []control.Route {
+func (p *Driver) Routes() []control.Route {
 	return []control.Route{
 		control.Text("GET /api/sites", "application/json", func(ctx context.Context) ([]byte, error) {
 			r, err := p.Report(ctx)
@@ -117,16 +117,16 @@
 }
 
 // byHandAnswer takes a site out as a whole, or puts it back.
-func (p *Pilot) byHandAnswer(lost bool) http.HandlerFunc {
+func (p *Driver) byHandAnswer(lost bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		name := r.PathValue("name")
-		i := slices.Index(p.o.Steer.Watch.Sites, name)
+		i := slices.Index(p.o.Controller.Watch.Sites, name)
 		if i < 0 {
-			http.Error(w, fmt.Sprintf("%q is no site; there are %v", name, p.o.Steer.Watch.Sites), http.StatusNotFound)
+			http.Error(w, fmt.Sprintf("%q is no site; there are %v", name, p.o.Controller.Watch.Sites), http.StatusNotFound)
 			return
 		}
 		last := false
-		if err := p.ask(r.Context(), func() { last = lost && p.steer.Watch().Last(i) }); err != nil {
+		if err := p.ask(r.Context(), func() { last = lost && p.controller.Watch().Last(i) }); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
@@ -141,7 +141,7 @@
 		if err := p.ask(r.Context(), func() {
 			p.hands(p.loop.Now())
 			if !lost { // one that evidence holds for lost comes back on staff's word too
-				p.steer.Watch().ByHand(p.loop.Now(), i, false)
+				p.controller.Watch().ByHand(p.loop.Now(), i, false)
 			}
 			p.turn()
 		}); err != nil {
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -126,7 +126,7 @@
 			return nil, p, fmt.Errorf("%s: %w", file, err)
 		}
 	}
-	c := DefaultSteer([]string{"a"}, 1, 0)
+	c := DefaultControllerConfig([]string{"a"}, 1, 0)
 	c.Classes = []Class{{"any", 1}}
 	f.apply(&c)
 	if err := c.Check(); err != nil {
@@ -137,7 +137,7 @@
 
 // DefaultFile is what a file says where it says nothing.
 func DefaultFile() *File {
-	f, c := &File{}, DefaultSteer(nil, 1, 0)
+	f, c := &File{}, DefaultControllerConfig(nil, 1, 0)
 	f.Headroom, f.Cross, f.Load, f.Way = c.Figures.Headroom, c.Figures.Cross, c.Figures.Load, Best
 	w := &f.Watch
 	w.Least, w.FailShare, w.LostShare = c.Watch.Least, c.Watch.FailShare, c.Watch.LostShare
@@ -153,7 +153,7 @@
 func ms(v float64) time.Duration   { return time.Duration(v * float64(time.Millisecond)) }
 
 // apply has a file's settings count.
-func (f *File) apply(c *SteerConfig) {
+func (f *File) apply(c *ControllerConfig) {
 	c.Figures.Headroom, c.Figures.Cross, c.Figures.Load, c.Figures.Way = f.Headroom, f.Cross, f.Load, f.Way
 	w := &c.Watch
 	w.Least, w.FailShare, w.LostShare = f.Watch.Least, f.Watch.FailShare, f.Watch.LostShare
@@ -174,11 +174,11 @@
 	c.Lean, c.Floor = f.Picks.Lean, f.Picks.Floor
 }
 
-// Steer is the configuration of an agent whose platform names sites and classes, and says from which share and within
+// Controller is the configuration of an agent whose platform names sites and classes, and says from which share and within
 // what time a cold backend warms up. Figures of the file have to be of just these sites, and of classes among these;
 // a class that the file doesn't name is asked for by nobody, and taken in.
-func (f *File) Steer(p Problem, sites []string, classes []Class, coldShare float64, ramp time.Duration) (SteerConfig, error) {
-	c := DefaultSteer(sites, coldShare, ramp)
+func (f *File) ControllerConfig(p Problem, sites []string, classes []Class, coldShare float64, ramp time.Duration) (ControllerConfig, error) {
+	c := DefaultControllerConfig(sites, coldShare, ramp)
 	c.Classes = classes
 	f.apply(&c)
 	if len(f.Sites) > 0 {
--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -20,7 +20,7 @@
 	Demand   [][]float64 // by the site that clients are at, and class
 	Cross    [][]float64 // price of work sent from one site to another, in worth; 0 within one
 	Headroom float64     // share of what remains that a plan leaves free: it has to bear errors of all these figures
-	Way      Way         // how Work works it out; empty: Best
+	Way      Way         // how Plan works it out; empty: Best
 }
 
 // Class is a class of requests as a plan sees it.
@@ -210,9 +210,9 @@
 	InProportion Way = "proportional" // to all that remain, as they can: no plan at all, to compare with
 )
 
-// Work finds the plan of most worth where that is done in a bounded time, and the nearest first where it isn't; or by
+// Plan finds the plan of most worth where that is done in a bounded time, and the nearest first where it isn't; or by
 // the simple way that the problem asks for.
-func (p *Problem) Work() (*Plan, error) {
+func (p *Problem) Plan() (*Plan, error) {
 	switch p.Way {
 	case ByNearness:
 		return p.Nearest()
--- a/internal/site/plan_test.go
+++ b/internal/site/plan_test.go
@@ -142,7 +142,7 @@
 }
 
 func TestABookKnowsEachLossBeforehand(t *testing.T) {
-	b, err := Work(three(90))
+	b, err := PrecomputePlans(three(90))
 	if err != nil || b.Fails > 0 {
 		t.Fatal(err, b.Fails)
 	}
@@ -162,18 +162,18 @@
 // What is not there yet is asked for before what may come, and stands in for it meanwhile is the last good plan
 // without what is lost.
 func TestABookAsksForWhatItLacks(t *testing.T) {
-	b, err := NewBook(three(90))
+	b, err := NewPlanCache(three(90))
 	if err != nil {
 		t.Fatal(err)
 	}
 	if plan, known := b.Find([]float64{1, 1, 1}); plan != nil || known {
-		t.Error("a plan out of an empty book")
+		t.Error("a plan out of an empty plans")
 	}
 	p, ok := b.Next()
 	if !ok || key(p.Remain) != "888" {
 		t.Fatalf("first %v", p.Remain)
 	}
-	plan, err := p.Work()
+	plan, err := p.Plan()
 	b.Add(p.Remain, plan, err)
 	mask, known := b.Find([]float64{0, 1, 0.3})
 	if known || mask.To[0][0] != 0 || math.Abs(mask.To[0][1]+mask.To[0][2]-1) > 1e-9 || mask.To[0][1] <= mask.To[0][2] {
@@ -197,7 +197,7 @@
 		if i > 40 {
 			t.Fatal("it asks without end")
 		}
-		plan, err := p.Work()
+		plan, err := p.Plan()
 		b.Add(p.Remain, plan, err)
 	}
 }
@@ -216,7 +216,7 @@
 	}
 	p.Remain[3] = 0
 	want, _ := p.Nearest()
-	if got, err := p.Work(); err != nil || got.Worth != want.Worth {
+	if got, err := p.Plan(); err != nil || got.Worth != want.Worth {
 		t.Errorf("%v, %v", got, err)
 	}
 	if plain, err := Plain([]float64{1, 2, 3}, []Class{{"read", 1}}, 0.7, 0.02, 0.1); err != nil || plain.Demand[2][0] < 2.099 || plain.Cross[1][1] != 0 {
--- a/internal/site/book.go
+++ b/internal/site/plancache.go
@@ -6,10 +6,10 @@
 	"slices"
 )
 
-// Book holds plans that were worked out beforehand: for each site lost, each pair, and each half lost; and those that
+// PlanCache holds plans that were worked out beforehand: for each site lost, each pair, and each half lost; and those that
 // were wanted since. It works none out itself: Next says which one is to be, and Add takes it, so that whoever holds
-// the book never waits for a solver.
-type Book struct {
+// the cache never waits for a solver.
+type PlanCache struct {
 	whole Problem
 	plans map[string]*Plan
 	todo  [][]float64
@@ -20,17 +20,17 @@
 
 const (
 	pairsMost = 8   // of more sites only single losses are worked out beforehand
-	plansMost = 512 // that a book holds; it begins anew beyond
+	plansMost = 512 // that a cache holds; it begins anew beyond
 	steps     = 8   // of what remains of a site, that plans tell apart
 )
 
-// NewBook is a book of a problem, with nothing worked out yet. What the problem says remains is passed over.
-func NewBook(p Problem) (*Book, error) {
+// NewPlanCache is an empty cache of the plans of a problem. What the problem says remains is passed over.
+func NewPlanCache(p Problem) (*PlanCache, error) {
 	p.Remain = slices.Repeat([]float64{1}, len(p.Capacity))
 	if err := p.Check(); err != nil {
 		return nil, err
 	}
-	b := &Book{whole: p, plans: map[string]*Plan{}}
+	b := &PlanCache{whole: p, plans: map[string]*Plan{}}
 	b.plan(nil)
 	n := len(p.Capacity)
 	for i := range n {
@@ -45,9 +45,9 @@
 	return b, nil
 }
 
-// Work is a book in which all plans that are wanted beforehand have been worked out.
-func Work(p Problem) (*Book, error) {
-	b, err := NewBook(p)
+// PrecomputePlans returns a cache in which all plans that are wanted beforehand have been worked out.
+func PrecomputePlans(p Problem) (*PlanCache, error) {
+	b, err := NewPlanCache(p)
 	if err != nil {
 		return nil, err
 	}
@@ -56,12 +56,12 @@
 		if !ok {
 			return b, nil
 		}
-		plan, err := p.Work()
+		plan, err := p.Plan()
 		b.Add(p.Remain, plan, err)
 	}
 }
 
-func (b *Book) plan(lost map[int]float64) {
+func (b *PlanCache) plan(lost map[int]float64) {
 	remain := slices.Clone(b.whole.Remain)
 	for i, share := range lost {
 		remain[i] = share
@@ -88,7 +88,7 @@
 }
 
 // Next is the problem that is to be worked out next: one that was asked for, else one for a loss to come.
-func (b *Book) Next() (Problem, bool) {
+func (b *PlanCache) Next() (Problem, bool) {
 	p := b.whole
 	if b.want != nil {
 		p.Remain = b.want
@@ -104,7 +104,7 @@
 }
 
 // Add takes a plan for what remains, or that there is none.
-func (b *Book) Add(remain []float64, plan *Plan, err error) {
+func (b *PlanCache) Add(remain []float64, plan *Plan, err error) {
 	k := key(remain)
 	if b.want != nil && key(b.want) == k {
 		b.want = nil
@@ -120,12 +120,12 @@
 	b.plans[k] = plan
 }
 
-// Size is how many plans the book holds.
-func (b *Book) Size() int { return len(b.plans) }
+// Size is how many plans it holds.
+func (b *PlanCache) Size() int { return len(b.plans) }
 
 // Find returns the plan for what remains of each site. Where it isn't there yet, or can't be had, the last good one
 // comes back without the sites of which nothing remains, and known is false; nil where there was never one.
-func (b *Book) Find(remain []float64) (plan *Plan, known bool) {
+func (b *PlanCache) Find(remain []float64) (plan *Plan, known bool) {
 	if len(remain) != len(b.whole.Capacity) {
 		return b.last, false
 	}
--- a/internal/site/returns.go
+++ b/internal/site/returns.go
@@ -10,7 +10,7 @@
 // returns has refused clients come back along the ramp, so that they don't return together: a calendar
 // (internal/storm) whose room is what the ramp opens. Each agent books its own clients alone; shares add up.
 type returns struct {
-	s        *Steer
+	s        *Controller
 	calendar *storm.Calendar
 	rate     float64 // running mean of first requests a second
 	at       time.Duration
@@ -21,7 +21,7 @@
 	slotCount = 8 // few: an agent with some requests a second has room for a whole one in each
 )
 
-func newReturns(s *Steer, seed uint64) (*returns, error) {
+func newReturns(s *Controller, seed uint64) (*returns, error) {
 	r := &returns{s: s, at: s.now}
 	var err error
 	r.calendar, err = storm.New(storm.Config{Slot: max(s.cfg.Advice/slotCount, time.Millisecond), Slots: slotCount, Tenants: 1, Reserve: 0.25}, seed, r.room)
@@ -29,7 +29,7 @@
 }
 
 // Arrived takes that a request came, and whether it is a client's repeat.
-func (s *Steer) Arrived(now time.Duration, repeat bool) {
+func (s *Controller) Arrived(now time.Duration, repeat bool) {
 	r := s.came
 	s.now = max(now, s.now)
 	if repeat {
@@ -44,7 +44,7 @@
 
 // Back is after how long a client that is refused now, for want of a lost site, is to come again. Worth is its class's
 // over the greatest.
-func (s *Steer) Back(now time.Duration, class int) time.Duration {
+func (s *Controller) Back(now time.Duration, class int) time.Duration {
 	s.now = max(now, s.now)
 	top := 0.0
 	for _, c := range s.cfg.Classes {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,7 +15,7 @@
 // others have kept it warm.
 //
 // Files: site.go states; evidence.go what is counted; judge.go what follows; plan.go where load goes, worked out
-// beforehand; ramp.go the return; steer.go what the decision module and clients are told of all that.
+// beforehand; ramp.go the return; controller.go what the decision module and clients are told of all that.
 //
 // Bounds: Config.Most sites; per site a ring of slots of counts, a set of the backends that were tried in them,
 // triedMost at the most, and of attempts that are late lateMost.
