lemonctl: members and sites show share one watching command; doors are control addresses

Need: both repeated the loop that asks agents, prints, draws the page and fails where nobody answered; 'door' is house style. One generic watched command serves both; flags are embedded. Only change seen by users: the argument is called agents, and members says 'no agent answered' as its siblings do.

--- a/cmd/lemonctl/control_test.go
+++ b/cmd/lemonctl/control_test.go
@@ -14,7 +14,7 @@
 	"lemonrail/internal/site/driver"
 )
 
-// tells answers a path as an agent's door does; changes are noted.
+// tells answers a path as an agent's control listener does; changes are noted.
 func tells(t *testing.T, path string, v any, put *string) string {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
--- a/cmd/lemonctl/duties.go
+++ b/cmd/lemonctl/duties.go
@@ -17,25 +17,25 @@
 )
 
 type dutiesShowCmd struct {
-	Doors []string `arg:"" help:"Operators' doors of agents, HOST:PORT."`
-	JSON  bool     `name:"json" help:"Print one JSON object."`
+	Agents []string `arg:"" name:"agents" help:"Control addresses of agents, HOST:PORT."`
+	JSON   bool     `name:"json" help:"Print one JSON object."`
 }
 
-// dutiesLook is what all doors said.
+// dutiesLook is what all agents said.
 type dutiesLook struct {
 	At     time.Time               `json:"at"`
-	Agents map[string]*seat.Report `json:"agents"` // by door
+	Agents map[string]*seat.Report `json:"agents"` // by control address
 	Silent map[string]string       `json:"silent,omitempty"`
 }
 
-func lookAtDuties(ctx context.Context, doors []string) *dutiesLook {
+func lookAtDuties(ctx context.Context, agents []string) *dutiesLook {
 	l := &dutiesLook{At: time.Now()}
-	l.Agents, l.Silent = askAll[seat.Report](ctx, doors, "/api/duties", "it holds no duties (started without -duties)")
+	l.Agents, l.Silent = askAll[seat.Report](ctx, agents, "/api/duties", "it holds no duties (started without -duties)")
 	return l
 }
 
 func (c *dutiesShowCmd) Run(ctx context.Context, s streams) error {
-	l := lookAtDuties(ctx, c.Doors)
+	l := lookAtDuties(ctx, c.Agents)
 	if c.JSON {
 		if err := printJSON(s.out, l); err != nil {
 			return err
@@ -97,35 +97,35 @@
 }
 
 type dutiesHandOnCmd struct {
-	Door string `arg:"" help:"Any agent's door."`
-	Duty string `arg:""`
-	To   string `arg:"" help:"Agent that is to take it over."`
+	Agent string `arg:"" help:"Any agent's control address, HOST:PORT."`
+	Duty  string `arg:""`
+	To    string `arg:"" help:"Agent that is to take it over."`
 }
 
 func (c *dutiesHandOnCmd) Run(ctx context.Context, s streams) error {
-	return putDoor(ctx, s, c.Door, "/api/duties/"+c.Duty+"/hand-on/"+c.To)
+	return putAgent(ctx, s, c.Agent, "/api/duties/"+c.Duty+"/hand-on/"+c.To)
 }
 
 type dutiesReleaseCmd struct {
-	Duty  string   `arg:""`
-	Doors []string `arg:"" help:"Doors among which is its holder's."`
+	Duty   string   `arg:""`
+	Agents []string `arg:"" name:"agents" help:"Control addresses of agents, HOST:PORT, among which is its holder's."`
 }
 
 func (c *dutiesReleaseCmd) Run(ctx context.Context, s streams) error {
-	l := lookAtDuties(ctx, c.Doors)
+	l := lookAtDuties(ctx, c.Agents)
 	for d, r := range l.Agents {
 		for _, row := range r.Duties {
 			if row.Duty == c.Duty && row.Mine == "holding" {
-				return putDoor(ctx, s, d, "/api/duties/"+c.Duty+"/release")
+				return putAgent(ctx, s, d, "/api/duties/"+c.Duty+"/release")
 			}
 		}
 	}
 	return fmt.Errorf("none of these agents holds %s", c.Duty)
 }
 
-// putDoor makes a call that changes something.
-func putDoor(ctx context.Context, s streams, door, path string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+door+path, nil)
+// putAgent makes a call that changes something.
+func putAgent(ctx context.Context, s streams, address, path string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+path, nil)
 	if err != nil {
 		return err
 	}
@@ -140,15 +140,15 @@
 		return err
 	}
 	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("%s: %s: %s", door, resp.Status, strings.TrimSpace(string(body)))
+		return fmt.Errorf("%s: %s: %s", address, resp.Status, strings.TrimSpace(string(body)))
 	}
 	_, err = s.out.Write(body)
 	return err
 }
 
 // keeperNotes prints what the holder of the duty notes has written down.
-func keeperNotes(ctx context.Context, s streams, doors []string) error {
-	l := lookAtDuties(ctx, doors)
+func keeperNotes(ctx context.Context, s streams, agents []string) error {
+	l := lookAtDuties(ctx, agents)
 	var best *seat.Row
 	for _, d := range slices.Sorted(maps.Keys(l.Agents)) {
 		for i := range l.Agents[d].Duties {
--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -36,7 +36,7 @@
 		Serve  diameterServeCmd  `cmd:"" help:"Answer requests as a server does, with faults."`
 	} `cmd:"" help:"Diameter messages, clients and servers."`
 	Members struct {
-		Show    membersCmd        `cmd:"" default:"withargs" help:"Ask agents' doors which agents live, and tell who disagrees with whom."`
+		Show    membersCmd        `cmd:"" default:"withargs" help:"Ask agents which agents live, and tell who disagrees with whom."`
 		Compare membersCompareCmd `cmd:"" help:"Play this membership and others in simulated time, and print what each got wrong."`
 	} `cmd:"" help:"The agents' views of the fleet."`
 	Cluster struct {
@@ -46,11 +46,11 @@
 		Shrink clusterShrinkCmd `cmd:"" help:"Kill most agents of a fleet while its clients go to those left, and measure what they get."`
 	} `cmd:"" help:"A rig of many agents, with faults between them."`
 	Sites struct {
-		Show sitesShowCmd `cmd:"" help:"Ask agents' doors what they hold each site for, and what follows."`
+		Show sitesShowCmd `cmd:"" help:"Ask agents what they hold each site for, and what follows."`
 		Plan sitesPlanCmd `cmd:"" help:"Work out where the load of a lost site goes and what is refused first, beside two simple ways."`
 	} `cmd:"" help:"The loss of a whole site."`
 	Duties struct {
-		Show    dutiesShowCmd    `cmd:"" help:"Ask agents' doors who holds which duty, and how the seats stand."`
+		Show    dutiesShowCmd    `cmd:"" help:"Ask agents who holds which duty, and how the seats stand."`
 		HandOn  dutiesHandOnCmd  `cmd:"" name:"hand-on" help:"Name who is to take a duty over; its holder gives it once that one is ready."`
 		Release dutiesReleaseCmd `cmd:"" help:"Have a duty's holder let it go."`
 	} `cmd:"" help:"Duties that one agent holds at a time."`
--- a/cmd/lemonctl/members.go
+++ b/cmd/lemonctl/members.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"html/template"
 	"io"
@@ -16,59 +14,52 @@
 	"lemonrail/internal/member/link"
 )
 
-// askLimit is how long a door may take: it answers within a second.
+// askLimit is how long an agent may take: it answers within a second.
 const askLimit = 2 * time.Second
 
 type membersCmd struct {
-	Doors  []string      `arg:"" help:"Operators' doors of agents, HOST:PORT."`
-	Watch  time.Duration `placeholder:"TIME" help:"Ask again each TIME, and print what changes."`
-	For    time.Duration `placeholder:"TIME" help:"End after so long."`
-	JSON   bool          `name:"json" help:"Print JSON: one object each time."`
-	HTML   string        `name:"html" placeholder:"FILE" help:"Write the views over time as one page, at the end."`
-	Keeper bool          `name:"from-keeper" help:"Print the notes of the one that keeps them for the fleet (duty notes), by the first agent that knows."`
+	watchFlags
+	Keeper bool `name:"from-keeper" help:"Print the notes of the one that keeps them for the fleet (duty notes), by the first agent that knows."`
 }
 
-// fleetLook is what all doors said at a time.
+// fleetLook is what all agents said at a time.
 type fleetLook struct {
 	At       time.Time               `json:"at"`
-	Views    map[string]*link.Report `json:"views"`              // by door
-	Silent   map[string]string       `json:"silent,omitempty"`   // doors that gave none, and why
+	Views    map[string]*link.Report `json:"views"`              // by control address
+	Silent   map[string]string       `json:"silent,omitempty"`   // those that gave none, and why
 	Camps    [][]string              `json:"camps"`              // agents of one view each, the most first
 	Disagree []string                `json:"disagree,omitempty"` // who holds what for what
 }
 
 func (c *membersCmd) Run(ctx context.Context, s streams) error {
 	if c.Keeper {
-		return keeperNotes(ctx, s, c.Doors)
+		return keeperNotes(ctx, s, c.Agents)
 	}
 	last := ""
-	looks, err := watchDoors(ctx, c.Watch, c.For, func(ctx context.Context) *fleetLook { return lookAt(ctx, c.Doors) }, func(look *fleetLook) (err error) {
-		if text := look.text(); c.JSON {
-			err = json.NewEncoder(s.out).Encode(look)
-		} else if text != last {
-			last = text
-			_, err = fmt.Fprintf(s.out, "%s%s", map[bool]string{true: look.At.Format("15:04:05.0") + "\n"}[c.Watch > 0], text)
+	showChanges := func(look *fleetLook) error {
+		text := look.text()
+		if text == last {
+			return nil
 		}
-		return err
-	})
-	if err != nil {
-		return err
-	}
-	if c.HTML != "" {
-		if err := writeFile(c.HTML, func(w io.Writer) error { return viewsPage(w, looks) }); err != nil {
-			return err
+		last = text
+		if c.Watch > 0 {
+			fmt.Fprintln(s.out, look.At.Format("15:04:05.0"))
 		}
+		_, err := fmt.Fprint(s.out, text)
+		return err
 	}
-	if l := looks[len(looks)-1]; len(l.Views) == 0 {
-		return errors.New("no door answers")
-	}
-	return nil
+	return watched[*fleetLook]{
+		ask:   lookAt,
+		show:  showChanges,
+		page:  viewsPage,
+		empty: func(l *fleetLook) bool { return len(l.Views) == 0 },
+	}.run(ctx, &c.watchFlags, s)
 }
 
-// lookAt asks all doors at once.
-func lookAt(ctx context.Context, doors []string) *fleetLook {
+// lookAt asks all agents at once.
+func lookAt(ctx context.Context, agents []string) *fleetLook {
 	l := &fleetLook{At: time.Now()}
-	l.Views, l.Silent = askAll[link.Report](ctx, doors, "/api/members", "it keeps no view of the fleet (started without -members)")
+	l.Views, l.Silent = askAll[link.Report](ctx, agents, "/api/members", "it keeps no view of the fleet (started without -members)")
 	l.compare()
 	return l
 }
@@ -145,8 +136,8 @@
 	}
 	t.Flush()
 	var silent []string
-	for door, why := range l.Silent {
-		silent = append(silent, fmt.Sprintf("%s: %s\n", door, why))
+	for address, why := range l.Silent {
+		silent = append(silent, fmt.Sprintf("%s: %s\n", address, why))
 	}
 	slices.Sort(silent)
 	b.WriteString(strings.Join(silent, ""))
@@ -189,19 +180,19 @@
 // viewsPage draws looks. Looks of the same state in a row are one cell.
 func viewsPage(w io.Writer, looks []*fleetLook) error {
 	const left, step, line = 60, 6, 11
-	var doors []string
+	var agents []string
 	names := map[string]string{}
 	for _, l := range looks {
 		for d, r := range l.Views {
 			if names[d] == "" {
-				doors = append(doors, d)
+				agents = append(agents, d)
 			}
 			names[d] = r.Name
 		}
 	}
-	slices.SortFunc(doors, func(a, b string) int { return strings.Compare(names[a], names[b]) })
+	slices.SortFunc(agents, func(a, b string) int { return strings.Compare(names[a], names[b]) })
 	var blocks []viewBlock
-	for _, d := range doors {
+	for _, d := range agents {
 		at := map[string]int{}
 		b := viewBlock{Name: names[d], Width: left + step*len(looks)}
 		for i, l := range looks {
--- a/cmd/lemonctl/members_test.go
+++ b/cmd/lemonctl/members_test.go
@@ -13,8 +13,8 @@
 	"lemonrail/internal/member/link"
 )
 
-// door answers as an agent's does.
-func door(t *testing.T, r *link.Report) string {
+// controlOf answers as an agent's does.
+func controlOf(t *testing.T, r *link.Report) string {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if r == nil || q.URL.Path != "/api/members" {
@@ -40,10 +40,10 @@
 
 func TestMembersTellsWhoDisagrees(t *testing.T) {
 	all := map[string]string{"n0": "alive", "n1": "alive", "n2": "dead"}
-	a := door(t, report("n0", "x", "majority", all))
-	b := door(t, report("n1", "x", "majority", all))
-	c := door(t, report("n2", "y", "alone", map[string]string{"n0": "suspect", "n1": "suspect", "n2": "alive"}))
-	without := door(t, nil)
+	a := controlOf(t, report("n0", "x", "majority", all))
+	b := controlOf(t, report("n1", "x", "majority", all))
+	c := controlOf(t, report("n2", "y", "alone", map[string]string{"n0": "suspect", "n1": "suspect", "n2": "alive"}))
+	without := controlOf(t, nil)
 	page := filepath.Join(t.TempDir(), "views.html")
 	code, out, complaints := call(t, "", "members", a, b, c, without, "--html", page)
 	if code != 0 {
@@ -66,7 +66,7 @@
 		t.Errorf("%v: %s", err, out)
 	}
 	if code, _, _ := call(t, "", "members", without); code != 1 {
-		t.Errorf("exit %d where no door answers", code)
+		t.Errorf("exit %d where no agent answers", code)
 	}
 }
 
--- a/cmd/lemonctl/sitesshow.go
+++ b/cmd/lemonctl/sitesshow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"html/template"
 	"io"
@@ -17,54 +15,36 @@
 	"lemonrail/internal/site/driver"
 )
 
-type sitesShowCmd struct {
-	Doors []string      `arg:"" help:"Operators' doors of agents, HOST:PORT."`
-	Watch time.Duration `placeholder:"TIME" help:"Ask again each TIME."`
-	For   time.Duration `placeholder:"TIME" help:"End after so long."`
-	JSON  bool          `name:"json" help:"Print JSON: one object each time."`
-	HTML  string        `name:"html" placeholder:"FILE" help:"Write the load of each site over time as one page, at the end."`
-}
+type sitesShowCmd struct{ watchFlags }
 
-// sitesLook is what all doors said at a time.
+// sitesLook is what all agents said at a time.
 type sitesLook struct {
 	At     time.Time                 `json:"at"`
-	Agents map[string]*driver.Report `json:"agents"` // by door
+	Agents map[string]*driver.Report `json:"agents"` // by control address
 	Silent map[string]string         `json:"silent,omitempty"`
 }
 
 func (c *sitesShowCmd) Run(ctx context.Context, s streams) error {
-	looks, err := watchDoors(ctx, c.Watch, c.For, func(ctx context.Context) *sitesLook { return lookAtSites(ctx, c.Doors) }, func(look *sitesLook) error {
-		if c.JSON {
-			return json.NewEncoder(s.out).Encode(look)
-		}
-		return look.text(s.out)
-	})
-	if err != nil {
-		return err
-	}
-	if c.HTML != "" {
-		if err := writeFile(c.HTML, func(w io.Writer) error { return sitesPage(w, looks) }); err != nil {
-			return err
-		}
-	}
-	if last := looks[len(looks)-1]; len(last.Agents) == 0 {
-		return errors.New("no agent answered")
-	}
-	return nil
+	return watched[*sitesLook]{
+		ask:   lookAtSites,
+		show:  func(l *sitesLook) error { return l.text(s.out) },
+		page:  sitesPage,
+		empty: func(l *sitesLook) bool { return len(l.Agents) == 0 },
+	}.run(ctx, &c.watchFlags, s)
 }
 
-func lookAtSites(ctx context.Context, doors []string) *sitesLook {
+func lookAtSites(ctx context.Context, agents []string) *sitesLook {
 	l := &sitesLook{At: time.Now()}
-	l.Agents, l.Silent = askAll[driver.Report](ctx, doors, "/api/sites", "it watches no sites (started without -sites)")
+	l.Agents, l.Silent = askAll[driver.Report](ctx, agents, "/api/sites", "it watches no sites (started without -sites)")
 	return l
 }
 
 // text prints a line for each site and state that agents hold it for.
 func (l *sitesLook) text(w io.Writer) error {
 	type group struct {
-		doors []string
-		row   driver.Row
-		basis string
+		agents []string
+		row    driver.Row
+		basis  string
 	}
 	groups := map[string]*group{}
 	for d, r := range l.Agents {
@@ -73,19 +53,19 @@
 			if groups[k] == nil {
 				groups[k] = &group{row: row, basis: r.Basis}
 			}
-			groups[k].doors = append(groups[k].doors, d)
+			groups[k].agents = append(groups[k].agents, d)
 		}
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "site\tis\tby agents\tsince\twhy not more\tfails here\tand elsewhere\treckoned with\tfull in\torder")
 	for _, k := range slices.Sorted(maps.Keys(groups)) {
 		g := groups[k]
-		slices.Sort(g.doors)
+		slices.Sort(g.agents)
 		r, why := g.row, g.row.Cause
 		if r.ByHand {
 			why = "by hand"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%d: %s\t%s\t%s\t%.0f %%\t%.0f %%\t%.0f %%\t%.0f s\t%s\n", r.Site, r.State, len(g.doors), short(g.doors), r.Since.Format("15:04:05"), why,
+		fmt.Fprintf(t, "%s\t%s\t%d: %s\t%s\t%s\t%.0f %%\t%.0f %%\t%.0f %%\t%.0f s\t%s\n", r.Site, r.State, len(g.agents), short(g.agents), r.Since.Format("15:04:05"), why,
 			100*r.FailShare, 100*r.Elsewhere, 100*r.Remain, r.FullIn, g.basis)
 	}
 	if err := t.Flush(); err != nil {
@@ -99,7 +79,7 @@
 	return nil
 }
 
-// sitesPage draws attempts a second at each site, all doors together, and for how many agents it is in use.
+// sitesPage draws attempts a second at each site, all agents together, and for how many agents it is in use.
 func sitesPage(w io.Writer, looks []*sitesLook) error {
 	var names []string
 	for _, l := range looks {
