An attempt asks whether its client has left before its first byte is written

Cause: a client that has closed is told to the loop by net/http's read, the handler and the inbox, while the time of a retry, room, or a connection that comes up lead to an attempt without any of them (core.send, Permit.Begin). Ruled out: a higher priority of leaves in the loop (the end of the connection has not been read by then); a look before each Send in the loop (a connection may take seconds to come up after that). Change: Permit.Begin looks at the client's connection (one poll), and takes the permit back; the module hears of the leave before the attempt's end, and the front ends the call.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,6 +83,7 @@
 	Refused               // nothing ran: trying again is harmless
 	Failed                // promises nothing
 	Duplicate             // its id is or has just been in use
+	Abandoned             // its client has left
 )
 
 // Answer is a call's final answer.
@@ -99,6 +100,7 @@
 	Deadline time.Time
 	Upload   time.Duration // of the time until then, what the rest of its body may take to come
 	Reply    chan Answer   // with room for the one final answer
+	HungUp   func() bool   // whether the client has left by now, from any goroutine; nil: only Left tells
 
 	attempts []*attempt // in the order of their Send
 	open     int        // of these, still out
@@ -306,6 +308,14 @@
 	}
 }
 
+// abandon ends a call whose client was found to have left before the front has seen it.
+func (l *Loop) abandon(c *Call) {
+	if !c.answered {
+		l.Event(balance.Abandoned{Request: c.Event.ID})
+		l.answer(c, Answer{Kind: Abandoned})
+	}
+}
+
 // answer gives a call its final answer, once.
 func (l *Loop) answer(c *Call, a Answer) {
 	if c.answered {
@@ -357,8 +367,11 @@
 	a.cancel()
 	a.over, a.ran = true, !r.Result.NeverRan()
 	c.open--
-	if r.Result == balance.OK {
+	switch {
+	case r.Result == balance.OK:
 		l.answer(c, Answer{Kind: Served, Payload: r.Payload})
+	case r.Result == balance.Withdrawn && a.permit.ClientLeft():
+		l.abandon(c)
 	}
 	sent := a.sent
 	if r.Sent.After(sent) {
@@ -572,7 +585,7 @@
 	if s.By > 0 {
 		by = l.clock.time(s.By)
 	}
-	p := NewPermit(by)
+	p := NewPermit(by).Unless(c.HungUp)
 	c.attempts = append(c.attempts, &attempt{backend: s.Backend, addr: addr, sent: now, cancel: cancel, permit: p})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -15,9 +15,11 @@
 	mu    sync.Mutex
 	stage stage
 	taken bool
-	by    time.Time // it can't be begun later; zero: whenever
-	cut   func()    // ends what the attempt waits for now; must not wait
-	cuts  bool      // it was called
+	gone  bool        // since the client has left
+	by    time.Time   // it can't be begun later; zero: whenever
+	left  func() bool // whether the client has left; nil: not known
+	cut   func()      // ends what the attempt waits for now; must not wait
+	cuts  bool        // it was called
 }
 
 type stage uint8
@@ -31,6 +33,14 @@
 // NewPermit is one for an attempt whose last byte must have been written by a time; zero: whenever.
 func NewPermit(by time.Time) *Permit { return &Permit{by: by} }
 
+// Unless has the permit taken back where the client has left by the time the attempt is to be written. Guards against an
+// attempt that is written before the loop has heard of the leave: the process was stopped or short of processor time, and
+// the timer of a retry runs before the end of the connection is read.
+func (p *Permit) Unless(left func() bool) *Permit {
+	p.left = left
+	return p
+}
+
 // Await notes that the attempt waits, and what ends the wait. false: it may not be written.
 func (p *Permit) Await(cut func()) bool { return p.enter(waiting, cut) }
 
@@ -46,6 +56,10 @@
 	if p.late(); p.taken {
 		return false
 	}
+	if s == begun && p.left != nil && p.left() {
+		p.taken, p.gone = true, true
+		return false
+	}
 	p.stage, p.cut = s, cut
 	return true
 }
@@ -73,6 +87,13 @@
 	return p.taken
 }
 
+// ClientLeft reports whether the permit was taken back since the client was found to have left.
+func (p *Permit) ClientLeft() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gone
+}
+
 // By is when the last byte must have been written; zero: whenever. Guards against the repeat of a keyed request that
 // is written, after a wait for its connection, when backends no longer know the key.
 func (p *Permit) By() time.Time {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -97,6 +97,7 @@
 	}
 	s.Figures.Active.Add(1)
 	defer s.Figures.Active.Add(-1)
+	c.HungUp = conn.HungUp
 	s.Loop.Post(func() { s.Loop.Arrived(c) })
 	var a core.Answer
 	select {
@@ -114,6 +115,10 @@
 		s.left(conn, w, c, stream)
 		return
 	}
+	if a.Kind == core.Abandoned {
+		leave(conn, w, stream)
+		return
+	}
 	if stream != nil && !stream.Whole() {
 		w.Header().Set("Connection", "close") // the rest of the body is not looked at
 	}
