--- a/internal/roster/objects.go
+++ b/internal/roster/objects.go
@@ -47,21 +47,30 @@
 	return parseList(raw)
 }
 
+// left is how long the next bytes may take: of an object that has begun, its rest.
+func (o *objects) left() time.Duration {
+	if o.apart {
+		return o.most
+	}
+	return max(0, o.most-time.Since(o.begun))
+}
+
 // Read leaves out what stands between objects. Guards against heartbeats that the decoder would gather for as long
 // as nothing changes.
 func (o *objects) Read(p []byte) (int, error) {
 	for {
 		n, err := o.r.Read(p)
-		if n > 0 {
-			o.fed()
-		}
+		came := n > 0
 		if o.apart {
 			n = copy(p, bytes.TrimLeft(p[:n], blank))
-			if n == 0 && err == nil {
-				continue
-			}
 			o.apart, o.begun = n == 0, time.Now()
 		}
+		if came {
+			o.fed()
+		}
+		if o.apart && err == nil {
+			continue
+		}
 		if o.bytes += n; o.bytes > maxListBytes {
 			return n, fmt.Errorf("over %d bytes", maxListBytes)
 		}
