--- a/internal/configuration/messages.go
+++ b/internal/configuration/messages.go
@@ -66,6 +66,8 @@
 	InForce map[Scope]Position `json:"in_force"`
 	Digest  string             `json:"digest"` // of the effective document
 	Refused []Refusal          `json:"refused,omitempty"`
+	// Leaving: the agent stops as planned and has nothing in force any more. A tracker forgets it.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Refusal is a revision that an agent doesn't take, and why. It keeps what it had.
