--- a/internal/configuration/messages.go
+++ b/internal/configuration/messages.go
@@ -59,7 +59,8 @@
 	More   bool   `json:"more,omitempty"` // further updates follow at once and are to take effect together with it
 }
 
-// Report is what an agent has in force. It is sent after settings have taken effect, never before.
+// Report is what an agent has in force. It is sent after settings have taken effect, never before; also as soon as a
+// watch has been answered, since what was reported before doesn't count from then on.
 type Report struct {
 	Place
 	Format  int                `json:"format"`
@@ -82,7 +83,7 @@
 	Report
 	Connected bool    `json:"connected"` // its watch is open at Machine
 	Machine   string  `json:"machine"`
-	AgeMs     float64 `json:"age_ms"` // since the report came
+	AgeMs     float64 `json:"age_ms"` // since the report came, or since the watch began for which none has come yet
 }
 
 // Status answers whether a revision is in force everywhere.
--- a/internal/configuration/patch.go
+++ b/internal/configuration/patch.go
@@ -1,8 +1,116 @@
 package configuration
 
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+)
+
 // MakePatch returns the RFC 7396 merge patch that makes one canonical text of another.
-func MakePatch(from, to []byte) ([]byte, error) { return nil, errStub }
+func MakePatch(from, to []byte) ([]byte, error) {
+	before, err := decodeObject(from)
+	if err != nil {
+		return nil, fmt.Errorf("text to patch from: %w", err)
+	}
+	after, err := decodeObject(to)
+	if err != nil {
+		return nil, fmt.Errorf("text to patch to: %w", err)
+	}
+	return encodeAny(difference(before, after)), nil
+}
+
+// difference is the patch that makes after of before. Neither holds a null.
+func difference(before, after map[string]any) map[string]any {
+	patch := map[string]any{}
+	for name := range before {
+		if _, stays := after[name]; !stays {
+			patch[name] = nil
+		}
+	}
+	for name, value := range after {
+		earlier, was := before[name]
+		if was && reflect.DeepEqual(earlier, value) {
+			continue
+		}
+		earlierObject, wasObject := earlier.(map[string]any)
+		object, isObject := value.(map[string]any)
+		if wasObject && isObject {
+			patch[name] = difference(earlierObject, object)
+		} else {
+			patch[name] = value
+		}
+	}
+	return patch
+}
 
 // ApplyPatch lays an RFC 7396 merge patch over a canonical text. The result is canonical. It knows nothing of a
 // document's fields, so that an agent can follow documents of a later Format too.
-func ApplyPatch(document, patch []byte) ([]byte, error) { return nil, errStub }
+func ApplyPatch(document, patch []byte) ([]byte, error) {
+	before, err := decodeObject(document)
+	if err != nil {
+		return nil, fmt.Errorf("text to patch: %w", err)
+	}
+	changes, err := decodeObject(patch)
+	if err != nil {
+		return nil, fmt.Errorf("patch: %w", err)
+	}
+	return encodeAny(mergePatch(before, changes)), nil
+}
+
+// mergePatch is MergePatch of RFC 7396, section 2. It changes target.
+func mergePatch(target any, patch any) any {
+	changes, ok := patch.(map[string]any)
+	if !ok {
+		return patch
+	}
+	object, ok := target.(map[string]any)
+	if !ok {
+		object = map[string]any{}
+	}
+	for name, value := range changes {
+		if value == nil {
+			delete(object, name)
+		} else {
+			object[name] = mergePatch(object[name], value)
+		}
+	}
+	return object
+}
+
+func decodeObject(text []byte) (map[string]any, error) {
+	value, err := decodeAny(text)
+	if err != nil {
+		return nil, err
+	}
+	object, ok := value.(map[string]any)
+	if !ok {
+		return nil, errors.New("no object")
+	}
+	return object, nil
+}
+
+// decodeAny decodes JSON and leaves numbers as they are written.
+func decodeAny(text []byte) (any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	var value any
+	if err := decoder.Decode(&value); err != nil {
+		return nil, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("something follows its end")
+	}
+	return value, nil
+}
+
+// encodeAny is the canonical text of what decodeAny returned: no space, keys in order.
+func encodeAny(value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic("configuration: " + err.Error()) // maps, strings, numbers as written and booleans alone
+	}
+	return text
+}
--- /dev/null
+++ b/internal/configuration/registry_updates_test.go
@@ -0,0 +1,184 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// follow lays updates over a document, without a Follower's help.
+func follow(t *testing.T, document []byte, updates []Update) (after []byte, digest string) {
+	t.Helper()
+	text := ""
+	for i, u := range updates {
+		u = overWire(t, u)
+		if u.More != (i < len(updates)-1) {
+			t.Fatalf("update %d of %d has More %v", i, len(updates), u.More)
+		}
+		switch {
+		case u.Parts > 1:
+			if text += u.Text; u.Part != i || u.Parts != len(updates) {
+				t.Fatalf("part %d of %d comes as update %d of %d", u.Part, u.Parts, i, len(updates))
+			}
+			document = []byte(text)
+		case u.From > 0:
+			patched, err := ApplyPatch(document, u.Patch)
+			if err != nil {
+				t.Fatal(err)
+			}
+			document = patched
+		default:
+			document = u.Patch
+		}
+		digest = u.Digest
+	}
+	return document, digest
+}
+
+// From each position that there has been an agent gets to the latest document.
+func TestUpdatesLeadToTheLatest(t *testing.T) {
+	patches, wholes, parts := 0, 0, 0
+	for seed := range uint64(20) {
+		r := NewRegistry(FleetGroup)
+		rng := newRand(seed)
+		type moment struct {
+			at       Position
+			document []byte
+		}
+		history := []moment{{}}
+		document := longDocument(rng.IntN(120), 1)
+		for i := range uint64(100) {
+			for name := range document.Classes { // some, by chance
+				if rng.IntN(20) == 0 {
+					document.Classes[name] = ClassDocument{AimMs: pointer(float64(rng.IntN(1000) + 1))}
+				}
+			}
+			if rng.IntN(20) == 0 {
+				document = longDocument(rng.IntN(120), float64(i+1))
+			}
+			accepted := mustPut(t, r, 1+i/10, change(fmt.Sprint("c", i), Fleet, i, document))
+			latest, _ := r.Revision(Fleet)
+			history = append(history, moment{accepted.Position, latest.Document})
+			for _, had := range history {
+				updates := r.Updates(Fleet, had.at)
+				if had.at == accepted.Position {
+					if len(updates) > 0 {
+						t.Fatalf("seed %d: at the latest position there are updates %+v", seed, updates)
+					}
+					continue
+				}
+				got, digest := follow(t, had.document, updates)
+				if string(got) != string(latest.Document) || digest != latest.Digest {
+					t.Fatalf("seed %d: from %+v to %+v: %s, want %s", seed, had.at, accepted.Position, got, latest.Document)
+				}
+				switch {
+				case len(updates) > 1:
+					parts++
+				case updates[0].From > 0:
+					patches++
+				default:
+					wholes++
+				}
+			}
+			if steps := r.scopes[Fleet].steps; len(steps) > PatchesKept {
+				t.Fatalf("seed %d: %d steps are kept", seed, len(steps))
+			}
+		}
+	}
+	t.Logf("%d patches, %d whole, %d in parts", patches, wholes, parts)
+	if patches < 1000 || wholes < 1000 || parts < 1000 {
+		t.Errorf("%d patches, %d whole and %d in parts don't reach what this is for", patches, wholes, parts)
+	}
+}
+
+func TestUpdatesPatchOnlyWhatTheAgentHas(t *testing.T) {
+	r := NewRegistry(FleetGroup)
+	document := longDocument(100, 1)
+	for i := range uint64(PatchesKept + 10) {
+		document.Classes["scan"] = ClassDocument{Worth: pointer(float64(i))}
+		mustPut(t, r, 7, change(fmt.Sprint("c", i), Fleet, i, document))
+	}
+	latest, _ := r.Revision(Fleet)
+	oldest := latest.Revision - PatchesKept
+	for _, c := range []struct {
+		what  string
+		have  Position
+		whole bool
+	}{
+		{"one behind", Position{latest.Revision - 1, 7}, false},
+		{"as far behind as is kept", Position{oldest, 7}, false},
+		{"further behind", Position{oldest - 1, 7}, true},
+		{"another epoch", Position{latest.Revision - 1, 6}, true},
+		{"asks for the whole", Position{latest.Revision - 1, 0}, true},
+		{"has nothing", Position{}, true},
+	} {
+		updates := r.Updates(Fleet, c.have)
+		if len(updates) != 1 {
+			t.Fatalf("%s: %d updates", c.what, len(updates))
+		}
+		if u := updates[0]; (u.From == 0) != c.whole || u.From > 0 && u.From != c.have.Revision {
+			t.Errorf("%s: a patch from %d", c.what, u.From)
+		}
+	}
+	for _, have := range []Position{latest.Position, {latest.Revision, 0}, {latest.Revision + 5, 9}} {
+		if updates := r.Updates(Fleet, have); len(updates) > 0 {
+			t.Errorf("from %+v: %+v", have, updates)
+		}
+	}
+	if updates := r.Updates(service, Position{}); len(updates) > 0 {
+		t.Errorf("of a scope without a document: %+v", updates)
+	}
+}
+
+// A patch that would be longer than the whole isn't sent, and what is kept for patches is no longer than the document.
+func TestUpdatesSendWhatIsShorter(t *testing.T) {
+	r := NewRegistry(FleetGroup)
+	mustPut(t, r, 1, change("long", Fleet, 0, longDocument(40, 1)))
+	mustPut(t, r, 1, change("short", Fleet, 1, mustParse(t, `{"format":1}`)))
+	updates := r.Updates(Fleet, Position{1, 1})
+	if len(updates) != 1 || updates[0].From != 0 || string(updates[0].Patch) != `{"format":1}` {
+		t.Errorf("updates %+v", updates)
+	}
+	for i := range uint64(50) {
+		mustPut(t, r, 1, change(fmt.Sprint("c", i), Fleet, 2+i, longDocument(30, float64(i+1))))
+		total := 0
+		for _, step := range r.scopes[Fleet].steps {
+			total += len(step.Patch)
+		}
+		if latest, _ := r.Revision(Fleet); total > len(latest.Document) {
+			t.Fatalf("%d bytes of steps for a document of %d", total, len(latest.Document))
+		}
+	}
+}
+
+// Each line of a watch fits into the burst that the pace allows, whatever the document is made of.
+func TestUpdatesFitThePace(t *testing.T) {
+	for _, text := range []string{"x", `"`, `\`, "<", "é", "\u2028", "\x01", "😀"} {
+		r := NewRegistry(FleetGroup)
+		document := &Document{Format: Format, Classes: map[string]ClassDocument{}}
+		name := strings.Repeat(text, (NameMost-4)/len(text))
+		for i := 0; ; i++ {
+			document.Classes[fmt.Sprintf("%04d%s", i, name)] = ClassDocument{Worth: pointer(1.0)}
+			if len(document.Canonical()) > DocumentMost {
+				delete(document.Classes, fmt.Sprintf("%04d%s", i, name))
+				break
+			}
+		}
+		mustPut(t, r, 1<<60, change("c", Fleet, 0, document))
+		updates := r.Updates(Fleet, Position{})
+		if len(updates) < 8 {
+			t.Fatalf("%q: %d parts", text, len(updates))
+		}
+		for _, u := range updates {
+			line, err := json.Marshal(u)
+			if err != nil || len(line) >= PaceBurst {
+				t.Fatalf("%q: a line of %d bytes (%v)", text, len(line), err)
+			}
+		}
+		latest, _ := r.Revision(Fleet)
+		if got, _ := follow(t, nil, updates); string(got) != string(latest.Document) {
+			t.Fatalf("%q: the parts don't come to the document", text)
+		}
+	}
+}
