--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -11,9 +11,9 @@
 //
 //	follower.Connected()                  // a watch begins: ask with follower.Have()
 //	result := follower.Take(update)       // for each line; ResultAskWhole: end the watch, begin a new one after a pause
-//	effective, ok := follower.Pending()   // after each Take: apply it, then
+//	effective, ok := follower.Pending()   // after each Connected and Take: apply it, then
 //	follower.InForce(effective)           // or follower.Failed(effective, err); then look at Pending again
-//	follower.Report()                     // send it when it has changed since the last one sent, and now and then
+//	follower.Report()                     // send it as soon as a watch is answered, when it has changed, and now and then
 type Follower struct {
 	place    Place
 	check    func(effective *Document) error
@@ -104,8 +104,8 @@
 	return e
 }
 
-// Connected says that a new watch begins: parts and sets that the last one left incomplete are given up. To be
-// called before Have.
+// Connected says that a new watch begins: parts that the last one left incomplete are given up, and a set takes effect
+// as far as it came, so that something may be pending. To be called before Have.
 func (f *Follower) Connected() {
 	f.awaited = false
 	for _, state := range f.states {
--- a/internal/configuration/registry_scope.go
+++ b/internal/configuration/registry_scope.go
@@ -24,10 +24,7 @@
 // advance makes a revision the latest.
 func (s *scopeState) advance(next Revision) {
 	if s.latest.Revision > 0 {
-		back, err := MakePatch(next.Document, s.latest.Document)
-		if err != nil {
-			panic("configuration: a revision without a document: " + err.Error()) // judge has seen both
-		}
+		back := encodeAny(difference(mustObject(next.Document), mustObject(s.latest.Document)))
 		s.steps = slices.Insert(s.steps, 0, backStep{s.latest.Position, back})
 	}
 	s.latest = next
@@ -67,19 +64,20 @@
 
 // makePatch goes back to the revision that a step leads to and makes the patch from there.
 func (s *scopeState) makePatch(step int) json.RawMessage {
-	document := []byte(s.latest.Document)
+	earlier := mustObject(s.latest.Document)
 	for _, back := range s.steps[:step+1] {
-		earlier, err := ApplyPatch(document, back.Patch)
-		if err != nil {
-			panic("configuration: " + err.Error()) // advance has made both
-		}
-		document = earlier
+		mergePatch(earlier, mustObject(back.Patch))
 	}
-	patch, err := MakePatch(document, s.latest.Document)
+	return encodeAny(difference(earlier, mustObject(s.latest.Document)))
+}
+
+// mustObject decodes a text that the registry itself has made.
+func mustObject(text []byte) map[string]any {
+	object, err := decodeObject(text)
 	if err != nil {
 		panic("configuration: " + err.Error())
 	}
-	return patch
+	return object
 }
 
 // update is an update to the revision; from 0 the patch is the whole document.
