A raft replica for any state machine, with a read index before each proposal

The control processes keep settings in three groups over four machines and need more than the seats of duties do: a state machine of their own, results of commands, and a change that can't be made has to be refused with nothing of it left in a log.

Ruled out: proposing at once and waiting for a time limit (a leader that is cut off keeps the entry, and it may be agreed on after all); raft.Node with its own goroutine (the check-in before a vote and simulated time need the driving to be ours).

internal/replica: New, Run, Propose, Read, Inspect, Status. Waiting commands share one read index; results find their callers by an identity in the entry. Store and check-in are those of internal/duty; a member whose disk forgot comes back under another identity. A disk fault or a panic ends the member's vote with a reason. internal/replica/transport: frames, hello, dialers and server, bounded; pings so that a link that came back after a cut is dialled anew within seconds.

--- /dev/null
+++ b/internal/replica/transport/transport_test.go
@@ -0,0 +1,219 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Frames cut at each byte, spoilt in each bit, or of a length that was only announced: an error, never a frame.
+func TestFrames(t *testing.T) {
+	whole := AppendFrame(nil, 3, []byte("content"))
+	if kind, content, err := DecodeFrame(whole); err != nil || kind != 3 || string(content) != "content" {
+		t.Fatalf("%d, %q, %v", kind, content, err)
+	}
+	for cut := range whole {
+		if _, _, err := DecodeFrame(whole[:cut]); err == nil {
+			t.Fatalf("cut at %d it was read", cut)
+		}
+	}
+	for at := range whole {
+		for bit := range 8 {
+			bad := bytes.Clone(whole)
+			bad[at] ^= 1 << bit
+			if _, _, err := DecodeFrame(bad); err == nil {
+				t.Fatalf("bit %d of byte %d spoilt, it was read", bit, at)
+			}
+		}
+	}
+	if _, _, err := DecodeFrame([]byte{0x3f, 0xff, 0xff, 0xff, 0, 0, 0, 0, 1}); !errors.Is(err, ErrFrame) {
+		t.Errorf("a gigabyte was announced: %v", err)
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	f.Add(AppendFrame(nil, 1, []byte("{}")))
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 0, 0, 1, 2})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		kind, content, err := ReadFrame(bufio.NewReader(bytes.NewReader(raw)))
+		if err != nil {
+			return
+		}
+		if again := AppendFrame(nil, kind, content); !bytes.HasPrefix(raw, again) {
+			t.Errorf("%x is read as %x", raw, again)
+		}
+	})
+}
+
+// pair is a server and a dialler, and what came at each.
+type pair struct {
+	server           *Server
+	dialer           *Dialer
+	atServer, atDial chan string
+	invalid          chan error
+	cancel           context.CancelFunc
+	ended            sync.WaitGroup
+}
+
+func newPair(t *testing.T, served, dialled Protocol) *pair {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &pair{atServer: make(chan string, 16), atDial: make(chan string, 16), invalid: make(chan error, 16)}
+	note := func(err error) {
+		select {
+		case p.invalid <- err:
+		default:
+		}
+	}
+	p.server = &Server{Listener: listener, Protocol: served, Invalid: note, Handle: func(c *Conn, _ Kind, content []byte) {
+		p.atServer <- c.Peer() + " " + string(content)
+		c.Send(1, append([]byte("back "), content...))
+	}}
+	p.dialer = &Dialer{Address: listener.Addr().String(), Protocol: dialled, Invalid: note, Handle: func(c *Conn, _ Kind, content []byte) { p.atDial <- c.Peer() + " " + string(content) }}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.ended.Go(func() { p.server.Run(ctx) })
+	p.ended.Go(func() { p.dialer.Run(ctx, rand.Float64) })
+	t.Cleanup(func() {
+		cancel()
+		p.ended.Wait()
+	})
+	return p
+}
+
+func protocol(name string) Protocol {
+	return Protocol{Magic: "test 1", Group: "g", Name: name, Kinds: 2, Silence: time.Minute}
+}
+
+// send sends until a connection stands.
+func (p *pair) send(content string) {
+	for !p.dialer.Send(1, []byte(content)) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestFramesGoBothWays(t *testing.T) {
+	p := newPair(t, protocol("server"), protocol("client"))
+	p.send("hello")
+	if got := <-p.atServer; got != "client hello" {
+		t.Error(got)
+	}
+	if got := <-p.atDial; got != "server back hello" {
+		t.Error(got)
+	}
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	for name, tt := range map[string]struct {
+		spoil func(p *Protocol)
+		want  string
+	}{
+		"group":    {func(p *Protocol) { p.Group = "other" }, `of group "other", not "g"`},
+		"protocol": {func(p *Protocol) { p.Magic = "test 2" }, `protocol "test 2", not "test 1"`},
+		"name":     {func(p *Protocol) { p.Name = "stranger" }, `"stranger" is not expected`},
+	} {
+		served, dialled := protocol("server"), protocol("client")
+		served.Admit = func(name string) bool { return name == "client" }
+		tt.spoil(&dialled)
+		p := newPair(t, served, dialled)
+		for {
+			if err := <-p.invalid; strings.Contains(err.Error(), tt.want) && errors.Is(err, ErrFrame) {
+				break
+			} else if !errors.Is(err, ErrFrame) {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		p.cancel()
+		p.ended.Wait()
+		if len(p.atServer) > 0 {
+			t.Errorf("%s: a frame of a stranger was handed on", name)
+		}
+	}
+}
+
+// A kind that the protocol doesn't have ends the connection, and the next one stands.
+func TestUnknownKind(t *testing.T) {
+	p := newPair(t, protocol("server"), protocol("client"))
+	p.send("first")
+	<-p.atServer
+	p.dialer.Send(2, nil)
+	if err := <-p.invalid; !errors.Is(err, ErrFrame) || !strings.Contains(err.Error(), "kind 2") {
+		t.Error(err)
+	}
+	for {
+		p.send("second")
+		select {
+		case got := <-p.atServer:
+			if got != "client second" {
+				t.Error(got)
+			}
+			return
+		case <-time.After(20 * time.Millisecond): // it went over the connection that was being closed
+		}
+	}
+}
+
+// Pings keep a connection from counting as silent, and are not handed on; without them it is dialled anew.
+func TestPingsKeepAConnection(t *testing.T) {
+	for _, ping := range []time.Duration{0, 5 * time.Millisecond} {
+		served, dialled := protocol("server"), protocol("client")
+		served.Ping, dialled.Ping = ping, ping
+		dialled.Silence = 50 * time.Millisecond
+		if ping > 0 {
+			dialled.Silence = 10 * time.Second
+		}
+		p := newPair(t, served, dialled)
+		p.send("x")
+		<-p.atServer
+		<-p.atDial
+		p.dialer.mu.Lock()
+		first := p.dialer.conn
+		p.dialer.mu.Unlock()
+		if ping == 0 {
+			<-first.done // closed for its silence
+		} else {
+			time.Sleep(20 * ping)
+			select {
+			case <-first.done:
+				t.Error("a connection with pings was closed")
+			default:
+			}
+		}
+		p.cancel()
+		p.ended.Wait()
+		if len(p.atServer) > 0 || len(p.atDial) > 0 {
+			t.Error("a ping was handed on")
+		}
+	}
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	c := Detached("peer")
+	sent := 0
+	for range 2 * queueLimit {
+		if c.Send(1, nil) {
+			sent++
+		}
+	}
+	if sent != queueLimit || c.Send(1, make([]byte, contentLimit+1)) {
+		t.Errorf("%d of %d were taken", sent, queueLimit)
+	}
+	c.Close()
+	if _, ok := c.Next(); !ok || c.Send(1, nil) {
+		t.Error("a closed connection takes frames")
+	}
+}
