The driving of raft in a package of its own, so that duties can share it

internal/replica/voter is one member's part without goroutine, socket or clock: store, check-in, raft, changes of members, spare members too.

--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -226,7 +226,7 @@
 		w.write(command{ID: fmt.Sprint("long ", i), New: fmt.Sprint(i), Padding: make([]byte, 8<<10)})
 	}
 	leader := w.waitForLeader()
-	if first, _ := leader.replica.store.FirstIndex(); first < 100 {
+	if first, _ := leader.replica.voter.Store().FirstIndex(); first < 100 {
 		t.Fatalf("the leader's log begins at %d: it was not shortened", first)
 	}
 	away.start()
@@ -249,24 +249,24 @@
 			if !atLeader {
 				p = w.processes[(p.index+1)%len(w.processes)]
 			}
-			identity := p.replica.store.ID()
+			identity := p.replica.voter.Store().ID()
 			p.disk.Lies = true
 			for i := range 5 {
 				w.write(command{ID: fmt.Sprint("lost ", i), New: fmt.Sprint(i)})
 			}
-			before := p.replica.store.State()
+			before := p.replica.voter.Store().State()
 			p.kill()
 			p.disk.Lies = false
 			p.start()
-			forgot := p.replica.store.State() != before // a kill may leave all by chance
+			forgot := p.replica.voter.Store().State() != before // a kill may leave all by chance
 			w.write(command{ID: "after", New: "after"})
 			w.same()
-			id := p.replica.store.ID()
-			if (id != identity) != forgot || w.waitForLeader().replica.members[id] != p.name || len(w.waitForLeader().replica.members) != len(w.processes) {
-				t.Errorf("leader %v, seed %d: identity %x, was %x, members %v", atLeader, seed, id, identity, w.waitForLeader().replica.members)
+			id := p.replica.voter.Store().ID()
+			if (id != identity) != forgot || w.waitForLeader().replica.voter.Members()[id] != p.name || len(w.waitForLeader().replica.voter.Members()) != len(w.processes) {
+				t.Errorf("leader %v, seed %d: identity %x, was %x, members %v", atLeader, seed, id, identity, w.waitForLeader().replica.voter.Members())
 			}
 			names, _ := p.disk.List()
-			if aside := slices.ContainsFunc(names, func(n string) bool { return strings.HasSuffix(n, distrusted) }); aside != forgot {
+			if aside := slices.ContainsFunc(names, func(n string) bool { return strings.HasSuffix(n, ".distrusted") }); aside != forgot {
 				t.Errorf("leader %v, seed %d: forgot %v, files %v", atLeader, seed, forgot, names)
 			}
 			if forgot {
@@ -329,7 +329,7 @@
 	p.start()
 	w.write(command{ID: "after", New: "after"})
 	status := p.replica.status()
-	if status.Votes || !errors.Is(p.replica.fault, store.ErrSpoilt) || !strings.Contains(status.Why, names[0]+", byte ") {
+	if status.Votes || !errors.Is(p.replica.voter.Fault(), store.ErrSpoilt) || !strings.Contains(status.Why, names[0]+", byte ") {
 		t.Errorf("%+v", status)
 	}
 	if out := w.outcomeOf(p.propose(command{ID: "there", New: "there"})); !surelyNot(out.err) {
--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -126,7 +126,7 @@
 func (h *history) send(o *operation) {
 	target := h.processes[h.rng.IntN(len(h.processes))]
 	for _, p := range h.processes {
-		if p.up && p.replica.leads && h.rng.IntN(4) > 0 { // more than one may believe so
+		if p.up && p.replica.voter.Leads() && h.rng.IntN(4) > 0 { // more than one may believe so
 			target = p
 		}
 	}
@@ -222,11 +222,11 @@
 	}
 	longest := slices.MaxFunc(h.processes, func(a, b *process) int { return len(a.machine.Order) - len(b.machine.Order) }).machine.Order
 	for _, p := range h.processes {
-		if p.disk.Lies && errors.Is(p.replica.fault, store.ErrSpoilt) {
+		if p.disk.Lies && errors.Is(p.replica.voter.Fault(), store.ErrSpoilt) {
 			continue // it is known to hold nothing whole, which is for staff to mend
 		}
-		if p.replica.node == nil {
-			return fmt.Sprintf("%s doesn't vote: %v %s", p.name, p.replica.fault, p.replica.decision.Why)
+		if !p.replica.voter.Votes() {
+			return fmt.Sprintf("%s doesn't vote: %v %s", p.name, p.replica.voter.Fault(), p.replica.voter.Decision().Why)
 		}
 		if !slices.Equal(p.machine.Order, longest[:len(p.machine.Order)]) {
 			return fmt.Sprintf("%s has applied other commands than another", p.name)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,13 +1,12 @@
-// Package replica keeps a state machine the same at all members of a group, by raft (go.etcd.io/raft) over TCP, with
-// internal/duty/store for log and votes.
+// Package replica keeps a state machine the same at all members of a group, by raft over TCP. internal/replica/voter drives raft and the
+// store, internal/replica/transport carries the messages.
 //
 // A leader confirms that a majority follows it (a read index) before it proposes a command: a command that can't be agreed on is
 // refused with ErrNoQuorum and nothing of it stands in any log. A majority that is lost between the two leaves the outcome unknown;
 // commands should carry an identity of their own, so that one can be sent again.
 //
-// Before a member votes it asks the others what its disk had promised them (duty.Seating): a disk that forgot is found, put
-// aside, and the member returns under another identity in place of the old one. A disk that fails, or a panic of raft or of the
-// state machine, ends this member's vote with a reason (Status), not the process.
+// A disk that fails or that forgot what it had promised, or a panic of raft or of the state machine, ends this member's vote with a reason
+// (Status), not the process.
 //
 // A Replica is owned by one goroutine (Run): raft, store and state machine. Connections and callers hand it functions over a
 // bounded inbox.
@@ -22,20 +21,15 @@
 	"net"
 	"time"
 
-	"go.etcd.io/raft/v3"
-	pb "go.etcd.io/raft/v3/raftpb"
-
-	"lemonrail/internal/duty"
 	"lemonrail/internal/duty/store"
 	"lemonrail/internal/replica/transport"
+	"lemonrail/internal/replica/voter"
 )
 
 const (
-	defaultTick    = 50 * time.Millisecond
-	electionTicks  = 10
-	heartbeatTicks = 2
-	memberLimit    = 7
-	inboxSize      = 1024
+	defaultTick = 50 * time.Millisecond
+	memberLimit = 7
+	inboxSize   = 1024
 )
 
 // StateMachine is what the members of a group agree on. It is called on the replica's goroutine only.
@@ -126,31 +120,7 @@
 	peers   map[string]*transport.Dialer // the other members, by name
 	life    uint64                       // of this process: tells own entries from those of an earlier life
 
-	// All below belongs to the replica's goroutine.
-
-	fault    error // why this member doesn't vote; nil: it may
-	store    *store.Store
-	checkIn  *duty.Seating
-	decision duty.Decision
-	lastAsk  time.Duration // when the other members were last asked
-
-	node        *raft.RawNode // nil: it doesn't take part
-	applied     uint64        // index of the last entry that was applied
-	appliedTerm uint64        // its term
-	leads       bool
-	leadTerm    uint64 // in which it leads
-	leader      uint64 // identity
-
-	voters     *pb.ConfState
-	members    map[uint64]string       // by identity, as agreed on
-	initial    map[uint64]string       // with which the group began
-	joining    map[string]uint64       // identities that ask to be let in, by name
-	promised   map[uint64]duty.Promise // what other identities let this one have
-	origins    map[uint64]string       // member from which an identity's messages come
-	changed    bool                    // members changed since the last snapshot
-	lastChange time.Duration           // when a change of members was last proposed
-	unsaved    bool                    // a snapshot was too long
-
+	voter    *voter.Voter // belongs to the replica's goroutine, as the requests do
 	requests requests
 }
 
@@ -169,8 +139,8 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	r := &Replica{options: o, log: o.Log.With("group", o.Group), began: time.Now(), inbox: make(chan func(), inboxSize), stopped: make(chan struct{}),
-		peers: map[string]*transport.Dialer{}, life: o.Rand.Uint64(), members: map[uint64]string{}, joining: map[string]uint64{},
-		promised: map[uint64]duty.Promise{}, origins: map[uint64]string{}, requests: newRequests()}
+		peers: map[string]*transport.Dialer{}, life: o.Rand.Uint64(), requests: newRequests()}
+	r.voter = voter.New(voter.Options{Name: o.Name, Candidates: o.names(), Voters: len(o.Members), FS: o.FS, Log: r.log, Rand: o.Rand}, host{r})
 	if err := r.connect(); err != nil {
 		return nil, err
 	}
@@ -206,7 +176,7 @@
 }
 
 // electionTimeout is the least time without a leader after which members elect another.
-func (r *Replica) electionTimeout() time.Duration { return electionTicks * r.options.Tick }
+func (r *Replica) electionTimeout() time.Duration { return voter.ElectionTicks * r.options.Tick }
 
 // Run drives the replica until ctx ends. It is called once.
 func (r *Replica) Run(ctx context.Context) error {
@@ -219,70 +189,52 @@
 		cancel()
 		close(r.stopped)
 		<-finished
-		r.closeStore()
+		r.voter.Close()
 	}()
-	r.guarded(r.openStore)
+	r.open()
 	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
 	for {
 		ticked := false
 		select {
 		case f := <-r.inbox:
-			r.guarded(f)
+			r.voter.Guard(f)
 		case <-ticker.C:
 			ticked = true
 		case <-ctx.Done():
 			return nil
 		}
 		r.drainInbox()
-		r.guarded(func() { r.turn(ticked) })
+		r.turn(ticked)
 	}
 }
 
 // drainInbox carries out what is in the inbox now.
 func (r *Replica) drainInbox() {
 	for queued := len(r.inbox); queued > 0; queued-- {
-		r.guarded(<-r.inbox)
+		r.voter.Guard(<-r.inbox)
 	}
 }
 
-// guarded has a panic end this member's vote, and not the process.
-func (r *Replica) guarded(f func()) {
-	defer func() {
-		if reason := recover(); reason != nil {
-			r.stopVoting(fmt.Errorf("panic: %v", reason))
-		}
-	}()
-	f()
+// open reads what the disk holds.
+func (r *Replica) open() {
+	r.voter.Guard(func() { r.voter.Open(r.now()) })
 }
 
 // turn does what is due.
 func (r *Replica) turn(ticked bool) {
-	now := r.now()
-	r.expireRequests(now)
-	if r.fault != nil {
-		return
-	}
-	if r.node == nil {
-		r.startVoting(now)
-		return
-	}
-	if ticked {
-		r.node.Tick()
-	}
-	r.askToJoin(now)
-	r.advance()
-	if r.leads {
-		r.replaceMember(now)
-		r.confirmWaiting()
-		r.advance()
-	}
-}
-
-// stopVoting ends this member's part: the disk failed, what it holds can't be trusted, or something panicked.
-func (r *Replica) stopVoting(reason error) {
-	r.fault, r.node, r.checkIn = reason, nil, nil
-	r.leader = raft.None
-	r.loseLeadership()
-	r.log.Error("this member does not vote", "err", reason)
+	r.voter.Guard(func() {
+		now, applied := r.now(), r.voter.Applied()
+		r.expireRequests(now)
+		r.voter.Turn(now, ticked)
+		if r.voter.Leads() {
+			r.voter.ReplaceMember(now)
+			r.confirmWaiting()
+			r.voter.Advance()
+		}
+		r.finishReads()
+		if r.voter.Applied() != applied && r.options.Applied != nil {
+			r.options.Applied()
+		}
+	})
 }
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -153,7 +153,7 @@
 // submit takes a request, at the leader.
 func (r *Replica) submit(q *request) {
 	switch {
-	case !r.leads:
+	case !r.voter.Leads():
 		q.finish(nil, r.notLeader())
 	case len(r.requests.waiting) >= waitingLimit || len(r.requests.reads) >= waitingLimit:
 		q.finish(nil, ErrBusy)
@@ -164,31 +164,28 @@
 }
 
 func (r *Replica) notLeader() error {
-	if r.node == nil || r.leader == raft.None {
-		return &NotLeaderError{}
+	leader := r.voter.Leader()
+	if leader == r.options.Name {
+		leader = ""
 	}
-	name := r.members[r.leader]
-	if name == r.options.Name {
-		name = ""
-	}
-	return &NotLeaderError{Leader: name}
+	return &NotLeaderError{Leader: leader}
 }
 
 // confirmWaiting begins a read index for all that wait, one at a time. A leader can't confirm before an entry of its own term was applied:
 // until then it may not know of all that was agreed on.
 func (r *Replica) confirmWaiting() {
-	if !r.leads || r.requests.confirmID != 0 || len(r.requests.waiting) == 0 || r.appliedTerm != r.leadTerm {
+	if !r.voter.Established() || r.requests.confirmID != 0 || len(r.requests.waiting) == 0 {
 		return
 	}
 	r.requests.lastID++
 	r.requests.confirmID = r.requests.lastID
 	r.requests.confirm, r.requests.waiting = r.requests.waiting, nil
-	r.node.ReadIndex(binary.BigEndian.AppendUint64(nil, r.requests.confirmID))
+	r.voter.ReadIndex(binary.BigEndian.AppendUint64(nil, r.requests.confirmID))
 }
 
 // confirmed takes that a majority followed this leader after a read index was asked for.
 func (r *Replica) confirmed(read raft.ReadState) {
-	if len(read.RequestCtx) != 8 || binary.BigEndian.Uint64(read.RequestCtx) != r.requests.confirmID || !r.leads {
+	if len(read.RequestCtx) != 8 || binary.BigEndian.Uint64(read.RequestCtx) != r.requests.confirmID || !r.voter.Leads() {
 		return // it was given up
 	}
 	now, confirmed := r.now(), r.requests.confirm
@@ -226,7 +223,7 @@
 	}
 	r.requests.lastEntry++
 	id := entryID{r.life, r.requests.lastEntry}
-	if err := r.node.Propose(encodeEntry(id, q.command)); err != nil { // raft has dropped it
+	if err := r.voter.Propose(encodeEntry(id, q.command)); err != nil { // raft has dropped it
 		q.finish(nil, fmt.Errorf("%w: %w", ErrBusy, err))
 		return
 	}
@@ -248,7 +245,7 @@
 func (r *Replica) finishReads() {
 	kept := r.requests.reads[:0]
 	for _, q := range r.requests.reads {
-		if q.index > r.applied {
+		if q.index > r.voter.Applied() {
 			kept = append(kept, q)
 			continue
 		}
@@ -283,7 +280,6 @@
 
 // loseLeadership ends all that is under way: what was proposed may still be carried out, the rest never will be.
 func (r *Replica) loseLeadership() {
-	r.leads = false
 	err := r.notLeader()
 	for _, q := range r.requests.proposed {
 		q.finish(nil, ErrOutcomeUnknown)
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -14,8 +14,10 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
+	"lemonrail/internal/duty"
 	"lemonrail/internal/duty/store"
 	"lemonrail/internal/replica/transport"
+	"lemonrail/internal/replica/voter"
 )
 
 // The landed replicas and stores in simulated time: members on clocks that run at their own speeds, processes stopped and killed, links
@@ -177,7 +179,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	p.replica.guarded(p.replica.openStore)
+	p.replica.open()
 	for i := range w.processes {
 		if i != p.index {
 			l := &link{from: p.index, to: i, dialled: transport.Detached(fmt.Sprint("m", i))}
@@ -261,7 +263,7 @@
 		r := p.replica
 		r.drainInbox()
 		w.plant(r)
-		r.guarded(func() { r.turn(w.now%simTick == 0) })
+		r.turn(w.now%simTick == 0)
 		if w.planted.earlyResult {
 			for _, q := range r.requests.proposed {
 				q.finish([]byte("done"), nil)
@@ -275,14 +277,10 @@
 
 // plant puts the faults that a run is given into a replica.
 func (w *world) plant(r *Replica) {
-	if w.planted.trustsDisk && r.checkIn != nil && r.node == nil && !r.store.Empty() {
-		r.guarded(func() {
-			if err := r.startNode(); err != nil {
-				r.stopVoting(err)
-			}
-		})
+	if w.planted.trustsDisk && !r.voter.Votes() && r.voter.Store() != nil && !r.voter.Store().Empty() {
+		r.forgeCheckIn(w)
 	}
-	if !r.leads {
+	if !r.voter.Leads() {
 		return
 	}
 	var kept []*request
@@ -293,7 +291,7 @@
 		case !q.read && w.planted.unconfirmed:
 			r.propose(q)
 		case !q.read && w.planted.refusedProposed:
-			if err := r.node.Propose(encodeEntry(entryID{}, q.command)); err != nil {
+			if err := r.voter.Propose(encodeEntry(entryID{}, q.command)); err != nil {
 				w.t.Log(err)
 			}
 			kept = append(kept, q)
@@ -304,6 +302,21 @@
 	r.requests.waiting = kept
 }
 
+// forgeCheckIn answers a member's questions in the others' place: nothing was promised.
+func (r *Replica) forgeCheckIn(w *world) {
+	for i, member := range r.options.Members {
+		reply, err := json.Marshal(duty.CheckIn{Seat: member.Name, ID: uint64(i + 1)})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		m, err := voter.Decode(voter.KindCheckInReply, reply)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		r.voter.Receive(member.Name, m)
+	}
+}
+
 // fault begins or ends something that fails.
 func (w *world) fault() {
 	p := w.processes[w.rng.IntN(len(w.processes))]
@@ -380,7 +393,7 @@
 func (w *world) leading() *process {
 	var leader *process
 	for _, p := range w.processes {
-		if p.up && !p.stopped && p.replica.leads && p.replica.appliedTerm == p.replica.leadTerm && (leader == nil || p.replica.leadTerm > leader.replica.leadTerm) {
+		if p.up && !p.stopped && p.replica.voter.Established() && (leader == nil || p.replica.voter.LeadTerm() > leader.replica.voter.LeadTerm()) {
 			leader = p
 		}
 	}
@@ -431,7 +444,7 @@
 	w.until("the same state everywhere", func() bool {
 		first := w.processes[0].machine
 		for _, p := range w.processes {
-			if !p.up || p.replica.node == nil || !slices.Equal(p.machine.Order, first.Order) || p.machine.Value != first.Value {
+			if !p.up || !p.replica.voter.Votes() || !slices.Equal(p.machine.Order, first.Order) || p.machine.Value != first.Value {
 				return false
 			}
 		}
@@ -441,12 +454,12 @@
 
 // inLog reports whether a log holds a command, agreed on or not.
 func (p *process) inLog(id string) bool {
-	first, _ := p.replica.store.FirstIndex()
-	last, _ := p.replica.store.LastIndex()
+	first, _ := p.replica.voter.Store().FirstIndex()
+	last, _ := p.replica.voter.Store().LastIndex()
 	if first > last {
 		return false
 	}
-	entries, err := p.replica.store.Entries(first, last+1, 1<<40)
+	entries, err := p.replica.voter.Store().Entries(first, last+1, 1<<40)
 	if err != nil {
 		p.world.t.Fatal(err)
 	}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"go.etcd.io/raft/v3"
+	"lemonrail/internal/replica/voter"
 )
 
 // Status is how a member stands.
@@ -54,20 +54,18 @@
 }
 
 func (r *Replica) status() Status {
-	status := Status{Group: r.options.Group, Name: r.options.Name, Votes: r.node != nil, Why: r.decision.Why, Leads: r.leads, Applied: r.applied,
-		Members: map[string]string{}}
-	if r.store != nil {
-		status.Identity, status.Term = identityText(r.store.ID()), r.store.State().Term
-		status.Written, status.Syncs = r.store.Written, r.store.Syncs
+	v := r.voter
+	status := Status{Group: r.options.Group, Name: r.options.Name, Votes: v.Votes(), Why: v.Decision().Why, Leads: v.Leads(), Leader: v.Leader(),
+		Applied: v.Applied(), Members: map[string]string{}}
+	if kept := v.Store(); kept != nil {
+		status.Identity, status.Term = voter.IdentityText(kept.ID()), kept.State().Term
+		status.Written, status.Syncs = kept.Written, kept.Syncs
 	}
-	if r.fault != nil {
-		status.Why = r.fault.Error()
+	if fault := v.Fault(); fault != nil {
+		status.Why = fault.Error()
 	}
-	if r.node != nil && r.leader != raft.None {
-		status.Leader = r.members[r.leader]
-	}
-	for id, name := range r.members {
-		status.Members[name] = identityText(id)
+	for id, name := range v.Members() {
+		status.Members[name] = voter.IdentityText(id)
 	}
 	return status
 }
