Replica histories: a disk that lies beside another that forgets is told apart

Ruled out: leaving such faults out of the timetables, which would hide whether anything else breaks under them.

--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -111,6 +111,7 @@
 	cut       [][]bool // links that carry nothing, from and to
 	links     []*link
 	broken    string // what was found
+	forgotten bool   // a disk lies, and one that may know what it had promised is away or was itself started anew: beyond what a group stands
 }
 
 type process struct {
@@ -194,6 +195,7 @@
 	p.up, p.replica = false, nil
 	p.disk.Kill()
 	w := p.world
+	w.forgotten = w.forgotten || slices.ContainsFunc(w.processes, func(q *process) bool { return q != p && q.disk.Lies })
 	w.links = slices.DeleteFunc(w.links, func(l *link) bool { return l.from == p.index })
 	for _, l := range w.links {
 		if l.to == p.index {
@@ -256,6 +258,7 @@
 func (w *world) step() {
 	w.now += simStep
 	w.carry()
+	w.noteForgotten()
 	for _, p := range w.processes {
 		if !p.up || p.stopped {
 			continue
@@ -275,6 +278,20 @@
 	}
 }
 
+// noteForgotten notes that a member whose disk lies asks what it had promised while another one can't answer.
+func (w *world) noteForgotten() {
+	for _, p := range w.processes {
+		if !p.disk.Lies || !p.up || p.replica.voter.Votes() {
+			continue
+		}
+		for _, q := range w.processes {
+			if !q.up || q.stopped || w.cut[p.index][q.index] || w.cut[q.index][p.index] {
+				w.forgotten = true
+			}
+		}
+	}
+}
+
 // plant puts the faults that a run is given into a replica.
 func (w *world) plant(r *Replica) {
 	if w.planted.trustsDisk && !r.voter.Votes() && r.voter.Store() != nil && !r.voter.Store().Empty() {
