--- a/balance/api.go
+++ b/balance/api.go
@@ -89,7 +89,7 @@
 	Waste      float64 // backend work that served no answer, as a share of the work offered
 }
 
-// Settings are fixed for the life of a Balancer. The zero value of a field that
+// Settings are fixed for the life of a Balancer, but for what Reconfigure may replace. The zero value of a field that
 // may be absent means what its comment says; the zero value of a price, a goal or
 // a span switches off what rests on it. What agents may do at a site and what bounds
 // it are part of the interface even where the present module asks for none of it.
@@ -242,6 +242,10 @@
 		// Back says after how long a client whose request of a class is refused now is to come again; nil: as ever.
 		Back func(class int) time.Duration
 	}
+	// Reconfigure replaces the settings that may change while a Balancer lives (see Settings.CanBecome, which must have
+	// allowed it). It holds for requests that come after it; those in hand end by the settings that they came with. What
+	// the Balancer has learned stays.
+	Reconfigure struct{ Settings Settings }
 	// Fleet says how many agents live, where that is known; Settings.Balancers holds until then. Living are
 	// those to reckon with as busy, Possible those that may be in the worst case, and Away the numbers of those
 	// that have left or died, whose wishes are void.
@@ -353,6 +357,7 @@
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
 func (Part) event()          {}
+func (Reconfigure) event()   {}
 func (Fleet) event()         {}
 func (Sites) event()         {}
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,8 +141,8 @@
 		demands: make([]demand, s.Balancers), tellAfter: 1}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
 	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
-	for _, c := range s.Classes {
-		b.classes = append(b.classes, classState{Class: c, latency: float64(c.Aim) / 4})
+	for i, c := range s.Classes {
+		b.classes = append(b.classes, classState{terms: b.s.terms(i), latency: float64(c.Aim) / 4})
 	}
 	return b, nil
 }
@@ -173,6 +173,8 @@
 		case Sites:
 			b.sites, b.sites.Trial = e, slices.Clone(e.Trial)
 			b.measure()
+		case Reconfigure:
+			b.reconfigure(e.Settings)
 		case Part:
 			b.portion = min(max(e.Of, leastPart), 1)
 			b.tokens = min(b.tokens, bucketCap*b.portion)
@@ -200,7 +202,7 @@
 		return
 	}
 	c := &b.classes[e.Class]
-	r := &request{id: e.ID, class: e.Class, came: b.now, aim: b.now + min(c.Aim, e.Left),
+	r := &request{id: e.ID, class: e.Class, terms: c.terms, came: b.now, aim: b.now + min(c.Aim, e.Left),
 		deadline: b.now + e.Left, repeat: e.Repeat, only: e.Only}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
@@ -332,12 +334,12 @@
 			if r.passed {
 				continue
 			}
-			v := b.value(&b.classes[r.class]) / r.left
+			v := b.value(r) / r.left
 			if r.repeat {
 				v *= repeatValue
 			}
 			if r.aim-b.now < time.Duration(b.expected(r)/2) {
-				v *= b.classes[r.class].LateWorth
+				v *= r.terms.LateWorth
 			}
 			if best < 0 || v >= value {
 				best, value = i, v
@@ -359,7 +361,7 @@
 	behind := slices.ContainsFunc(b.held, func(r *request) bool { return !r.spill })
 	for i := len(b.held) - 1; i >= 0; i-- {
 		r := b.held[i]
-		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
+		need := min(holdMargin*b.expected(r), holdAtMost*float64(r.terms.Aim))
 		give := min(r.aim, r.deadline) - time.Duration(need)
 		r.passed = false
 		if spilt := full && behind && r.spill; spilt || give <= b.now {
@@ -408,12 +410,12 @@
 	return mean
 }
 
-// value is what a unit of backend time spent on a class adds to the operator's goal.
-func (b *Balancer) value(c *classState) float64 {
+// value is what a unit of backend time spent on a request adds to the operator's goal.
+func (b *Balancer) value(r *request) float64 {
 	if b.s.ByWork {
-		return c.Worth
+		return r.terms.Worth
 	}
-	return c.Worth / c.latency
+	return r.terms.Worth / b.classes[r.class].latency
 }
 
 // pick chooses a backend: one where this balancer has nothing in flight, at
@@ -518,12 +520,12 @@
 // gentle reports whether a request may not begin at a backend whose site has just come back.
 func (b *Balancer) gentle(t *backend, r *request) bool {
 	return t.Zone >= 0 && t.Zone < len(b.sites.Gentle) && b.sites.Gentle[t.Zone] &&
-		b.classes[r.class].Effect != Safe && len(r.attempts) == 0 && r.only == ""
+		r.terms.Effect != Safe && len(r.attempts) == 0 && r.only == ""
 }
 
 // tries reports whether a request may try a lost site: where one is wanted, one that may be repeated.
 func (b *Balancer) tries(t *backend, r *request) bool {
-	return t.Zone < len(b.sites.Trial) && b.sites.Trial[t.Zone] && b.classes[r.class].Effect == Safe &&
+	return t.Zone < len(b.sites.Trial) && b.sites.Trial[t.Zone] && r.terms.Effect == Safe &&
 		len(r.attempts) == 0 && !r.repeat
 }
 
@@ -550,9 +552,8 @@
 	if res == TimedOut {
 		cost = timeoutCost
 	}
-	c := &b.classes[r.class]
 	wait := time.Duration(b.rng.Float64() * min(math.Exp2(float64(r.retries)), backoffCeiling) *
-		backoffUnit * float64(c.Aim))
+		backoffUnit * float64(r.terms.Aim))
 	at := b.now + wait
 	possible := slices.ContainsFunc(b.backends, func(t *backend) bool {
 		return t.State == Up && b.mayRepeat(r, t)
@@ -583,11 +584,11 @@
 
 // mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
 func (b *Balancer) mayRepeat(r *request, t *backend) bool {
-	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies ||
+	c := r.terms
+	if r.ended || r.stream || len(r.attempts) >= c.maxAttempts || r.open > 0 && !c.secondCopies ||
 		r.only != "" && r.only != t.ID {
 		return false
 	}
-	c := &b.classes[r.class]
 	if c.Effect == Safe || r.risky == 0 {
 		return true
 	}
@@ -660,7 +661,7 @@
 		t.seen = true
 		b.learnSpeed(t, lat/a.cost)
 		c.latency = blend(c.latency, max(lat, 1))
-		b.pace(a, float64(e.Latency)/float64(c.Aim))
+		b.pace(a, float64(e.Latency)/float64(r.terms.Aim))
 	case Full:
 		// Departure: each further one in a row, of its class, doubles the rest. Guards against retries that
 		// empty the bucket at a backend that turns a class away for seconds. May harm where one that was
@@ -671,12 +672,12 @@
 		b.pace(a, 1)
 	case TimedOut:
 		if t.lastOK < a.sent { // nothing came back since: more than a slow request, and no queue
-			b.strike(t, a, c)
+			b.strike(t, a, r.terms)
 		}
 		// A quiet agent's time-outs are nearly all silent. Where answers bring reports, and are late
 		// when crowds are, time-outs may as well be lost answers: they cut no limit.
 		if (t.lastOK >= a.sent || b.quiet()) && b.s.Reports != ReportsInline {
-			b.pace(a, max(1, lat/float64(c.Aim)))
+			b.pace(a, max(1, lat/float64(r.terms.Aim)))
 			// Departure: its work is still at the backend, and uses a quiet agent's room for longer.
 			// Holds against any crowd that shows in time-outs first. May harm where these are lost answers.
 			b.spare -= saveAtMost * b.usual()
@@ -696,7 +697,7 @@
 		}
 		t.refused = refused
 		if odd || refused || rare && t.cold { // a cold one has to show that it is well
-			b.strike(t, a, c)
+			b.strike(t, a, r.terms)
 		}
 	}
 }
@@ -755,7 +756,7 @@
 // Departure: a backend that fails fast is always idle and would draw all traffic.
 // It acts on the first error, since errors are rare where nothing is wrong; what
 // was sent before the last strike adds nothing.
-func (b *Balancer) strike(t *backend, a *attempt, c *classState) {
+func (b *Balancer) strike(t *backend, a *attempt, c *terms) {
 	if a.sent < t.struckAt {
 		return
 	}
@@ -790,7 +791,7 @@
 	if t.strikes == 0 {
 		return true
 	}
-	safe := b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt
+	safe := r.terms.Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt
 	return safe && len(t.out) == 0
 }
 
@@ -1028,11 +1029,11 @@
 	}
 	send := Send{Request: r.id, Backend: t.ID}
 	if b.share(t) == 0 && r.only == "" { // a trial leaves time for another attempt
-		send.Timeout = b.classes[r.class].Aim / 2
+		send.Timeout = r.terms.Aim / 2
 		b.sites.Trial[t.Zone] = false
 	}
 	// Guards against a connection that comes up when backends have forgotten the key.
-	if c := &b.classes[r.class]; c.Effect == Keyed && r.anchor != a {
+	if c := r.terms; c.Effect == Keyed && r.anchor != a {
 		send.By = r.anchor.sent + c.Window
 	}
 	b.actions = append(b.actions, send)
@@ -1065,11 +1066,10 @@
 		return 0
 	}
 	if b.sites.Back != nil { // along the way on which a site comes back
-		return min(b.sites.Back(r.class), b.s.MaxRetryAfter)
+		return min(b.sites.Back(r.class), r.terms.maxRetryAfter)
 	}
-	c := &b.classes[r.class]
-	room := max(c.latency, adviceLeast*float64(c.Aim))
-	return min(time.Duration(room*(0.5+b.advice.Float64())), b.s.MaxRetryAfter)
+	room := max(b.classes[r.class].latency, adviceLeast*float64(r.terms.Aim))
+	return min(time.Duration(room*(0.5+b.advice.Float64())), r.terms.maxRetryAfter)
 }
 
 // close forgets a request once it has ended and its attempts are in.
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,8 +4,16 @@
 
 // What a balancer knows of classes, backends, attempts and requests. What is made of it stands in balance.go.
 
-type classState struct {
+// terms are the settings that a request is served by. They never change: a request keeps those in force when it came.
+type terms struct {
 	Class
+	maxAttempts   int
+	secondCopies  bool
+	maxRetryAfter time.Duration
+}
+
+type classState struct {
+	*terms                 // of requests that come now
 	latency  float64       // running mean of served latency, ns
 	patience time.Duration // the usual patience of a client's try
 	work     float64       // running mean of the expected work told with requests, ns
@@ -67,6 +75,7 @@
 type request struct {
 	id       string
 	class    int
+	terms    *terms // in force when it came
 	came     time.Duration
 	aim      time.Duration // answers after this time earn less
 	deadline time.Duration
--- a/cmd/lemonrail/main.go
+++ b/cmd/lemonrail/main.go
@@ -32,6 +32,7 @@
 	flag.StringVar(&f.members, "members", "", "TOML `file` by which the agent keeps a view of the fleet, such as deploy/members.toml")
 	flag.StringVar(&f.sites, "sites", "", "TOML `file` by which the agent watches whole sites, such as deploy/sites.toml")
 	flag.StringVar(&f.duties, "duties", "", "TOML `file` by which the agent holds duties that one agent may hold at a time, such as deploy/duties.toml")
+	flag.StringVar(&f.configuration, "configuration", "", "TOML `file` by which the agent takes settings that change while it runs, such as deploy/configuration.toml")
 	flag.Parse()
 	if err := run(hup, os.Stderr, f); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonrail:", err)
@@ -40,7 +41,7 @@
 }
 
 // files set what is off by default; empty: off.
-type files struct{ explained, diameter, servers, members, sites, duties string }
+type files struct{ explained, diameter, servers, members, sites, duties, configuration string }
 
 // hangups catches SIGHUP, which would end the program otherwise.
 func hangups() <-chan os.Signal {
@@ -114,6 +115,15 @@
 			return err
 		}
 	}
+	if f.configuration != "" { // behind those that settings have to suit
+		raw, err := os.ReadFile(f.configuration)
+		if err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+		if err := cfg.WithConfiguration(f.configuration, raw); err != nil {
+			return err
+		}
+	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(agent.CollectAt(cfg.MemoryMB << 20))
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	clients, door, err := clientsPart(cfg, l, up, socks, ln, log)
+	clients, server, door, err := clientsPart(cfg, l, up, socks, ln, log)
 	if err != nil {
 		return parts{dia}, err
 	}
@@ -154,9 +154,14 @@
 	}
 	list, word := listPart(ctx, cfg, l, hup, log)
 	door.word, door.wait = word, cfg.firstWord
+	configured, err := configurationPart(cfg, l, server, log)
+	if err != nil {
+		return parts{dia}, err
+	}
 	all = parts{
 		{name: "staff", leave: func(time.Time) { staffed.stops.Store(true) }}, // before all: no yes while it stops
 		loopPart(l),
+		configured, // before clients: what was kept holds for the first one
 		{name: "backends", start: func(t *tasks) { t.Go(func(ctx context.Context) error { up.Run(ctx); return nil }) }},
 		home.part(),
 		list,
@@ -218,7 +223,7 @@
 }
 
 func clientsPart(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, ln net.Listener,
-	log *slog.Logger) (*part, *clientDoor, error) {
+	log *slog.Logger) (*part, *front.Server, *clientDoor, error) {
 	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names, Figures: l.Figures, Memory: cfg.MemoryMB << 20}
 	gate, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
 		admission.Hooks{
@@ -232,7 +237,7 @@
 			Room:   func() { up.Evict() },
 		})
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	door := &clientDoor{Listener: gate}
 	srv := s.HTTP(log)
@@ -265,7 +270,7 @@
 				log.Warn("connections cut off", "count", left)
 			}
 			srv.Close()
-		}}, door, nil
+		}}, s, door, nil
 }
 
 // listPart is where the list of backends comes from, and when it has first said what it has; nil: that needs no wait.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -47,6 +47,8 @@
 	sites   *sitesSet      // nil: whole sites are not watched
 	duties  *seat.Settings // nil: none are held
 
+	configuration *configurationSet // nil: settings are those of the start
+
 	servers  string        // file that lists the backends; empty: discovery does
 	path     string        // of the file
 	stay     time.Duration // after a stop, for which connections are kept and served
--- /dev/null
+++ b/internal/agent/configuration_test.go
@@ -0,0 +1,612 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lemonrail/balance"
+	"lemonrail/internal/configuration"
+	"lemonrail/internal/core"
+	"lemonrail/internal/diameter/relay"
+	front "lemonrail/internal/front/http1"
+	"lemonrail/internal/http1"
+	"lemonrail/internal/ledger"
+	"lemonrail/internal/scripted"
+)
+
+// controlMachine is a control machine that sends what a test tells, and notes what agents report.
+type controlMachine struct {
+	addr    string
+	updates chan configuration.Update
+	reports chan configuration.Report
+}
+
+func newControlMachine(t testing.TB) *controlMachine {
+	c := &controlMachine{updates: make(chan configuration.Update), reports: make(chan configuration.Report, 10000)}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == configuration.ReportPath {
+			var report configuration.Report
+			if err := json.NewDecoder(r.Body).Decode(&report); err == nil {
+				c.reports <- report
+			}
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		out := http.NewResponseController(w)
+		out.Flush()
+		beat := time.NewTicker(time.Second)
+		defer beat.Stop()
+		for {
+			select {
+			case u := <-c.updates:
+				json.NewEncoder(w).Encode(u)
+			case <-beat.C:
+				io.WriteString(w, "\n")
+			case <-r.Context().Done():
+				return
+			}
+			out.Flush()
+		}
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	c.addr = strings.TrimPrefix(server.URL, "http://")
+	return c
+}
+
+// say sends a revision of the fleet's document.
+func (c *controlMachine) say(t testing.TB, revision uint64, document string) {
+	t.Helper()
+	d, err := configuration.ParseDocument([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := d.Canonical()
+	select {
+	case c.updates <- configuration.Update{Scope: configuration.Fleet, Position: configuration.Position{Revision: revision, Epoch: 1}, Patch: text,
+		Digest: configuration.Digest(text)}:
+	case <-time.After(patience):
+		t.Fatal("no watch is open")
+	}
+}
+
+// reported awaits a report that says what a test looks for.
+func (c *controlMachine) reported(t testing.TB, fits func(configuration.Report) bool) configuration.Report {
+	t.Helper()
+	for {
+		if r := await(t, c.reports); fits(r) {
+			return r
+		}
+	}
+}
+
+func inForce(revision uint64) func(configuration.Report) bool {
+	return func(r configuration.Report) bool { return r.InForce[configuration.Fleet].Revision == revision }
+}
+
+// configurationText is a file that names one machine.
+func configurationText(addr, folder string) []byte {
+	return fmt.Appendf(nil, "region = \"x\"\nservice = \"front\"\nfolder = %q\n[[machine]]\nname = \"x1\"\nregion = \"x\"\naddress = %q\n", folder, addr)
+}
+
+// changing is an agent that follows a control machine.
+type changing struct {
+	clients, staff string
+	stop           context.CancelFunc
+	done           <-chan error
+}
+
+// startChanging starts one; bal nil: a real balancer.
+func startChanging(t testing.TB, cfg *Config, bal core.Decider, log *slog.Logger) changing {
+	t.Helper()
+	if bal == nil {
+		var err error
+		if bal, err = balance.New(cfg.Settings, cfg.Seed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ln, desk := listen(t), listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended, finished := make(chan error, 1), make(chan struct{})
+	go func() {
+		ended <- serve(ctx, cfg, bal, ln, desk, nil, nil, log)
+		close(finished)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		await(t, finished)
+	})
+	return changing{"http://" + ln.Addr().String(), "http://" + desk.Addr().String(), cancel, ended}
+}
+
+func (c changing) state(t *testing.T) configurationState {
+	t.Helper()
+	status, body := call(t, "GET", c.staff+"/api/config")
+	var s configurationState
+	if err := json.Unmarshal([]byte(body), &s); status != 200 || err != nil {
+		t.Fatalf("%d %v %s", status, err, body)
+	}
+	return s
+}
+
+// observedSite is what the observer of a test sees: backends that err now and then, and clients.
+type observedSite struct {
+	*ledger.Ledger
+	seed  uint64
+	calls atomic.Int64
+}
+
+func newObservedSite(seed uint64) *observedSite {
+	return &observedSite{seed: seed, Ledger: ledger.New(ledger.Rules{AnswerGrace: 20 * time.Millisecond, DrainGrace: 500 * time.Millisecond,
+		ColdShare: 1, Slack: 5 * time.Second, // no verdict rests on how busy the machine is
+		Classes: map[string]ledger.Class{"read": {Effect: ledger.Safe},
+			"sub": {Effect: ledger.Keyed, Group: ledger.Zone, Window: time.Minute}}})}
+}
+
+// backend answers with the request's id, a moment later; of the nth call 1 in 10 is an error, or ends its connection.
+func (s *observedSite) backend(t testing.TB, node string) string {
+	rng := rand.New(rand.NewPCG(s.seed, uint64(len(node))+uint64(node[len(node)-1])))
+	var mu sync.Mutex
+	return backend(t, func(nc net.Conn, r *bufio.Reader) {
+		for {
+			req, _, err := receive(r)
+			if err != nil {
+				return
+			}
+			now := time.Now()
+			id := req.Header.Get(http1.ID)
+			ended := s.Began(ledger.Attempt{Request: id, Agent: "n0", Node: node, Zone: "a", First: now, Last: now})
+			mu.Lock()
+			chance, wait := rng.IntN(20), time.Duration(rng.IntN(2000))*time.Microsecond
+			mu.Unlock()
+			time.Sleep(wait)
+			switch {
+			case chance == 0 && req.Method == http.MethodGet:
+				ended(ledger.Ending{Ran: true})
+				io.WriteString(nc, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+			case chance == 1 && req.Method == http.MethodGet:
+				ended(ledger.Ending{Ran: true})
+				return
+			default:
+				ended(ledger.Ending{Ran: true, Answer: []byte(id)})
+				fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+			}
+		}
+	})
+}
+
+// client sends requests until the site's test ends it.
+func (s *observedSite) client(t testing.TB, url string, name string, stop <-chan struct{}) {
+	client := newClient(t)
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		id, class := fmt.Sprintf("%s-%d", name, n), "read"
+		method := http.MethodGet
+		if n%3 == 0 {
+			class, method = "sub", http.MethodPost
+		}
+		req, err := http.NewRequest(method, url+"/"+class+"?key=7f", nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Header.Set(http1.ID, id)
+		req.Header.Set(http1.TimeLeft, "10000m")
+		req.Header.Set(http1.Effect, "k"+id)
+		s.calls.Add(1)
+		s.Sent(id, class, "n0", time.Now(), 10*time.Second)
+		answer := ledger.Answer{}
+		if resp, err := client.Do(req); err == nil {
+			answer.Status = resp.StatusCode
+			answer.Body, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil {
+				answer = ledger.Answer{Begun: true}
+			}
+		} else if errors.Is(err, net.ErrClosed) {
+			answer.Unsent = true
+		}
+		s.Got(id, time.Now(), answer)
+	}
+}
+
+// anyDocument is a legal change of everything that may change.
+func anyDocument(rng *rand.Rand) string {
+	class := func() string {
+		return fmt.Sprintf(`{"aim_ms":%d,"deadline_ms":%d,"worth":%d,"late_worth":0.%d}`, 200+rng.IntN(5000), 6000+rng.IntN(4000), 1+rng.IntN(5), rng.IntN(10))
+	}
+	return fmt.Sprintf(`{"format":1,"classes":{"read":%s,"sub":%s},"limits":{"attempts":%d,"second_copies":%v,"max_retry_after_ms":%d,"over_share_worth":0.5},
+		"cold":{"from":0.%d,"ramp_ms":%d,"fall_multiple":%d,"fall_ms":%d}}`, class(), class(), 1+rng.IntN(5), rng.IntN(2) == 0, rng.IntN(500),
+		1+rng.IntN(9), 1+rng.IntN(9000), 1+rng.IntN(4), 100+rng.IntN(3000))
+}
+
+// Real clients and backends through 100 changes: each takes effect, no request is lost, each has one answer, and nothing
+// is sent twice that may not be.
+func TestHundredChangesUnderLoad(t *testing.T) {
+	const changes, clients, seed = 100, 8, 43
+	s := newObservedSite(seed)
+	machine := newControlMachine(t)
+	cfg := testConfig(t, s.backend(t, "h0"), s.backend(t, "h1"), s.backend(t, "h2"))
+	if err := cfg.WithConfiguration("configuration.toml", configurationText(machine.addr, "")); err != nil {
+		t.Fatal(err)
+	}
+	a := startChanging(t, cfg, nil, quiet)
+	untilReady(t, a.staff)
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() { s.client(t, a.clients, fmt.Sprint("c", i), stop) })
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for n := uint64(1); n <= changes; n++ {
+		before := s.calls.Load()
+		machine.say(t, n, anyDocument(rng))
+		if r := machine.reported(t, inForce(n)); len(r.Refused) > 0 {
+			t.Fatalf("refused: %+v", r.Refused)
+		}
+		for s.calls.Load() < before+4 { // some requests by each
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+	close(stop)
+	all.Wait()
+	v := s.Verdict()
+	if !v.Held() || v.Requests < changes*4 || v.Served < v.Requests/2 {
+		t.Errorf("seed %d: %s", seed, v.String())
+	}
+	if st := a.state(t); st.InForce[configuration.Fleet].Revision != changes || len(st.Changed) < 5 {
+		t.Errorf("state %+v", st)
+	}
+}
+
+// A change that comes while the agent stops is applied, or not; what is in hand is answered, and the agent ends.
+func TestChangeDuringAStop(t *testing.T) {
+	s := newObservedSite(1)
+	machine := newControlMachine(t)
+	cfg := testConfig(t, s.backend(t, "h0"), s.backend(t, "h1"))
+	cfg.stay = 300 * time.Millisecond
+	if err := cfg.WithConfiguration("configuration.toml", configurationText(machine.addr, "")); err != nil {
+		t.Fatal(err)
+	}
+	h := stopLog{quiet.Handler(), make(chan struct{})}
+	a := startChanging(t, cfg, nil, slog.New(h))
+	untilReady(t, a.staff)
+	machine.say(t, 1, `{"format":1,"limits":{"attempts":2}}`)
+	machine.reported(t, inForce(1))
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for i := range 4 {
+		all.Go(func() { s.client(t, a.clients, fmt.Sprint("c", i), stop) })
+	}
+	for s.calls.Load() < 20 {
+		time.Sleep(time.Millisecond)
+	}
+	a.stop()
+	await(t, h.stopping)
+	machine.say(t, 2, `{"format":1,"limits":{"attempts":3}}`)
+	machine.reported(t, inForce(2))
+	close(stop) // clients end before the listener does
+	all.Wait()
+	if err := await(t, a.done); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if v := s.Verdict(); !v.Held() || v.Requests < 20 {
+		t.Error(v.String())
+	}
+}
+
+// What an agent can't apply it refuses, says why to control and to staff, and serves on by what it had.
+func TestRefusedChange(t *testing.T) {
+	machine := newControlMachine(t)
+	cfg := testConfig(t, backend(t, always(hello)))
+	if err := cfg.WithConfiguration("configuration.toml", configurationText(machine.addr, "")); err != nil {
+		t.Fatal(err)
+	}
+	a := startChanging(t, cfg, nil, quiet)
+	machine.say(t, 1, `{"format":1,"limits":{"attempts":2},"classes":{"read":{"aim_ms":80.5}}}`)
+	machine.reported(t, inForce(1))
+	for n, bad := range []struct{ document, why string }{
+		{`{"format":1,"classes":{"read":{"deadline_ms":10001}}}`, "deadline"},
+		{`{"format":1,"classes":{"unheard-of":{"aim_ms":1}}}`, "unheard-of"},
+		{`{"format":1,"tenants":{"nobody":{"per_second":1}}}`, "nobody"},
+	} {
+		machine.say(t, uint64(2+n), bad.document)
+		r := machine.reported(t, func(r configuration.Report) bool { return len(r.Refused) > 0 && r.Refused[0].Revision == uint64(2+n) })
+		if !strings.Contains(r.Refused[0].Why, bad.why) || r.InForce[configuration.Fleet].Revision != 1 {
+			t.Errorf("%s: %+v", bad.document, r)
+		}
+	}
+	st := a.state(t)
+	want := []settingChange{{"classes.read.aim_ms", 5000.0, 80.5}, {"limits.attempts", 5.0, 2.0}}
+	if st.InForce[configuration.Fleet].Revision != 1 || len(st.Refused) != 1 || !reflect.DeepEqual(st.Changed, want) || st.Machine != "x1" || !st.Connected ||
+		st.ControlAge < 0 || st.Agent != "n0" || st.Zone != "a" || st.Digest == "" {
+		t.Errorf("state %+v", st)
+	}
+	_, figures := call(t, "GET", a.staff+"/api/telemetry")
+	for _, line := range []string{"svc_configuration_changes 1\n", "svc_configuration_refusals 3\n", "svc_configuration_refused 1\n", "svc_configuration_revision_age_ms "} {
+		if !strings.Contains(figures, line) {
+			t.Errorf("no %q in\n%s", line, figures)
+		}
+	}
+	if resp, body, err := ask(newClient(t), a.clients, "after"); err != nil || resp.StatusCode != 200 || body != "hello" {
+		t.Errorf("%v %q %v", resp, body, err)
+	}
+}
+
+// A restart with a start file that is months old and a kept folder: what was in force holds for the first request, before
+// control is reached. From a torn file the start file holds.
+func TestRestartWithKeptSettings(t *testing.T) {
+	folder := t.TempDir()
+	machine := newControlMachine(t)
+	config := func(addr string) *Config {
+		cfg := testConfig(t, backend(t, always(hello)))
+		if err := cfg.WithConfiguration("configuration.toml", configurationText(addr, folder)); err != nil {
+			t.Fatal(err)
+		}
+		return cfg
+	}
+	first := startChanging(t, config(machine.addr), nil, quiet)
+	machine.say(t, 7, `{"format":1,"limits":{"attempts":2}}`)
+	machine.reported(t, inForce(7))
+	path := filepath.Join(folder, "configuration-x-n0.json")
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) { // it is kept behind the report
+		if _, err := os.Stat(path); err == nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("nothing is kept")
+		}
+	}
+	first.stop()
+	await(t, first.done)
+
+	// order is what the module of a new process is told of, up to the first request.
+	order := func() (kinds []string) {
+		bal := newScripted(sendAll)
+		a := startChanging(t, config(deadAddr(t)), bal, quiet)
+		if resp, _, err := ask(newClient(t), a.clients, "first"); err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, err)
+		}
+		for {
+			switch e := await(t, bal.seen).(type) {
+			case balance.Reconfigure:
+				kinds = append(kinds, fmt.Sprint("attempts ", e.Settings.MaxAttempts))
+			case balance.Request:
+				return append(kinds, "request")
+			}
+		}
+	}
+	if got := order(); !reflect.DeepEqual(got, []string{"attempts 2", "request"}) {
+		t.Errorf("told %v", got)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, whole[:len(whole)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := order(); !reflect.DeepEqual(got, []string{"request"}) {
+		t.Errorf("from a torn file: told %v", got)
+	}
+}
+
+// With control that refuses, hangs, vanished or answers and then says nothing, the agent serves by its start file, and says
+// that nothing has come.
+func TestControlDoesNotAnswer(t *testing.T) {
+	for name, addr := range map[string]string{
+		"refuses": deadAddr(t), "hangs": listen(t).Addr().String(), "vanished": scripted.Silent(t),
+		"silent": backend(t, func(nc net.Conn, r *bufio.Reader) {
+			if _, _, err := receive(r); err == nil {
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				r.ReadByte()
+			}
+		}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig(t, backend(t, always(hello)))
+			if err := cfg.WithConfiguration("configuration.toml", configurationText(addr, t.TempDir())); err != nil {
+				t.Fatal(err)
+			}
+			a := startChanging(t, cfg, nil, quiet)
+			for n := range 20 {
+				if resp, body, err := ask(newClient(t), a.clients, fmt.Sprint(n)); err != nil || resp.StatusCode != 200 || body != "hello" {
+					t.Fatal(resp, body, err)
+				}
+			}
+			if st := a.state(t); len(st.InForce) != 0 || len(st.Changed) != 0 || st.Revision != -1 {
+				t.Errorf("state %+v", st)
+			}
+		})
+	}
+}
+
+// Without the file nothing is different: no event, no call, no figure.
+func TestConfigurationIsOffByDefault(t *testing.T) {
+	bal := newScripted(sendAll)
+	a := startChanging(t, testConfig(t, backend(t, always(hello))), bal, quiet)
+	if resp, _, err := ask(newClient(t), a.clients, "first"); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	for {
+		e := await(t, bal.seen)
+		if _, ok := e.(balance.Reconfigure); ok {
+			t.Error("reconfigured")
+		}
+		if _, ok := e.(balance.Outcome); ok {
+			break
+		}
+	}
+	if status, _ := call(t, "GET", a.staff+"/api/config"); status != 404 {
+		t.Errorf("answers %d", status)
+	}
+	if _, figures := call(t, "GET", a.staff+"/api/telemetry"); strings.Contains(figures, "configuration") {
+		t.Error(figures)
+	}
+	raw, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil || !bytes.Contains(raw, []byte("run = \"exec bin/lemonrail\"\n")) {
+		t.Errorf("run is not bare: %v", err)
+	}
+}
+
+// The classes of Diameter stand behind the platform's; a change leaves them as they are.
+func TestChangeKeepsDiameterClasses(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/diameter.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rules, err := relay.ParseRules("diameter.toml", raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rules.Classes[0].Deadline = time.Minute
+	cfg := testConfig(t, deadAddr(t))
+	own := len(cfg.Settings.Classes)
+	if err := cfg.WithDiameter(rules); err != nil {
+		t.Fatal(err)
+	}
+	aim := 77.0
+	c := &configured{cfg: cfg, now: cfg.Settings}
+	next, err := c.settings(&configuration.Document{Format: 1, Classes: map[string]configuration.ClassDocument{"sub": {AimMs: &aim}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(next.Classes[own:], rules.Classes) || next.Classes[1].Aim != 77*time.Millisecond || cfg.Settings.Classes[1].Aim == next.Classes[1].Aim {
+		t.Errorf("classes %+v", next.Classes)
+	}
+	deadline := 10001.0 // within Diameter's longest, but not the platform's, by which a stop is planned
+	if _, err := c.settings(&configuration.Document{Format: 1, Classes: map[string]configuration.ClassDocument{"sub": {DeadlineMs: &deadline}}}); err == nil {
+		t.Error("a deadline over the platform's longest is taken")
+	}
+}
+
+// While sites are watched, what their plan was made from may not change.
+func TestChangeWhileSitesAreWatched(t *testing.T) {
+	cfg := testConfig(t, deadAddr(t))
+	cfg.sites = &sitesSet{}
+	c := &configured{cfg: cfg, now: cfg.Settings}
+	for document, why := range map[string]string{
+		`{"format":1,"classes":{"sub":{"worth":9}}}`:         "Classes[1].Worth",
+		`{"format":1,"cold":{"from":0.9}}`:                   "ColdShare",
+		`{"format":1,"cold":{"ramp_ms":9}}`:                  "RampTime",
+		`{"format":1,"limits":{"max_retry_after_ms":9}}`:     "MaxRetryAfter",
+		`{"format":1,"limits":{"attempts":1}}`:               "",
+		`{"format":1,"classes":{"sub":{"late_worth":0.25}}}`: "",
+	} {
+		d, err := configuration.ParseDocument([]byte(document))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.check(d); (err == nil) != (why == "") || err != nil && !strings.Contains(err.Error(), why) {
+			t.Errorf("%s: %v", document, err)
+		}
+	}
+}
+
+// A loop that is too busy in time refuses the change, and doesn't make it later.
+func TestChangeOfABusyLoop(t *testing.T) {
+	bal := newScripted(func(balance.Event) []balance.Action { return nil })
+	cfg := testConfig(t, deadAddr(t))
+	l := core.New(bal, &cfg.Settings, quiet)
+	c := &configured{cfg: cfg, loop: l, server: &front.Server{Settings: &cfg.Settings}, now: cfg.Settings}
+	attempts := 2
+	d := &configuration.Document{Format: 1, Limits: &configuration.LimitsDocument{Attempts: &attempts}}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := c.apply(ctx, d); err == nil || !strings.Contains(err.Error(), "busy") {
+		t.Errorf("got %v", err)
+	}
+	running, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(running) }()
+	attempts = 3
+	if err := c.apply(context.Background(), d); err != nil {
+		t.Fatal(err)
+	}
+	if e := next[balance.Reconfigure](t, bal); e.Settings.MaxAttempts != 3 {
+		t.Errorf("the module was told of %d attempts", e.Settings.MaxAttempts)
+	}
+	stop()
+	await(t, ended)
+	if err := c.apply(context.Background(), d); !errors.Is(err, core.ErrEnded) {
+		t.Errorf("once the loop has ended: %v", err)
+	}
+}
+
+// What the front tells clients that it turns away follows the change, from any goroutine.
+func TestAdviceFollowsTheChange(t *testing.T) {
+	s := &front.Server{Settings: &balance.Settings{RetryAfter: true, MaxRetryAfter: time.Second}}
+	if got := s.ComeBack(); got != time.Second {
+		t.Errorf("at the start %v", got)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Advise(0)
+	}()
+	s.ComeBack()
+	await(t, done)
+	if got := s.ComeBack(); got != 0 {
+		t.Errorf("after the change %v", got)
+	}
+	off := &front.Server{Settings: &balance.Settings{}}
+	off.Advise(time.Second)
+	if got := off.ComeBack(); got != 0 {
+		t.Errorf("without advice %v", got)
+	}
+}
+
+func TestConfigurationFile(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/configuration.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := testConfig(t, deadAddr(t))
+	if err := cfg.WithConfiguration("configuration.toml", raw); err != nil {
+		t.Fatal(err)
+	}
+	if p := cfg.configuration.place; p != (configuration.Place{Agent: "n0", Region: "a", Zone: "a", Service: "front"}) || len(cfg.configuration.machines) != 4 {
+		t.Errorf("%+v", cfg.configuration)
+	}
+	const machine = "[[machine]]\nname = \"x1\"\nregion = \"x\"\naddress = \"127.0.0.1:9\"\n"
+	const top = "region = \"x\"\nservice = \"front\"\n"
+	for text, want := range map[string]string{
+		top:                                     "machine: none",
+		"region = \"x\"\n" + machine:            "service: name",
+		"region = \"x/y\"\nservice = \"front\"": "region: name",
+		top + "speed = 1\n" + machine:           "line 3: unknown key speed",
+		top + machine + machine:                 "line 7: machine \"x1\": name or address",
+		top + "[[machine]]\nname = \"x1\"\nregion = \"x\"\naddress = \"127.0.0.1\"\n":   "line 3: machine \"x1\": address",
+		top + "[[machine]]\nname = \"x1\"\nregion = \"x\"\naddress = \"127.0.0.1:0\"\n": "address: \"127.0.0.1:0\"",
+		top + "[[machine]]\nname = \"x1\"\naddress = \"127.0.0.1:9\"\n":                 "region: missing",
+		top + "[[machine]]\nregion = \"x\"\naddress = \"127.0.0.1:9\"\n":                "name: missing",
+	} {
+		if err := testConfig(t, deadAddr(t)).WithConfiguration("c.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,7 +145,7 @@
 	Peers   Peers   // nil where agents don't talk
 	Watcher Watcher // nil: nobody watches
 	Figures *figures.Figures
-	s       *balance.Settings
+	s       *balance.Settings // in force; replaced by Reconfigure, never changed
 
 	events  []balance.Event  // for the next step
 	calls   map[string]*Call // in hand, or answered with attempts still out
@@ -238,10 +238,17 @@
 	}
 }
 
-// Event adds one to the next step. It belongs to the loop's goroutine, as do Arrived, Left, Listed and
-// Stopping: others Post a function that calls them.
+// Event adds one to the next step. It belongs to the loop's goroutine, as do Reconfigure, Arrived, Left, Listed
+// and Stopping: others Post a function that calls them.
 func (l *Loop) Event(e balance.Event) { l.events = append(l.events, e) }
 
+// Reconfigure puts settings in force for calls that arrive from now on: between two steps, for the module and the loop
+// alike. They must have passed balance.Settings.CanBecome, and aren't to be changed any more.
+func (l *Loop) Reconfigure(s *balance.Settings) {
+	l.s = s
+	l.Event(balance.Reconfigure{Settings: *s})
+}
+
 // Arrived takes a client's request in hand.
 func (l *Loop) Arrived(c *Call) {
 	if l.calls[c.Event.ID] != nil || l.past.has(c.Event.ID) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -268,3 +268,24 @@
 		(<-l.inbox)()
 	}
 }
+
+// A change takes its place among what the module is told, between what came before it and what comes after.
+func TestReconfigureKeepsItsPlace(t *testing.T) {
+	l, first := bare(nil)
+	l.Arrived(first)
+	next := &balance.Settings{AnswerGrace: 20 * time.Millisecond, MaxAttempts: 7}
+	l.Reconfigure(next)
+	l.Arrived(&Call{Event: balance.Request{ID: "d2"}, Deadline: time.Now().Add(time.Hour), Reply: make(chan Answer, 1)})
+	var told []string
+	for _, e := range l.events {
+		switch e := e.(type) {
+		case balance.Request:
+			told = append(told, e.ID)
+		case balance.Reconfigure:
+			told = append(told, fmt.Sprint(e.Settings.MaxAttempts))
+		}
+	}
+	if fmt.Sprint(told) != "[d1 7 d2]" || l.s != next {
+		t.Errorf("told %v, settings %+v", told, l.s)
+	}
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -52,11 +52,13 @@
 // Server takes clients' requests. It owes each the one answer that the loop decides on.
 type Server struct {
 	Loop     *core.Loop
-	Settings *balance.Settings
+	Settings *balance.Settings // of the start; of what may change while the server runs, see Advise
 	Names    wire.Names
 	Memory   int64       // bytes that the process may use; 0: not told
 	Ready    atomic.Bool // what /up answers
 	Figures  *figures.Figures
+
+	advice atomic.Int64 // the longest wait that clients heed, since Advise: as nanoseconds plus 1; 0: as Settings say
 }
 
 // HTTP returns the server of clients' connections. Its limits guard against clients that
@@ -434,9 +436,16 @@
 	if !s.Settings.RetryAfter {
 		return 0
 	}
+	if advice := s.advice.Load(); advice > 0 {
+		return time.Duration(advice - 1)
+	}
 	return s.Settings.MaxRetryAfter
 }
 
+// Advise replaces the longest wait that clients heed. It may be called from any goroutine. The other settings that the
+// server reads can't change while it runs.
+func (s *Server) Advise(longest time.Duration) { s.advice.Store(int64(longest) + 1) }
+
 // statuses are what tells a client of an answer that is not served.
 var statuses = map[core.Kind]int{
 	core.Refused:   http.StatusServiceUnavailable,
