--- a/balance/reconfigure_test.go
+++ b/balance/reconfigure_test.go
@@ -357,19 +357,23 @@
 
 // The rate of warm backends, which bounds what a cold one gets, is the same by another window.
 func TestWindowKeepsTheRate(t *testing.T) {
-	sends := func(window time.Duration) int {
+	sends := func(before, after time.Duration) int {
 		s := settings()
+		s.FallWindow = before
 		list := backends(4)
 		r := newRig(t, s, 1, list)
 		r.serve(400, safe, 10*ms)
-		s.FallWindow = window
+		s.FallWindow = after
 		r.step(balance.Reconfigure{Settings: s})
 		list[3].Started = r.now
 		r.step(balance.List{Kind: balance.ListFull, Backends: list})
 		return r.serve(100, safe, 10*ms)[list[3].ID]
 	}
-	same, shorter := sends(time.Second), sends(100*ms)
-	if same == 0 || shorter > 2*same+1 {
+	const short, long = 100 * ms, 10 * time.Second
+	if same, shorter := sends(short, short), sends(long, short); same == 0 || shorter > same+1 {
 		t.Errorf("%d requests to the cold backend, %d after a change to a shorter window", same, shorter)
 	}
+	if same, longer := sends(long, long), sends(short, long); longer < same-1 {
+		t.Errorf("%d requests to the cold backend, %d after a change to a longer window", same, longer)
+	}
 }
