Control process: HTTP server, group driver, operators' client and a rig of processes

Need: settings that change while a fleet runs have to be taken, agreed on and brought to agents by a program of its own.

Forwarding a change without asking whether the machine answers: with regions apart a sure refusal would be an unknown outcome. A machine that forwards what was forwarded to it (loops).

ErrorBody names the leader; configuration.MachineStatus answers MachinePath.

--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -54,6 +54,7 @@
 		HandOn  dutiesHandOnCmd  `cmd:"" name:"hand-on" help:"Name who is to take a duty over; its holder gives it once that one is ready."`
 		Release dutiesReleaseCmd `cmd:"" help:"Have a duty's holder let it go."`
 	} `cmd:"" help:"Duties that one agent holds at a time."`
+	Config    configCmd    `cmd:"" help:"Settings that change while the fleet runs."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
 	BareProxy bareProxyCmd `cmd:"" hidden:"" help:"The proxy that overhead compares with."`
 	Try       tryCmd       `cmd:"" help:"Start a stand-in site with agents, play a log against them, and report."`
--- a/internal/configuration/messages.go
+++ b/internal/configuration/messages.go
@@ -128,6 +128,7 @@
 	Kind     ErrorKind `json:"kind"`
 	Message  string    `json:"message"`
 	Machines []string  `json:"machines,omitempty"` // to ask instead
+	Leader   string    `json:"leader,omitempty"`   // with not-here: the machine that leads the scope's group, if known
 	Position           // with conflict: the scope's
 }
 
--- /dev/null
+++ b/internal/configuration/rig/faults_test.go
@@ -0,0 +1,613 @@
+package rig_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptrace"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lemonrail/internal/configuration"
+	"lemonrail/internal/configuration/client"
+	"lemonrail/internal/configuration/rig"
+)
+
+// program is lemoncontrol, built once.
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "lemoncontrol")
+	if err == nil {
+		program, err = rig.Build(context.Background(), folder)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// hangLimit ends a test that hangs; nothing is measured by it.
+const hangLimit = time.Minute
+
+// Scopes of the tests.
+var (
+	regionA = configuration.Scope{Level: configuration.LevelRegion, Region: "a"}
+	regionB = configuration.Scope{Level: configuration.LevelRegion, Region: "b"}
+)
+
+// start starts four machines in two regions.
+func start(t *testing.T) (context.Context, *rig.Rig) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+	t.Cleanup(cancel)
+	r, err := rig.Start(ctx, rig.Options{Program: program, Folder: t.TempDir(), Regions: rig.FourMachines()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.Close()
+		if t.Failed() {
+			logMachines(t, r)
+		}
+	})
+	for _, group := range []string{"fleet", "region-a", "region-b"} {
+		waitLeader(ctx, t, r, group)
+	}
+	return ctx, r
+}
+
+func logMachines(t *testing.T, r *rig.Rig) {
+	for _, m := range r.Machines() {
+		raw, _ := os.ReadFile(m.LogPath())
+		t.Logf("log of %s:\n%s", m.Name, raw)
+	}
+}
+
+func waitLeader(ctx context.Context, t *testing.T, r *rig.Rig, group string, among ...string) *rig.Machine {
+	t.Helper()
+	leader, err := r.WaitLeader(ctx, group, among...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return leader
+}
+
+func newClient(t *testing.T, r *rig.Rig, names ...string) *client.Client {
+	t.Helper()
+	c, err := r.Client(names...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// attempts is a change that sets the number of attempts.
+func attempts(scope configuration.Scope, base uint64, count int) configuration.Change {
+	document := fmt.Sprintf(`{"format":1,"limits":{"attempts":%d}}`, count)
+	return configuration.Change{ID: client.NewChangeID(), Scope: scope, Base: base, Document: []byte(document), By: "test", Why: "test"}
+}
+
+// settledPut makes a change; where no leader was found, and so nothing was written, it tries again.
+func settledPut(ctx context.Context, c *client.Client, change configuration.Change) (accepted configuration.Accepted, err error) {
+	waitErr := rig.Wait(ctx, func() bool {
+		accepted, err = c.Put(ctx, change)
+		return !isKind(err, configuration.ErrorNoQuorum)
+	})
+	return accepted, errors.Join(err, waitErr)
+}
+
+// settledShow asks for a revision; where no leader was found it asks again.
+func settledShow(ctx context.Context, c *client.Client, scope configuration.Scope) (shown configuration.Revision, err error) {
+	waitErr := rig.Wait(ctx, func() bool {
+		shown, err = c.Show(ctx, scope)
+		return !isKind(err, configuration.ErrorNoQuorum)
+	})
+	return shown, errors.Join(err, waitErr)
+}
+
+func isKind(err error, kind configuration.ErrorKind) bool {
+	var body *configuration.ErrorBody
+	return errors.As(err, &body) && body.Kind == kind
+}
+
+func mustPut(ctx context.Context, t *testing.T, c *client.Client, change configuration.Change) configuration.Accepted {
+	t.Helper()
+	accepted, err := settledPut(ctx, c, change)
+	if err != nil {
+		t.Fatalf("put %s on revision %d: %v", change.Scope, change.Base, err)
+	}
+	if accepted.Revision != change.Base+1 {
+		t.Fatalf("put %s on revision %d made revision %d", change.Scope, change.Base, accepted.Revision)
+	}
+	return accepted
+}
+
+func wantKind(t *testing.T, err error, kinds ...configuration.ErrorKind) {
+	t.Helper()
+	for _, kind := range kinds {
+		if isKind(err, kind) {
+			return
+		}
+	}
+	t.Errorf("got error %v, want one of %v", err, kinds)
+}
+
+// wantShown checks that every machine shows the revision that a change made.
+func wantShown(ctx context.Context, t *testing.T, r *rig.Rig, change configuration.Change, accepted configuration.Accepted) {
+	t.Helper()
+	for _, m := range r.Machines() {
+		shown, err := settledShow(ctx, newClient(t, r, m.Name), change.Scope)
+		if err != nil {
+			t.Fatalf("%s: show %s: %v", m.Name, change.Scope, err)
+		}
+		if shown.Position != accepted.Position || shown.Change != change.ID || shown.Digest != accepted.Digest {
+			t.Errorf("%s shows %+v, but %+v was accepted of change %s", m.Name, shown, accepted, change.ID)
+		}
+	}
+}
+
+// waitApplied returns once the machine has applied a revision of a scope.
+func waitApplied(ctx context.Context, t *testing.T, m *rig.Machine, scope configuration.Scope, revision uint64) {
+	t.Helper()
+	err := rig.Wait(ctx, func() bool {
+		status, err := m.Group(ctx, scope.Group())
+		return err == nil && status.Scopes[scope].Revision >= revision
+	})
+	if err != nil {
+		t.Fatalf("%s hasn't applied revision %d of %s: %v", m.Name, revision, scope, err)
+	}
+}
+
+func agentPlace(name, region string) configuration.Place {
+	return configuration.Place{Agent: name, Region: region, Zone: "z1", Service: "search"}
+}
+
+func TestChangesReachAllMachinesAndAgents(t *testing.T) {
+	ctx, r := start(t)
+	b2 := newClient(t, r, "b2") // no member of region-a
+	inA := startAgent(t, r.Machine("a1").Address, agentPlace("n1", "a"))
+	inB := startAgent(t, r.Machine("b2").Address, agentPlace("n2", "b"))
+
+	fleet := attempts(configuration.Fleet, 0, 2)
+	acceptedFleet := mustPut(ctx, t, b2, fleet)
+	region := attempts(regionA, 0, 3)
+	acceptedRegion := mustPut(ctx, t, b2, region)
+	wantShown(ctx, t, r, fleet, acceptedFleet)
+	wantShown(ctx, t, r, region, acceptedRegion)
+
+	inA.waitFor(ctx, t, configuration.Fleet, 1)
+	inA.waitFor(ctx, t, regionA, 1)
+	inB.waitFor(ctx, t, configuration.Fleet, 1)
+	for _, m := range r.Machines() {
+		status, err := newClient(t, r, m.Name).Wait(ctx, configuration.Fleet, 1)
+		if err != nil || !status.Everywhere || status.Agents != 2 || status.InForce != 2 {
+			t.Errorf("%s says %+v, %v", m.Name, status, err)
+		}
+	}
+
+	inB.stop()
+	err := rig.Wait(ctx, func() bool {
+		status, err := b2.Status(ctx, configuration.Fleet, 1)
+		return err == nil && !status.Everywhere && len(status.Behind) == 1 && status.Behind[0].Agent == "n2"
+	})
+	if err != nil {
+		t.Errorf("an agent that went away isn't named: %v", err)
+	}
+}
+
+func TestTwoChangesAtOnceMakeOneRevision(t *testing.T) {
+	ctx, r := start(t)
+	changes := []configuration.Change{attempts(regionA, 0, 2), attempts(regionA, 0, 3)}
+	clients := []*client.Client{newClient(t, r, "a2"), newClient(t, r, "b1")}
+	accepted := make([]configuration.Accepted, len(changes))
+	errs := make([]error, len(changes))
+	var both sync.WaitGroup
+	for i := range changes {
+		both.Go(func() { accepted[i], errs[i] = settledPut(ctx, clients[i], changes[i]) })
+	}
+	both.Wait()
+	won := 0
+	if errs[0] != nil {
+		won = 1
+	}
+	if errs[won] != nil {
+		t.Fatalf("both were refused: %v and %v", errs[0], errs[1])
+	}
+	wantKind(t, errs[1-won], configuration.ErrorConflict)
+	wantShown(ctx, t, r, changes[won], accepted[won])
+}
+
+func TestLeaderKilledBetweenAcceptingAndAnswering(t *testing.T) {
+	ctx, r := start(t)
+	leader := waitLeader(ctx, t, r, "region-a")
+	const operator = "operator"
+	through, err := r.Outside(operator, leader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	machines := []string{through}
+	for _, m := range r.Machines() {
+		if m != leader {
+			machines = append(machines, m.Address)
+		}
+	}
+	c, err := client.New(machines...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+
+	r.Cut(leader.Name, operator) // the change arrives, the answer doesn't
+	change := attempts(regionA, 0, 2)
+	type result struct {
+		accepted configuration.Accepted
+		err      error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		accepted, err := settledPut(ctx, c, change)
+		answered <- result{accepted, err}
+	}()
+	waitApplied(ctx, t, leader, regionA, 1)
+	leader.Kill()
+	r.Heal(leader.Name, operator)
+
+	got := <-answered
+	if got.err != nil || got.accepted.Revision != 1 {
+		t.Fatalf("the change sent again got %+v, %v, want revision 1", got.accepted, got.err)
+	}
+	if err := leader.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := leader.WaitUp(ctx); err != nil {
+		t.Fatal(err)
+	}
+	wantShown(ctx, t, r, change, got.accepted)
+}
+
+func TestMachinePausedBeyondElectionAnswersTrueOrNot(t *testing.T) {
+	ctx, r := start(t)
+	mustPut(ctx, t, newClient(t, r), attempts(regionA, 0, 2))
+	old := waitLeader(ctx, t, r, "region-a")
+	if err := old.Pause(); err != nil {
+		t.Fatal(err)
+	}
+	var others []string
+	for _, m := range r.Machines() {
+		if m != old {
+			others = append(others, m.Name)
+		}
+	}
+	waitLeader(ctx, t, r, "region-a", others...)
+	second := attempts(regionA, 1, 3)
+	accepted := mustPut(ctx, t, newClient(t, r, others...), second)
+
+	// Both calls wait at the machine when it wakes and still holds itself for the leader.
+	asked := newClient(t, r, old.Name)
+	var shown configuration.Revision
+	var showErr, putErr error
+	var both sync.WaitGroup
+	sent := make(chan struct{}, 2)
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
+		select {
+		case sent <- struct{}{}:
+		default: // sent again
+		}
+	}})
+	both.Go(func() { shown, showErr = asked.Show(traced, regionA) })
+	both.Go(func() { _, putErr = asked.Put(traced, attempts(regionA, 1, 4)) })
+	<-sent
+	<-sent
+	if err := old.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	both.Wait()
+	if showErr == nil && shown.Position != accepted.Position {
+		t.Errorf("woken it shows %+v, but %+v was accepted", shown.Position, accepted.Position)
+	}
+	if showErr != nil {
+		wantKind(t, showErr, configuration.ErrorNoQuorum)
+	}
+	wantKind(t, putErr, configuration.ErrorConflict, configuration.ErrorNoQuorum)
+	wantShown(ctx, t, r, second, accepted)
+}
+
+func TestRegionsApart(t *testing.T) {
+	ctx, r := start(t)
+	r.CutRegions()
+	waitLeader(ctx, t, r, "region-a", "a1", "a2")
+	waitLeader(ctx, t, r, "region-b", "b1", "b2")
+	waitNoLeader(ctx, t, r, "fleet")
+
+	changeA, changeB := attempts(regionA, 0, 2), attempts(regionB, 0, 3)
+	acceptedA := mustPut(ctx, t, newClient(t, r, "a1", "a2"), changeA)
+	acceptedB := mustPut(ctx, t, newClient(t, r, "b2", "b1"), changeB)
+	wantRefusedEverywhere(ctx, t, r, attempts(configuration.Fleet, 0, 4))
+
+	r.HealAll()
+	for _, group := range []string{"fleet", "region-a", "region-b"} {
+		waitLeader(ctx, t, r, group)
+	}
+	wantShown(ctx, t, r, changeA, acceptedA)
+	wantShown(ctx, t, r, changeB, acceptedB)
+	wantNeverWritten(ctx, t, r, configuration.Fleet)
+	later := attempts(configuration.Fleet, 0, 5)
+	wantShown(ctx, t, r, later, mustPut(ctx, t, newClient(t, r), later))
+}
+
+// wantRefusedEverywhere checks that every machine says of a change that surely nothing was written.
+func wantRefusedEverywhere(ctx context.Context, t *testing.T, r *rig.Rig, change configuration.Change) {
+	t.Helper()
+	errs := make([]error, len(r.Machines()))
+	var all sync.WaitGroup
+	for i, m := range r.Machines() {
+		c := newClient(t, r, m.Name)
+		all.Go(func() { _, errs[i] = c.Put(ctx, change) })
+	}
+	all.Wait()
+	for _, err := range errs {
+		wantKind(t, err, configuration.ErrorNoQuorum)
+	}
+}
+
+// wantNeverWritten checks that a scope has no document at any machine.
+func wantNeverWritten(ctx context.Context, t *testing.T, r *rig.Rig, scope configuration.Scope) {
+	t.Helper()
+	for _, m := range r.Machines() {
+		_, err := settledShow(ctx, newClient(t, r, m.Name), scope)
+		wantKind(t, err, configuration.ErrorMissing)
+	}
+}
+
+// waitNoLeader returns once no machine knows a leader of a group.
+func waitNoLeader(ctx context.Context, t *testing.T, r *rig.Rig, group string) {
+	t.Helper()
+	err := rig.Wait(ctx, func() bool {
+		for _, m := range r.Machines() {
+			status, err := m.Group(ctx, group)
+			if err != nil || status.Leader != "" {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatalf("%s still has a leader: %v", group, err)
+	}
+}
+
+func TestRegionsApartOneWay(t *testing.T) {
+	ctx, r := start(t)
+	for _, from := range []string{"a1", "a2"} {
+		for _, to := range []string{"b1", "b2"} {
+			r.Cut(from, to)
+		}
+	}
+	waitLeader(ctx, t, r, "region-a", "a1", "a2")
+	waitLeader(ctx, t, r, "region-b", "b1", "b2")
+	waitNoLeader(ctx, t, r, "fleet")
+	changeA, changeB := attempts(regionA, 0, 2), attempts(regionB, 0, 3)
+	acceptedA := mustPut(ctx, t, newClient(t, r, "a1", "a2"), changeA)
+	acceptedB := mustPut(ctx, t, newClient(t, r, "b1", "b2"), changeB)
+	wantRefusedEverywhere(ctx, t, r, attempts(configuration.Fleet, 0, 4))
+	r.HealAll()
+	waitLeader(ctx, t, r, "fleet")
+	wantShown(ctx, t, r, changeA, acceptedA)
+	wantShown(ctx, t, r, changeB, acceptedB)
+	wantNeverWritten(ctx, t, r, configuration.Fleet)
+}
+
+func TestWitnessServesAgentsOfALostRegion(t *testing.T) {
+	ctx, r := start(t)
+	mustPut(ctx, t, newClient(t, r), attempts(regionA, 0, 2))
+	mustPut(ctx, t, newClient(t, r), attempts(configuration.Fleet, 0, 3))
+	witness := r.Machine("b1")
+	waitApplied(ctx, t, witness, regionA, 1)
+	waitApplied(ctx, t, witness, configuration.Fleet, 1)
+	r.Machine("a1").Kill()
+	r.Machine("a2").Kill()
+
+	agent := startAgent(t, witness.Address, agentPlace("n1", "a"))
+	agent.waitFor(ctx, t, regionA, 1)
+	agent.waitFor(ctx, t, configuration.Fleet, 1)
+	for _, scope := range []configuration.Scope{regionA, configuration.Fleet} {
+		_, err := newClient(t, r, "b1").Put(ctx, attempts(scope, 1, 4))
+		wantKind(t, err, configuration.ErrorNoQuorum)
+	}
+	applied, err := newClient(t, r, "b1").ShowApplied(ctx, regionA)
+	if err != nil || applied.Revision != 1 {
+		t.Errorf("the witness shows as applied %+v, %v", applied, err)
+	}
+	mustPut(ctx, t, newClient(t, r, "b2"), attempts(regionB, 0, 5))
+
+	elsewhere := startAgent(t, r.Machine("b2").Address, agentPlace("n2", "a"))
+	var refusal *configuration.ErrorBody
+	if !errors.As(elsewhere.ended(), &refusal) || refusal.Kind != configuration.ErrorNotHere || len(refusal.Machines) != 3 {
+		t.Errorf("a machine outside the group answered a watch with %v", elsewhere.ended())
+	}
+}
+
+func TestTornDisk(t *testing.T) {
+	ctx, r := start(t)
+	all := newClient(t, r)
+	mustPut(ctx, t, all, attempts(regionA, 0, 2))
+	damaged := waitLeader(ctx, t, r, "region-a")
+	waitApplied(ctx, t, damaged, regionA, 1)
+	damaged.Kill()
+	tearLogs(t, filepath.Join(damaged.DataFolder(), "region-a"))
+	second := attempts(regionA, 1, 3)
+	accepted := mustPut(ctx, t, all, second)
+	restart(ctx, t, damaged)
+	waitApplied(ctx, t, damaged, regionA, 2)
+	wantShown(ctx, t, r, second, accepted)
+	wantServedWithout(ctx, t, r, damaged, second, accepted)
+}
+
+// tearLogs cuts the last bytes off each file of a folder, as a power cut in a write does.
+func tearLogs(t *testing.T, folder string) {
+	t.Helper()
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		path := filepath.Join(folder, file.Name())
+		info, err := file.Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Truncate(path, max(0, info.Size()-3)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestRolledBackDisk(t *testing.T) {
+	ctx, r := start(t)
+	all := newClient(t, r)
+	mustPut(ctx, t, all, attempts(regionA, 0, 2))
+	damaged := waitLeader(ctx, t, r, "region-a")
+	waitApplied(ctx, t, damaged, regionA, 1)
+	damaged.Kill()
+	earlier := filepath.Join(t.TempDir(), "earlier")
+	if err := os.CopyFS(earlier, os.DirFS(damaged.DataFolder())); err != nil {
+		t.Fatal(err)
+	}
+	restart(ctx, t, damaged)
+	second := attempts(regionA, 1, 3)
+	accepted := mustPut(ctx, t, all, second)
+	waitApplied(ctx, t, damaged, regionA, 2)
+	damaged.Kill()
+	if err := os.RemoveAll(damaged.DataFolder()); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.CopyFS(damaged.DataFolder(), os.DirFS(earlier)); err != nil {
+		t.Fatal(err)
+	}
+	restart(ctx, t, damaged)
+	waitApplied(ctx, t, damaged, regionA, 2)
+	wantShown(ctx, t, r, second, accepted)
+	wantServedWithout(ctx, t, r, damaged, second, accepted)
+}
+
+// large is a change with a document of some KB.
+func large(scope configuration.Scope, base uint64) configuration.Change {
+	change := attempts(scope, base, 2)
+	var classes []string
+	for i := range 150 {
+		classes = append(classes, fmt.Sprintf(`"class-%d-of-revision-%d":{"aim_ms":%d}`, i, base, 100+i))
+	}
+	change.Document = []byte(`{"format":1,"classes":{` + strings.Join(classes, ",") + `}}`)
+	return change
+}
+
+func TestFullDisk(t *testing.T) {
+	ctx, r := start(t)
+	full := r.Machine("a2")
+	full.Kill()
+	const limit = 64 << 10
+	full.FileLimit(limit)
+	restart(ctx, t, full)
+	others := newClient(t, r, "a1", "b1")
+	base := uint64(0)
+	fails := func() bool {
+		status, err := full.Group(ctx, regionA.Group())
+		return err == nil && status.Why != "" && !status.Votes && status.Applied > 0
+	}
+	for ; !fails() && ctx.Err() == nil; base++ {
+		mustPut(ctx, t, others, large(regionA, base))
+	}
+	status, err := full.Group(ctx, regionA.Group())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(status.Scopes) == 0 {
+		t.Fatalf("it has applied nothing: %+v", status)
+	}
+
+	agent := startAgent(t, full.Address, agentPlace("n1", "a")) // it is served what the machine has applied
+	agent.waitFor(ctx, t, regionA, status.Scopes[regionA].Revision)
+	change := attempts(regionA, base, 3) // and the machine hands changes on
+	accepted := mustPut(ctx, t, newClient(t, r, "a2"), change)
+	wantShown(ctx, t, r, change, accepted)
+
+	full.Kill()
+	full.FileLimit(0)
+	restart(ctx, t, full)
+	waitApplied(ctx, t, full, regionA, accepted.Revision)
+	wantServedWithout(ctx, t, r, full, change, accepted)
+}
+
+func TestHistoryOutlivesItsProcess(t *testing.T) {
+	ctx, r := start(t)
+	var changes []configuration.Change
+	for base := range uint64(3) {
+		change := attempts(regionA, base, 2+int(base))
+		mustPut(ctx, t, newClient(t, r), change)
+		changes = append(changes, change)
+	}
+	m := r.Machine("b1")
+	waitApplied(ctx, t, m, regionA, 3)
+	m.Kill()
+	restart(ctx, t, m)
+	recorded, err := newClient(t, r, "b1").History(ctx, regionA)
+	if err != nil || len(recorded) != len(changes) {
+		t.Fatalf("got %+v, %v", recorded, err)
+	}
+	for i, revision := range recorded {
+		if want := changes[len(changes)-1-i]; revision.Change != want.ID || revision.Revision != want.Base+1 {
+			t.Errorf("%d: revision %d of change %s, want change %s", i, revision.Revision, revision.Change, want.ID)
+		}
+	}
+}
+
+func restart(ctx context.Context, t *testing.T, m *rig.Machine) {
+	t.Helper()
+	if err := m.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.WaitUp(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// wantServedWithout checks that a machine whose disk had forgotten is a full voter again: with it in place of another
+// voter of region-a nothing is lost.
+func wantServedWithout(ctx context.Context, t *testing.T, r *rig.Rig, damaged *rig.Machine, change configuration.Change, accepted configuration.Accepted) {
+	t.Helper()
+	for _, name := range []string{"a1", "a2"} {
+		if name == damaged.Name {
+			continue
+		}
+		r.Machine(name).Kill()
+		shown, err := settledShow(ctx, newClient(t, r, damaged.Name), change.Scope)
+		if err != nil || shown.Position != accepted.Position || shown.Change != change.ID {
+			t.Errorf("without %s, %s shows %+v, %v, but %+v was accepted", name, damaged.Name, shown, err, accepted)
+		}
+		return
+	}
+}
+
+func TestMachinesEndInOrderWithOpenWatches(t *testing.T) {
+	ctx, r := start(t)
+	mustPut(ctx, t, newClient(t, r), attempts(regionA, 0, 2))
+	agent := startAgent(t, r.Machine("a1").Address, agentPlace("n1", "a"))
+	agent.waitFor(ctx, t, regionA, 1)
+	for _, m := range r.Machines() {
+		if err := m.Stop(); err != nil {
+			t.Errorf("%s: %v", m.Name, err)
+		}
+	}
+	if err := agent.ended(); err == nil {
+		t.Error("the watch goes on without its machine")
+	}
+}
--- /dev/null
+++ b/internal/configuration/server/fake_test.go
@@ -0,0 +1,168 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"lemonrail/internal/configuration"
+	"lemonrail/internal/replica"
+)
+
+// fakeGroup is a group's log in memory: what is proposed at its leader is applied by all members at once.
+type fakeGroup struct {
+	mu      sync.Mutex
+	leader  string
+	members map[string]*group
+	epoch   uint64
+	propose error // what a proposal ends with after it was applied
+}
+
+// fakeReplica is a machine's member of a fakeGroup.
+type fakeReplica struct {
+	name   string
+	fake   *fakeGroup
+	votes  bool
+	reads  int
+	refuse error // what Read answers at the leader
+}
+
+func (r *fakeReplica) Run(ctx context.Context) error { <-ctx.Done(); return nil }
+
+func (r *fakeReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
+	r.fake.mu.Lock()
+	defer r.fake.mu.Unlock()
+	if err := r.notLeader(); err != nil {
+		return nil, err
+	}
+	var result []byte
+	for name, member := range r.fake.members {
+		if out := member.Apply(r.fake.epoch, command); name == r.name {
+			result = out
+		}
+	}
+	return result, r.fake.propose
+}
+
+func (r *fakeReplica) Read(context.Context) error {
+	r.fake.mu.Lock()
+	defer r.fake.mu.Unlock()
+	r.reads++
+	if err := r.notLeader(); err != nil {
+		return err
+	}
+	return r.refuse
+}
+
+// notLeader refuses what the leader has to do. A member that doesn't vote knows no leader.
+func (r *fakeReplica) notLeader() error {
+	switch {
+	case !r.votes:
+		return &replica.NotLeaderError{}
+	case r.fake.leader != r.name:
+		return &replica.NotLeaderError{Leader: r.fake.leader}
+	}
+	return nil
+}
+
+func (r *fakeReplica) Status(context.Context) (replica.Status, error) {
+	r.fake.mu.Lock()
+	defer r.fake.mu.Unlock()
+	return replica.Status{Name: r.name, Votes: r.votes, Leader: r.fake.leader, Term: r.fake.epoch}, nil
+}
+
+// fakeFleet is four machines in one process, without raft and disk.
+type fakeFleet struct {
+	servers  map[string]*Server
+	http     map[string]*httptest.Server
+	groups   map[string]*fakeGroup
+	replicas map[string]*fakeReplica // by group and machine: fleet/a1
+	calls    map[string]int          // of put, by machine
+	mu       sync.Mutex
+}
+
+// newFakeFleet starts a1, a2, b1, b2; a1 leads what it votes in, b1 leads region-b.
+func newFakeFleet(t *testing.T) *fakeFleet {
+	t.Helper()
+	f := &fakeFleet{servers: map[string]*Server{}, http: map[string]*httptest.Server{}, groups: map[string]*fakeGroup{},
+		replicas: map[string]*fakeReplica{}, calls: map[string]int{}}
+	settings := Settings{TickMs: tickLeastMs, Folder: "unused"}
+	listeners := map[string]net.Listener{}
+	for _, m := range []MachineConfig{
+		{Name: "a1", Region: "a", Groups: map[string]string{"fleet": "x", "region-a": "x", "region-b": "x"}},
+		{Name: "a2", Region: "a", Groups: map[string]string{"fleet": "x", "region-a": "x"}},
+		{Name: "b1", Region: "b", Groups: map[string]string{"fleet": "x", "region-b": "x", "region-a": "x"}},
+		{Name: "b2", Region: "b", Groups: map[string]string{"fleet": "x", "region-b": "x"}},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[m.Name] = listener
+		m.Address = listener.Addr().String()
+		settings.Machines = append(settings.Machines, m)
+	}
+	for name, leader := range map[string]string{"fleet": "a1", "region-a": "a1", "region-b": "b1"} {
+		f.groups[name] = &fakeGroup{leader: leader, members: map[string]*group{}, epoch: 1}
+	}
+	for _, m := range settings.Machines {
+		f.startMachine(t, settings, m, listeners[m.Name])
+	}
+	return f
+}
+
+func (f *fakeFleet) startMachine(t *testing.T, settings Settings, m MachineConfig, listener net.Listener) {
+	settings.Name, settings.Region = m.Name, m.Region
+	s := newServer(settings, slog.New(slog.DiscardHandler))
+	s.history = &history{log: s.log}
+	for name := range m.Groups {
+		g := newGroup(name, s.history, s.log)
+		member := &fakeReplica{name: m.Name, fake: f.groups[name], votes: true}
+		g.replica = member
+		s.groups[name] = g
+		f.groups[name].members[m.Name] = g
+		f.replicas[name+"/"+m.Name] = member
+	}
+	s.up.Store(true)
+	handler := s.handler()
+	web := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == configuration.PutPath {
+			f.mu.Lock()
+			f.calls[m.Name]++
+			f.mu.Unlock()
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	web.Listener.Close()
+	web.Listener = listener
+	web.Start()
+	t.Cleanup(func() {
+		s.peers.CloseIdleConnections()
+		web.CloseClientConnections()
+		web.Close()
+	})
+	f.servers[m.Name], f.http[m.Name] = s, web
+}
+
+func (f *fakeFleet) address(name string) string { return f.http[name].Listener.Addr().String() }
+
+func (f *fakeFleet) putCalls(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[name]
+}
+
+var (
+	testRegionA = configuration.Scope{Level: configuration.LevelRegion, Region: "a"}
+	testPlace   = configuration.Place{Agent: "n1", Region: "a", Zone: "z1", Service: "search"}
+)
+
+func testChange(id string, scope configuration.Scope, base uint64, attempts int) configuration.Change {
+	document := fmt.Sprintf(`{"format":1,"limits":{"attempts":%d}}`, attempts)
+	return configuration.Change{ID: id, Scope: scope, Base: base, Document: []byte(document), By: "test", Why: "test"}
+}
--- /dev/null
+++ b/internal/configuration/server/route_test.go
@@ -0,0 +1,196 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"lemonrail/internal/configuration"
+	"lemonrail/internal/configuration/client"
+	"lemonrail/internal/replica"
+)
+
+// put makes a change at a machine as an operator does, and settles an unknown outcome.
+func put(t *testing.T, f *fakeFleet, machine string, change configuration.Change) (configuration.Accepted, error) {
+	t.Helper()
+	c, err := client.New(f.address(machine))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.Put(t.Context(), change)
+}
+
+// postOnce makes a change at a machine by one call.
+func postOnce(t *testing.T, f *fakeFleet, machine string, change configuration.Change) error {
+	t.Helper()
+	raw, err := json.Marshal(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post("http://"+f.address(machine)+configuration.PutPath, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		return nil
+	}
+	body := &configuration.ErrorBody{}
+	if err := json.NewDecoder(response.Body).Decode(body); err != nil {
+		t.Fatal(err)
+	}
+	if want := statusCodes[body.Kind]; response.StatusCode != want {
+		t.Errorf("%s came with status %d, not %d", body.Kind, response.StatusCode, want)
+	}
+	return body
+}
+
+func TestChangeIsForwardedToTheLeader(t *testing.T) {
+	zone := configuration.Scope{Level: configuration.LevelZone, Region: "a", Name: "z1"}
+	for _, tt := range []struct {
+		name    string
+		machine string
+		scope   configuration.Scope
+		calls   map[string]int // of put, by machine
+	}{
+		{"the machine leads", "a1", configuration.Fleet, map[string]int{"a1": 1}},
+		{"the machine votes", "b1", testRegionA, map[string]int{"b1": 1, "a2": 1}},
+		{"the machine doesn't vote, and asks those that do", "b2", zone, map[string]int{"b2": 1, "a1": 1, "a2": 1}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFakeFleet(t)
+			f.groups["region-a"].leader = "a2"
+			accepted, err := put(t, f, tt.machine, testChange("1", tt.scope, 0, 2))
+			if err != nil || accepted.Revision != 1 {
+				t.Errorf("got %+v, %v", accepted, err)
+			}
+			for _, machine := range []string{"a1", "a2", "b1", "b2"} {
+				if got := f.putCalls(machine); got != tt.calls[machine] {
+					t.Errorf("%s was called %d times, not %d", machine, got, tt.calls[machine])
+				}
+			}
+		})
+	}
+}
+
+func TestForwardedChangeGoesNoFurther(t *testing.T) {
+	f := newFakeFleet(t)
+	s := f.servers["b2"]
+	_, err := s.forwardChange(t.Context(), f.address("a2"), testChange("x", testRegionA, 0, 2))
+	body := bodyOf(err)
+	if body == nil || body.Kind != configuration.ErrorNotHere || body.Leader != "a1" || len(body.Machines) != 1 {
+		t.Fatalf("got %+v, want not-here with the leader", err)
+	}
+	if got := f.putCalls("a1"); got != 0 {
+		t.Errorf("the leader was called %d times", got)
+	}
+	if _, ok := f.servers["a1"].groups["region-a"].revision(testRegionA); ok {
+		t.Error("it was written")
+	}
+}
+
+func TestRefusalsSayWhetherAnythingWasWritten(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		prepare func(f *fakeFleet)
+		change  configuration.Change
+		kind    configuration.ErrorKind
+		written bool
+	}{
+		{"no leader is known", func(f *fakeFleet) { f.groups["region-a"].leader = "" }, testChange("1", testRegionA, 0, 2), configuration.ErrorNoQuorum, false},
+		{"the majority isn't confirmed", func(f *fakeFleet) { f.replicas["region-a/a1"].refuse = replica.ErrNoQuorum }, testChange("1", testRegionA, 0, 2),
+			configuration.ErrorNoQuorum, false},
+		{"the outcome is unknown", func(f *fakeFleet) { f.groups["region-a"].propose = replica.ErrOutcomeUnknown }, testChange("1", testRegionA, 0, 2),
+			configuration.ErrorUnknown, true},
+		{"the base isn't in force", func(*fakeFleet) {}, testChange("1", testRegionA, 7, 2), configuration.ErrorConflict, false},
+		{"the document makes no sense", func(*fakeFleet) {}, testChange("1", testRegionA, 0, -2), configuration.ErrorInvalid, false},
+		{"no machine stands in the region", func(*fakeFleet) {},
+			testChange("1", configuration.Scope{Level: configuration.LevelRegion, Region: "elsewhere"}, 0, 2), configuration.ErrorInvalid, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFakeFleet(t)
+			tt.prepare(f)
+			for _, machine := range []string{"a1", "a2", "b2"} {
+				err := postOnce(t, f, machine, tt.change)
+				if kindOf(err) != tt.kind {
+					t.Errorf("at %s: got %v, want %s", machine, err, tt.kind)
+				}
+			}
+			if _, ok := f.servers["a2"].groups["region-a"].revision(testRegionA); ok != tt.written {
+				t.Errorf("written: %t", ok)
+			}
+		})
+	}
+}
+
+func TestShowAsksTheLeader(t *testing.T) {
+	f := newFakeFleet(t)
+	if _, err := put(t, f, "a1", testChange("1", testRegionA, 0, 2)); err != nil {
+		t.Fatal(err)
+	}
+	leader := f.replicas["region-a/a1"]
+	for _, machine := range []string{"a1", "a2", "b1", "b2"} {
+		before := leader.reads
+		c, err := client.New(f.address(machine))
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision, err := c.Show(t.Context(), testRegionA)
+		c.Close()
+		if err != nil || revision.Revision != 1 || revision.Change != "1" {
+			t.Errorf("%s shows %+v, %v", machine, revision, err)
+		}
+		if leader.reads != before+1 {
+			t.Errorf("%s: the leader confirmed %d majorities, not one", machine, leader.reads-before)
+		}
+	}
+	leader.refuse = replica.ErrNoQuorum
+	c, err := client.New(f.address("a1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Show(t.Context(), testRegionA); kindOf(err) != configuration.ErrorNoQuorum {
+		t.Errorf("without a majority it shows %v", err)
+	}
+	if applied, err := c.ShowApplied(t.Context(), testRegionA); err != nil || applied.Revision != 1 {
+		t.Errorf("what was applied: %+v, %v", applied, err)
+	}
+}
+
+func TestChangeOfUnknownOutcomeIsResolvedByItsIdentity(t *testing.T) {
+	f := newFakeFleet(t)
+	change := testChange("once", testRegionA, 0, 2)
+	f.groups["region-a"].propose = replica.ErrOutcomeUnknown
+	if err := postOnce(t, f, "a2", change); kindOf(err) != configuration.ErrorUnknown {
+		t.Fatalf("got %v", err)
+	}
+	f.groups["region-a"].propose = nil
+	accepted, err := put(t, f, "a2", change)
+	if err != nil || accepted.Revision != 1 {
+		t.Errorf("sent again it got %+v, %v", accepted, err)
+	}
+	if _, err := put(t, f, "a2", testChange("another", testRegionA, 0, 2)); kindOf(err) != configuration.ErrorConflict {
+		t.Errorf("another change on the same base got %v", err)
+	}
+}
+
+func TestLeaderThatDoesNotAnswerIsFoundBeforeTheChangeIsSent(t *testing.T) {
+	f := newFakeFleet(t)
+	f.http["a1"].Listener.Close()
+	f.http["a1"].CloseClientConnections()
+	if err := postOnce(t, f, "a2", testChange("1", testRegionA, 0, 2)); kindOf(err) != configuration.ErrorNoQuorum {
+		t.Errorf("got %v, want that for sure nothing was written", err)
+	}
+}
+
+func TestMachineThatDoesNotVoteHandsChangesOn(t *testing.T) {
+	f := newFakeFleet(t)
+	f.replicas["region-a/a2"].votes = false // as after its disk failed
+	accepted, err := put(t, f, "a2", testChange("1", testRegionA, 0, 2))
+	if err != nil || accepted.Revision != 1 {
+		t.Errorf("got %+v, %v", accepted, err)
+	}
+}
--- /dev/null
+++ b/internal/configuration/server/show.go
@@ -0,0 +1,146 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"lemonrail/internal/configuration"
+)
+
+// show answers the latest revision of a scope, confirmed by the leader of its group; with applied=true the latest that
+// this machine has applied, also without a majority.
+func (s *Server) show(w http.ResponseWriter, r *http.Request) {
+	scope, err := s.scopeOf(r)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	var revision configuration.Revision
+	if r.URL.Query().Get("applied") == "true" {
+		revision, err = s.appliedRevision(scope)
+	} else {
+		revision, err = s.latest(r.Context(), scope, forwarded(r))
+	}
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	answer(w, revision)
+}
+
+// latest is a scope's latest revision, from the leader of its group.
+func (s *Server) latest(ctx context.Context, scope configuration.Scope, forwarded bool) (configuration.Revision, error) {
+	if forwarded {
+		g, err := s.groupOf(scope)
+		if err != nil {
+			return configuration.Revision{}, err
+		}
+		return s.confirmedRevision(ctx, g, scope)
+	}
+	return route(ctx, s, call[configuration.Revision]{
+		group: scope.Group(),
+		here: func(ctx context.Context, g *group) (configuration.Revision, error) {
+			return s.confirmedRevision(ctx, g, scope)
+		},
+		there: func(ctx context.Context, address string) (configuration.Revision, error) {
+			return s.remoteRevision(ctx, address, scope)
+		},
+	})
+}
+
+// confirmedRevision is a scope's latest revision if this machine leads its group.
+func (s *Server) confirmedRevision(ctx context.Context, g *group, scope configuration.Scope) (configuration.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	if err := g.replica.Read(ctx); err != nil {
+		return configuration.Revision{}, s.readError(g, err)
+	}
+	return g.mustRevision(scope)
+}
+
+// readError is leaderError for a call that proposes nothing, and so leaves nothing unknown.
+func (s *Server) readError(g *group, err error) error {
+	body := bodyOf(s.leaderError(g, err))
+	if body.Kind == configuration.ErrorUnknown {
+		body.Kind = configuration.ErrorNoQuorum
+	}
+	return body
+}
+
+// appliedRevision is a scope's latest revision that this machine has applied.
+func (s *Server) appliedRevision(scope configuration.Scope) (configuration.Revision, error) {
+	g, err := s.groupOf(scope)
+	if err != nil {
+		return configuration.Revision{}, err
+	}
+	return g.mustRevision(scope)
+}
+
+// mustRevision is a scope's latest revision, or an error if it has no document.
+func (g *group) mustRevision(scope configuration.Scope) (configuration.Revision, error) {
+	revision, ok := g.revision(scope)
+	if !ok {
+		return revision, failure(configuration.ErrorMissing, "scope %s has no document", scope)
+	}
+	return revision, nil
+}
+
+// remoteRevision asks the leader for a scope's latest revision.
+func (s *Server) remoteRevision(ctx context.Context, address string, scope configuration.Scope) (configuration.Revision, error) {
+	var revision configuration.Revision
+	ctx, cancel := context.WithTimeout(ctx, readLimit+probeLimit)
+	defer cancel()
+	path := configuration.ShowPath + "?" + url.Values{"scope": {scope.String()}}.Encode()
+	err := s.get(ctx, address, path, &revision)
+	if err != nil && kindOf(err) == "" {
+		return revision, failure(configuration.ErrorNoQuorum, "%s: the machine at %s: %v", scope.Group(), address, err)
+	}
+	return revision, err
+}
+
+// showHistory answers the revisions of a scope that this machine has recorded, the latest first.
+func (s *Server) showHistory(w http.ResponseWriter, r *http.Request) {
+	scope, err := s.scopeOf(r)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	if _, err := s.groupOf(scope); err != nil {
+		answerError(w, err)
+		return
+	}
+	revisions, err := s.history.list(scope)
+	if err != nil {
+		answerError(w, failure(configuration.ErrorMissing, "history of %s: %v", scope, err))
+		return
+	}
+	answer(w, revisions)
+}
+
+// machine answers how this machine stands in its groups.
+func (s *Server) machine(w http.ResponseWriter, r *http.Request) {
+	status := configuration.MachineStatus{Name: s.settings.Name, Region: s.settings.Region, Watches: len(s.watches)}
+	for _, g := range s.groups {
+		status.Groups = append(status.Groups, g.status(r.Context()))
+	}
+	slices.SortFunc(status.Groups, func(a, b configuration.GroupStatus) int { return strings.Compare(a.Group, b.Group) })
+	answer(w, status)
+}
+
+// status is how this machine stands in the group.
+func (g *group) status(ctx context.Context) configuration.GroupStatus {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	status := configuration.GroupStatus{Group: g.name, Scopes: g.positions()}
+	member, err := g.replica.Status(ctx)
+	if err != nil {
+		status.Why = err.Error()
+		return status
+	}
+	status.Votes, status.Why = member.Votes, member.Why
+	status.Leader, status.Term, status.Applied = member.Leader, member.Term, member.Applied
+	return status
+}
--- /dev/null
+++ b/internal/configuration/server/watch.go
@@ -0,0 +1,225 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"lemonrail/internal/configuration"
+)
+
+const (
+	heartbeatInterval = 2 * time.Second
+	watchWriteLimit   = 10 * time.Second // for which a reader may take nothing before it is cut off
+	chunkOverhead     = 48               // bytes that a line costs beside itself: its chunk, and the headers of TCP and IP
+)
+
+// watchQuery is what an agent asks with.
+type watchQuery struct {
+	place  configuration.Place
+	format int
+	have   map[configuration.Scope]configuration.Position
+}
+
+// parseWatchQuery reads a watch's query: agent, region, zone, service, format and, repeated, have=SCOPE@REVISION.EPOCH.
+func parseWatchQuery(values url.Values) (watchQuery, error) {
+	query := watchQuery{
+		place: configuration.Place{
+			Agent:   values.Get("agent"),
+			Region:  values.Get("region"),
+			Zone:    values.Get("zone"),
+			Service: values.Get("service"),
+		},
+		have: map[configuration.Scope]configuration.Position{},
+	}
+	if err := query.place.Check(); err != nil {
+		return query, err
+	}
+	format, err := strconv.Atoi(values.Get("format"))
+	if err != nil || format < 1 {
+		return query, fmt.Errorf("format %q is no number from 1 on", values.Get("format"))
+	}
+	query.format = format
+	for _, text := range values["have"] {
+		scope, position, err := parseHave(text)
+		if err != nil {
+			return query, err
+		}
+		if !scope.Holds(query.place) {
+			return query, fmt.Errorf("have %q: the scope doesn't hold for the agent", text)
+		}
+		query.have[scope] = position
+	}
+	return query, nil
+}
+
+// parseHave reads SCOPE@REVISION.EPOCH.
+func parseHave(text string) (scope configuration.Scope, at configuration.Position, err error) {
+	scopeText, positionText, ok := strings.Cut(text, "@")
+	revisionText, epochText, dotted := strings.Cut(positionText, ".")
+	if !ok || !dotted {
+		return scope, at, fmt.Errorf("have %q is not SCOPE@REVISION.EPOCH", text)
+	}
+	if scope, err = configuration.ParseScope(scopeText); err != nil {
+		return scope, at, err
+	}
+	if at.Revision, err = strconv.ParseUint(revisionText, 10, 64); err != nil {
+		return scope, at, fmt.Errorf("have %q: revision: %w", text, err)
+	}
+	if at.Epoch, err = strconv.ParseUint(epochText, 10, 64); err != nil {
+		return scope, at, fmt.Errorf("have %q: epoch: %w", text, err)
+	}
+	return scope, at, nil
+}
+
+// watch sends an agent what it lacks, and then what changes, until one of the two ends.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	query, err := parseWatchQuery(r.URL.Query())
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	scope := configuration.Scope{Level: configuration.LevelRegion, Region: query.place.Region}
+	if err := s.checkGroup(scope); err != nil {
+		answerError(w, err)
+		return
+	}
+	if _, err := s.groupOf(scope); err != nil {
+		answerError(w, err)
+		return
+	}
+	select {
+	case s.watches <- struct{}{}:
+		defer func() { <-s.watches }()
+	default:
+		answerError(w, s.notHere(scope.Group(), "machine %s has %d watches already", s.settings.Name, watchesMost))
+		return
+	}
+	if err := s.connected(query.place); err != nil {
+		answerError(w, s.notHere(scope.Group(), "%v", err))
+		return
+	}
+	defer s.disconnected(query.place)
+	watcher := newWatcher(s, w, query)
+	defer watcher.unsubscribe()
+	watcher.run(r.Context().Done())
+}
+
+// watcher is the sending side of one watch.
+type watcher struct {
+	server  *Server
+	groups  []*group // that write the agent's scopes
+	place   configuration.Place
+	have    map[configuration.Scope]configuration.Position // with what was sent
+	changed chan struct{}
+	pacer   *configuration.Pacer
+
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+}
+
+func newWatcher(s *Server, w http.ResponseWriter, query watchQuery) *watcher {
+	watcher := &watcher{
+		server:     s,
+		place:      query.place,
+		have:       query.have,
+		changed:    make(chan struct{}, 1),
+		pacer:      configuration.NewPacer(configuration.PaceRate, configuration.PaceBurst, s.now()),
+		writer:     w,
+		controller: http.NewResponseController(w),
+	}
+	for _, name := range []string{configuration.FleetGroup, configuration.RegionGroup(query.place.Region)} {
+		if g := s.groups[name]; g != nil {
+			watcher.groups = append(watcher.groups, g)
+			g.subscribe(watcher.changed)
+		}
+	}
+	return watcher
+}
+
+func (w *watcher) unsubscribe() {
+	for _, g := range w.groups {
+		g.unsubscribe(w.changed)
+	}
+}
+
+// run sends until the agent has gone (done), doesn't read, or the process ends.
+func (w *watcher) run(done <-chan struct{}) {
+	w.writer.Header().Set("Content-Type", "application/x-ndjson")
+	w.writer.Header().Set("Connection", "close")
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	if !w.send([]byte("\n")) { // so that the agent knows at once that the watch stands
+		return
+	}
+	for {
+		for _, update := range w.lacking() {
+			if !w.sendUpdate(update, done) {
+				return
+			}
+		}
+		select {
+		case <-w.changed:
+		case <-heartbeat.C:
+			if !w.send([]byte("\n")) {
+				return
+			}
+		case <-done:
+			return
+		case <-w.server.stopping:
+			return
+		}
+	}
+}
+
+// lacking is all that the agent lacks now, as one set.
+func (w *watcher) lacking() []configuration.Update {
+	var updates []configuration.Update
+	for _, scope := range w.place.Scopes() {
+		g := w.server.groups[scope.Group()]
+		if g == nil {
+			continue
+		}
+		updates = append(updates, g.updates(scope, w.have[scope])...)
+	}
+	for i := range updates {
+		updates[i].More = i+1 < len(updates)
+		w.have[updates[i].Scope] = updates[i].Position
+	}
+	return updates
+}
+
+// sendUpdate sends a line when the pace allows it; false: the watch has ended.
+func (w *watcher) sendUpdate(update configuration.Update, done <-chan struct{}) bool {
+	line, err := json.Marshal(update)
+	if err != nil {
+		w.server.log.Error("an update can't be encoded", "scope", update.Scope.String(), "err", err)
+		return false
+	}
+	line = append(line, '\n')
+	if wait := w.pacer.Wait(len(line)+chunkOverhead, w.server.now()); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-done:
+			return false
+		case <-w.server.stopping:
+			return false
+		}
+	}
+	return w.send(line)
+}
+
+// send writes a line; false: the agent has gone or doesn't read.
+func (w *watcher) send(line []byte) bool {
+	w.controller.SetWriteDeadline(time.Now().Add(watchWriteLimit))
+	if _, err := w.writer.Write(line); err != nil {
+		return false
+	}
+	return w.controller.Flush() == nil
+}
