Scale: lemonctl scale measures cost by size in three layers

Ruled out: the stand-in site as the source of long lists, since it opens a listener for each backend and agent (27,000 at 450 x 60); a plotting library, since the pages load nothing. Change: internal/scale runs real agents (internal/cluster, with a scripted discovery), hollow agents (list watches, memberships, duty clients in one process) and decisions in simulated time, fits a line through each quantity and prints text, JSON or a page. cluster: Options.Amend changes an agent's configuration, Usage counts descriptors. overhead: up to 512 nodes, a list that changes.

--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -54,6 +54,13 @@
 		HandOn  dutiesHandOnCmd  `cmd:"" name:"hand-on" help:"Name who is to take a duty over; its holder gives it once that one is ready."`
 		Release dutiesReleaseCmd `cmd:"" help:"Have a duty's holder let it go."`
 	} `cmd:"" help:"Duties that one agent holds at a time."`
+	Scale struct {
+		Processes scaleProcessesCmd `cmd:"" help:"Real agents, up to 60, with lists of several lengths."`
+		Hollow    scaleHollowCmd    `cmd:"" help:"Control clients of up to 2,500 agents in this process, over loopback sockets."`
+		Members   scaleMembersCmd   `cmd:"" help:"The membership's decisions alone, in simulated time: loss, regions apart."`
+		Decisions scaleDecisionsCmd `cmd:"" help:"The balancing decisions alone, with lists of several lengths."`
+		All       scaleAllCmd       `cmd:"" help:"All of them."`
+	} `cmd:"" help:"Cost as a function of agents, backends and changes: slopes, as text, JSON or a page."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
 	BareProxy bareProxyCmd `cmd:"" hidden:"" help:"The proxy that overhead compares with."`
 	Try       tryCmd       `cmd:"" help:"Start a stand-in site with agents, play a log against them, and report."`
--- a/cmd/lemonctl/overhead.go
+++ b/cmd/lemonctl/overhead.go
@@ -16,6 +16,7 @@
 	Clients int       `default:"32" help:"Clients of the closed loop."`
 	Seconds float64   `default:"3" help:"Length of each loop."`
 	Rates   []float64 `default:"500,1000" help:"Requests a second at which latency is measured."`
+	Changes float64   `default:"0" help:"Changes of the list of nodes a second."`
 	Rounds  int       `default:"3" help:"Rounds, of which the medians count."`
 	JSON    bool      `name:"json" help:"Print one JSON object."`
 }
@@ -31,7 +32,7 @@
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
 	r, err := overhead.Measure(ctx, overhead.Options{Agent: c.Agent, Proxy: []string{self, "bare-proxy"}, Nodes: c.Nodes, Bytes: c.Bytes, Clients: c.Clients,
-		Seconds: c.Seconds, Rates: c.Rates, Rounds: c.Rounds, Dir: dir, Say: func(format string, args ...any) { fmt.Fprintf(s.err, format+"\n", args...) }})
+		Seconds: c.Seconds, Rates: c.Rates, Rounds: c.Rounds, Changes: c.Changes, Dir: dir, Say: func(format string, args ...any) { fmt.Fprintf(s.err, format+"\n", args...) }})
 	if err != nil {
 		return err
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -50,6 +50,9 @@
 	Args     []string          // further ones of each agent; DIR in them is the agent's own folder
 	Seed     uint64            // of what links do by chance
 	Observer standin.Observer  // of the site; nil: a ledger of its own
+
+	// Amend changes an agent's configuration before it is written; nil: nothing is changed.
+	Amend func(agent int, config map[string]any)
 }
 
 // Cluster is a running rig.
@@ -177,6 +180,9 @@
 	}
 	all["peers"] = peers
 	all["settings"].(map[string]any)["PolicyLimits"].(map[string]any)["Peers"] = true
+	if a.c.o.Amend != nil {
+		a.c.o.Amend(a.number, all)
+	}
 	if raw, err = json.MarshalIndent(all, "", " "); err != nil {
 		return err
 	}
--- a/internal/cluster/usage.go
+++ b/internal/cluster/usage.go
@@ -15,8 +15,9 @@
 
 // Usage is what an agent's process has used, as the kernel counts it.
 type Usage struct {
-	CPU        time.Duration
-	ResidentKB int64
+	CPU         time.Duration
+	ResidentKB  int64
+	Descriptors int // open files and sockets
 }
 
 // Usage reads it; an error where no process runs.
@@ -47,7 +48,11 @@
 	if pages, err = strconv.ParseInt(fields[21], 10, 64); err != nil {
 		return u, err
 	}
-	return Usage{time.Duration(ticks) * 10 * time.Millisecond, pages * int64(os.Getpagesize()) / 1024}, nil
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return u, err
+	}
+	return Usage{time.Duration(ticks) * 10 * time.Millisecond, pages * int64(os.Getpagesize()) / 1024, len(open)}, nil
 }
 
 // Rest is a fleet that does nothing, and what its duties cost.
--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -49,9 +49,13 @@
 	Rates   []float64 // a second
 	Rounds  int
 	Dir     string
+	Changes float64                          // of the list of nodes a second; 0: it never changes
 	Say     func(format string, args ...any) // progress
 }
 
+// mostNodes is how many nodes may be listed: each listens on a port of its own.
+const mostNodes = 512
+
 // Row is what one way came to, as medians over the rounds.
 type Row struct {
 	Way      string        `json:"way"`       // direct, bare proxy, agent
@@ -94,9 +98,12 @@
 
 // Measure runs it all.
 func Measure(ctx context.Context, o Options) (r *Report, err error) {
-	if o.Nodes < 1 || o.Nodes > 64 || o.Clients < 1 || o.Clients > 1024 || !(o.Seconds > 0) || o.Seconds > 600 || o.Rounds < 1 || o.Rounds > 100 || o.Bytes < 0 || o.Bytes > 1<<20 {
+	if o.Nodes < 1 || o.Nodes > mostNodes || o.Clients < 1 || o.Clients > 1024 || !(o.Seconds > 0) || o.Seconds > 600 || o.Rounds < 1 || o.Rounds > 100 || o.Bytes < 0 || o.Bytes > 1<<20 {
 		return nil, errors.New("nodes, clients, seconds, rounds or bytes make no sense")
 	}
+	if !(o.Changes >= 0) || o.Changes > 1000 {
+		return nil, fmt.Errorf("%v changes a second make no sense", o.Changes)
+	}
 	for _, rate := range o.Rates {
 		if !(rate > 0) || rate > 1e5 {
 			return nil, fmt.Errorf("a rate of %v makes no sense", rate)
@@ -110,7 +117,7 @@
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, closeNodes()) }()
-	disc, closeDisc, err := openDiscovery(nodes)
+	disc, closeDisc, err := openDiscovery(nodes, o.Changes)
 	if err != nil {
 		return nil, err
 	}
@@ -291,17 +298,33 @@
 	return addrs, closing, nil
 }
 
+// host is a node in discovery's form.
+func host(i int, n netip.AddrPort, share float64) map[string]any {
+	return map[string]any{"host": fmt.Sprint("h", i), "dial": n.String(), "site": "a", "class": "k", "block": 0, "health": "ready", "share": share, "born_ms": 0}
+}
+
+// changed is the line of the nth change of the list.
+func changed(nodes []netip.AddrPort, n int) []byte {
+	i := n % len(nodes)
+	share := 1 + 0.01*float64((n/len(nodes)+1)%2)
+	line, err := json.Marshal(map[string]any{"seq": n + 2, "whole": false, "hosts": []any{host(i, nodes[i], share)}})
+	if err != nil {
+		panic(err) // of values that this function made
+	}
+	return append(line, '\n')
+}
+
 // hosts is the list of nodes in discovery's form.
 func hosts(nodes []netip.AddrPort) map[string]any {
 	var list []any
 	for i, n := range nodes {
-		list = append(list, map[string]any{"host": fmt.Sprint("h", i), "dial": n.String(), "site": "a", "class": "k", "block": 0, "health": "ready", "share": 1, "born_ms": 0})
+		list = append(list, host(i, n, 1))
 	}
 	return map[string]any{"seq": 1, "whole": true, "hosts": list}
 }
 
-// openDiscovery answers with a list that never changes.
-func openDiscovery(nodes []netip.AddrPort) (addr string, closing func() error, err error) {
+// openDiscovery answers with the list, and gives one node after the other another share, so many times a second.
+func openDiscovery(nodes []netip.AddrPort, changes float64) (addr string, closing func() error, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
@@ -311,15 +334,23 @@
 		return "", nil, errors.Join(err, ln.Close())
 	}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Write(append(list, '\n'))
-		for r.URL.Query().Get("follow") == "1" {
+		w.Write(append(slices.Clone(list), '\n'))
+		wait := 2 * time.Second
+		if changes > 0 {
+			wait = time.Duration(float64(time.Second) / changes)
+		}
+		for n := 0; r.URL.Query().Get("follow") == "1"; n++ {
 			if http.NewResponseController(w).Flush() != nil {
 				return
 			}
 			select {
 			case <-r.Context().Done():
 				return
-			case <-time.After(2 * time.Second):
+			case <-time.After(wait):
+			}
+			if changes > 0 {
+				w.Write(changed(nodes, n))
+			} else {
 				io.WriteString(w, "\n")
 			}
 		}
--- /dev/null
+++ b/internal/scale/bounds_test.go
@@ -0,0 +1,40 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestARunEndsAtItsBoundOfMemory(t *testing.T) {
+	t.Parallel()
+	ctx, release := Bounds{Time: time.Hour, MemoryBytes: 1}.Apply(context.Background())
+	defer release()
+	<-ctx.Done()
+	if err := context.Cause(ctx); !errors.Is(err, ErrMemory) {
+		t.Errorf("ended by %v", err)
+	}
+}
+
+func TestARunEndsAtItsBoundOfTime(t *testing.T) {
+	t.Parallel()
+	ctx, release := Bounds{Time: time.Millisecond, MemoryBytes: 1 << 62}.Apply(context.Background())
+	defer release()
+	<-ctx.Done()
+	if err := context.Cause(ctx); errors.Is(err, ErrMemory) || errors.Is(err, context.Canceled) {
+		t.Errorf("ended by %v", err)
+	}
+}
+
+func TestDefaultBoundsAreHalfOfTheMachine(t *testing.T) {
+	t.Parallel()
+	total, err := memoryTotal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := DefaultBounds(time.Minute)
+	if err != nil || b.MemoryBytes != total/2 || b.Time != time.Minute {
+		t.Errorf("%+v of %d, %v", b, total, err)
+	}
+}
--- /dev/null
+++ b/internal/scale/hollowlists.go
@@ -0,0 +1,190 @@
+package scale
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"lemonrail/balance"
+	"lemonrail/internal/roster"
+	"lemonrail/internal/wire"
+)
+
+// HollowLists runs the list watches of many agents in one process against a scripted discovery.
+type HollowLists struct {
+	Agents  []int         // sizes of the fleet
+	Listed  int           // backends in the list
+	Rest    time.Duration // measured without changes
+	Changes int           // measured one after the other
+	Gap     time.Duration // between two changes
+	Outage  time.Duration // of discovery, at the end
+	Say     func(format string, args ...any)
+}
+
+// listFleet is one size of fleet while it runs.
+type listFleet struct {
+	server  *listServer
+	agents  int
+	mu      sync.Mutex
+	waiting map[int64]*arrivals // by version
+}
+
+// Run measures all sizes.
+func (o HollowLists) Run(ctx context.Context) ([]*Series, error) {
+	fixed := sprintf("%d listed backends", o.Listed)
+	set := newSeriesSet(Hollow, "agents", fixed)
+	for _, agents := range o.Agents {
+		o.Say("hollow agents: %d list watches, %d backends", agents, o.Listed)
+		if err := o.size(ctx, set, agents); err != nil {
+			return nil, err
+		}
+	}
+	return set.fit()
+}
+
+func (o HollowLists) size(ctx context.Context, set *seriesSet, agents int) (err error) {
+	server, err := newListServer(o.Listed, 0)
+	if err != nil {
+		return err
+	}
+	inner, cancel := context.WithCancel(ctx)
+	var clients sync.WaitGroup
+	defer func() {
+		cancel()
+		clients.Wait()
+		if closing := server.close(); err == nil {
+			err = closing
+		}
+	}()
+	f := &listFleet{server: server, agents: agents, waiting: map[int64]*arrivals{}}
+	heapBefore := heapBytes()
+	u := startSpan(&server.traffic)
+	first := f.expect(1)
+	for i := range agents {
+		c, err := f.client(inner, i)
+		if err != nil {
+			return err
+		}
+		clients.Go(c.Run)
+	}
+	took, err := first.wait(ctx)
+	if err != nil {
+		return err
+	}
+	x := float64(agents)
+	spent, err := u.end()
+	if err != nil {
+		return err
+	}
+	set.spread("whole list to all at once", x, took)
+	set.add("whole list, bytes an agent", "B", x, float64(spent.sent)/x)
+	set.add("whole list, processor time an agent (agent and server)", "ms", x, milliseconds(spent.cpu)/x)
+	set.add("list watch, memory an agent (agent and server)", "KB", x, heapGrowthKB(heapBefore)/x)
+	return o.later(ctx, set, f)
+}
+
+// later measures rest, changes and an outage, once each agent has its list.
+func (o HollowLists) later(ctx context.Context, set *seriesSet, f *listFleet) error {
+	x := float64(f.agents)
+	u := startSpan(&f.server.traffic)
+	if err := pause(ctx, o.Rest); err != nil {
+		return err
+	}
+	spent, err := u.end()
+	if err != nil {
+		return err
+	}
+	seconds := spent.took.Seconds()
+	set.add("list watch at rest, bytes an agent-second", "B/s", x, float64(spent.sent)/x/seconds)
+	set.add("list watch at rest, share of a core an agent (agent and server)", "%", x, 100*spent.cpu.Seconds()/x/seconds)
+
+	u = startSpan(&f.server.traffic)
+	var all []time.Duration
+	for n := range o.Changes {
+		arrived, err := f.change(n)
+		if err != nil {
+			return err
+		}
+		if _, err := arrived.wait(ctx); err != nil {
+			return err
+		}
+		for _, d := range arrived.took {
+			all = append(all, d)
+		}
+		if err := pause(ctx, o.Gap); err != nil {
+			return err
+		}
+	}
+	if spent, err = u.end(); err != nil {
+		return err
+	}
+	changes := float64(max(1, o.Changes))
+	set.spread("a change of the list known to all", x, spreadOf(all))
+	set.add("a change, bytes an agent", "B", x, float64(spent.sent)/x/changes)
+	set.add("a change, processor time an agent (agent and server)", "ms", x, milliseconds(spent.cpu)/x/changes)
+	return o.outage(ctx, set, f)
+}
+
+// outage takes discovery away, changes the list meanwhile, and measures how all come back.
+func (o HollowLists) outage(ctx context.Context, set *seriesSet, f *listFleet) error {
+	if o.Outage <= 0 {
+		return nil
+	}
+	x := float64(f.agents)
+	f.server.setDown(true)
+	refused := f.server.refusals()
+	arrived, err := f.change(0)
+	if err != nil {
+		return err
+	}
+	if err := pause(ctx, o.Outage); err != nil {
+		return err
+	}
+	set.add("discovery down, calls an agent-second", "/s", x, float64(f.server.refusals()-refused)/x/o.Outage.Seconds())
+	back := time.Since(arrived.began)
+	f.server.setDown(false)
+	took, err := arrived.wait(ctx)
+	if err != nil {
+		return err
+	}
+	set.spread("discovery back, a change made meanwhile known to all", x, spread{took.p50 - back, took.p99 - back, took.worst - back})
+	return nil
+}
+
+// expect is called before the version can arrive anywhere.
+func (f *listFleet) expect(version int64) *arrivals {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := newArrivals(f.agents)
+	f.waiting[version] = a
+	return a
+}
+
+// change makes the list's next version.
+func (f *listFleet) change(n int) (*arrivals, error) {
+	f.server.mu.Lock()
+	next := f.server.version + 1
+	f.server.mu.Unlock()
+	a := f.expect(next)
+	_, err := f.server.change(n)
+	return a, err
+}
+
+func (f *listFleet) client(ctx context.Context, i int) (*roster.Client, error) {
+	service, err := netip.ParseAddrPort(f.server.addr)
+	if err != nil {
+		return nil, err
+	}
+	told := func(l balance.List, _ map[string]string) {
+		f.mu.Lock()
+		a := f.waiting[l.Version]
+		f.mu.Unlock()
+		if a != nil {
+			a.at(i)
+		}
+	}
+	names := wire.Names{Zones: Sites, Kinds: []string{Kind}}
+	return roster.New(ctx, roster.Config{Service: service, Names: names}, told, slog.New(slog.DiscardHandler)), nil
+}
--- /dev/null
+++ b/internal/scale/hollowmembers.go
@@ -0,0 +1,222 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lemonrail/internal/member"
+	"lemonrail/internal/member/link"
+)
+
+// HollowMembers runs the memberships of many agents in one process, each with a UDP socket of its own.
+type HollowMembers struct {
+	Agents []int
+	Rest   time.Duration // measured once all have met
+	Leaves int           // agents that leave, one after the other
+	Seed   uint64
+	Say    func(format string, args ...any)
+}
+
+// memberSettings are those of deploy/members.toml.
+const memberSettings = "period_ms = 250\npause_ms = 8000\nrate = 40\n"
+
+// memberNode is one agent's membership.
+type memberNode struct {
+	number int
+	conn   *net.UDPConn
+	link   *link.Link
+	cancel context.CancelFunc
+	living atomic.Int64
+}
+
+type memberFleet struct {
+	nodes       []*memberNode
+	running     sync.WaitGroup
+	bytes, sent atomic.Int64
+
+	mu      sync.Mutex
+	living  int // number of living members that the fleet waits for; 0: none
+	arrived *arrivals
+}
+
+// Run measures all sizes.
+func (o HollowMembers) Run(ctx context.Context) ([]*Series, error) {
+	set := newSeriesSet(Hollow, "agents", "membership as shipped: 250 ms between probes")
+	for _, agents := range o.Agents {
+		o.Say("hollow agents: %d memberships", agents)
+		if err := o.size(ctx, set, agents); err != nil {
+			return nil, err
+		}
+	}
+	return set.fit()
+}
+
+func (o HollowMembers) size(ctx context.Context, set *seriesSet, agents int) (err error) {
+	heapBefore := heapBytes()
+	f := &memberFleet{}
+	defer func() { err = errors.Join(err, f.close()) }()
+	if err := f.open(agents, o.Seed); err != nil {
+		return err
+	}
+	x := float64(agents)
+	began := time.Now()
+	for _, n := range f.nodes {
+		f.run(ctx, n)
+	}
+	if err := f.meet(ctx); err != nil {
+		return err
+	}
+	set.add("all members know all, from a start at once", "s", x, time.Since(began).Seconds())
+	set.add("membership, memory an agent", "KB", x, heapGrowthKB(heapBefore)/x)
+
+	cpu, err := processorTime()
+	if err != nil {
+		return err
+	}
+	bytes, sent, began := f.bytes.Load(), f.sent.Load(), time.Now()
+	if err := pause(ctx, o.Rest); err != nil {
+		return err
+	}
+	after, err := processorTime()
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(began).Seconds()
+	set.add("membership at rest, datagrams an agent-second", "/s", x, float64(f.sent.Load()-sent)/x/seconds)
+	set.add("membership at rest, bytes an agent-second", "B/s", x, float64(f.bytes.Load()-bytes)/x/seconds)
+	set.add("membership at rest, share of a core an agent", "%", x, 100*(after-cpu).Seconds()/x/seconds)
+	return o.leaves(ctx, set, f)
+}
+
+// leaves has agents leave, and measures when all others know.
+func (o HollowMembers) leaves(ctx context.Context, set *seriesSet, f *memberFleet) error {
+	var all []time.Duration
+	agents := len(f.nodes)
+	for k := range min(o.Leaves, agents/2) {
+		n := f.nodes[len(f.nodes)-1]
+		f.nodes = f.nodes[:len(f.nodes)-1]
+		arrived := f.expect(agents - 1 - k)
+		n.link.Leave(time.Second)
+		n.cancel()
+		if _, err := arrived.wait(ctx); err != nil {
+			return fmt.Errorf("leave of member %d: %w", n.number, err)
+		}
+		for _, d := range arrived.took {
+			all = append(all, d)
+		}
+		if err := n.conn.Close(); err != nil {
+			return err
+		}
+	}
+	set.spread("a member's leave known to all", float64(agents), spreadOf(all))
+	return nil
+}
+
+// open makes the sockets and memberships.
+func (f *memberFleet) open(agents int, seed uint64) error {
+	var peers []netip.AddrPort
+	for i := range agents {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return err
+		}
+		f.nodes = append(f.nodes, &memberNode{number: i, conn: conn})
+		peers = append(peers, conn.LocalAddr().(*net.UDPAddr).AddrPort())
+	}
+	settings, err := link.ParseSettings("hollow members", []byte(memberSettings))
+	if err != nil {
+		return err
+	}
+	for i, n := range f.nodes {
+		n.link, err = link.New(link.Options{Settings: settings, Name: fmt.Sprintf("n%d", i), Zone: Sites[i%len(Sites)], Self: member.ID(i), Peers: peers,
+			Seed: seed<<20 + uint64(i), Log: slog.New(slog.DiscardHandler),
+			Send:    func(to netip.AddrPort, data []byte) { f.send(n, to, data) },
+			Counted: func(c member.Count) { f.counted(n, c) }})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *memberFleet) send(n *memberNode, to netip.AddrPort, data []byte) {
+	f.sent.Add(1)
+	f.bytes.Add(int64(len(data)))
+	n.conn.WriteToUDPAddrPort(data, to) // lost where it can't be sent, as on the way
+}
+
+// counted notes how many members an agent holds for living.
+func (f *memberFleet) counted(n *memberNode, c member.Count) {
+	n.living.Store(int64(c.Living))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.arrived != nil && c.Living == f.living && n.number < f.arrived.want {
+		f.arrived.at(n.number)
+	}
+}
+
+// expect waits for all agents that are left to count so many as living.
+func (f *memberFleet) expect(living int) *arrivals {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.living, f.arrived = living, newArrivals(len(f.nodes))
+	return f.arrived
+}
+
+const reportEvery = 100 * time.Millisecond
+
+// meet waits until each agent's view has all members alive.
+func (f *memberFleet) meet(ctx context.Context) error {
+	for i := 0; i < len(f.nodes); {
+		r, err := f.nodes[i].link.Report(ctx)
+		if err != nil {
+			return err
+		}
+		if r.Alive == len(f.nodes) {
+			i++
+			continue
+		}
+		if err := pause(ctx, reportEvery); err != nil {
+			return fmt.Errorf("member %d sees %d of %d alive: %w", i, r.Alive, len(f.nodes), err)
+		}
+	}
+	return nil
+}
+
+// run starts an agent's membership and reads its socket until both end.
+func (f *memberFleet) run(ctx context.Context, n *memberNode) {
+	inner, cancel := context.WithCancel(ctx)
+	n.cancel = cancel
+	f.running.Go(func() { n.link.Run(inner) })
+	f.running.Go(func() {
+		buffer := make([]byte, 2048)
+		for {
+			size, from, err := n.conn.ReadFromUDPAddrPort(buffer)
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err == nil {
+				n.link.Received(from, append([]byte(nil), buffer[:size]...))
+			}
+		}
+	})
+}
+
+func (f *memberFleet) close() error {
+	var errs []error
+	for _, n := range f.nodes {
+		if n.cancel != nil {
+			n.cancel()
+		}
+		errs = append(errs, n.conn.Close())
+	}
+	f.running.Wait()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/scale/layers_test.go
@@ -0,0 +1,197 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 2 * time.Minute // for what takes seconds on a machine with time to spare
+
+func bounded(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeoutCause(t.Context(), patience, fmt.Errorf("not within %v", patience))
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func named(t *testing.T, all []*Series, name string) *Series {
+	t.Helper()
+	for _, s := range all {
+		if s.Name == name {
+			return s
+		}
+	}
+	t.Fatalf("no series is called %q", name)
+	return nil
+}
+
+// wantLinear wants a series on a line that grows by so much for each unit, within a share.
+func wantLinear(t *testing.T, s *Series, perUnit, within float64) {
+	t.Helper()
+	if s.Slope.PerUnit < perUnit*(1-within) || s.Slope.PerUnit > perUnit*(1+within) || s.Slope.Worst > within {
+		t.Errorf("%s: %+v, residual %v; wanted %v each", s.Name, s.Points, s.Slope.Worst, perUnit)
+	}
+}
+
+// wantFlat wants a series that doesn't change with size, within a share.
+func wantFlat(t *testing.T, s *Series, within float64) {
+	t.Helper()
+	for _, p := range s.Points {
+		if first := s.Points[0].Y; p.Y < first*(1-within) || p.Y > first*(1+within) || p.Y == 0 {
+			t.Errorf("%s is not flat: %+v", s.Name, s.Points)
+			return
+		}
+	}
+}
+
+func wantAll(t *testing.T, s *Series, want float64) {
+	t.Helper()
+	for _, p := range s.Points {
+		if p.Y != want {
+			t.Errorf("%s: %+v, wanted %v", s.Name, s.Points, want)
+			return
+		}
+	}
+}
+
+func wantUnder(t *testing.T, s *Series, bound float64) {
+	t.Helper()
+	for _, p := range s.Points {
+		if p.Y > bound {
+			t.Errorf("%s: %+v, over %v", s.Name, s.Points, bound)
+			return
+		}
+	}
+}
+
+func TestHollowListsReachAllAndCostEachTheSame(t *testing.T) {
+	t.Parallel()
+	all, err := HollowLists{Agents: []int{5, 20, 40}, Listed: 30, Changes: 4, Outage: 300 * time.Millisecond, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantFlat(t, named(t, all, "whole list, bytes an agent"), 0.05)
+	wantUnder(t, named(t, all, "a change, bytes an agent"), 600) // an entry, not the list
+	if s := named(t, all, "a change of the list known to all, worst"); len(s.Points) != 3 {
+		t.Errorf("%+v", s.Points)
+	}
+	named(t, all, "discovery back, a change made meanwhile known to all, worst")
+}
+
+func TestAWholeListGrowsWithItsLengthAndArrivesWhereItIsFastEnough(t *testing.T) {
+	t.Parallel()
+	all, err := WholeList{Listed: []int{10, 40, 160}, Rate: 1e6, Patience: patience, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantLinear(t, named(t, all, "whole list, bytes"), 165, 0.1)
+	wantAll(t, named(t, all, "whole list at the rate, received (1 yes, 0 never)"), 1)
+}
+
+// A list that needs longer than a watch may be silent is given up each time: the agent never has it.
+func TestAWholeListThatTricklesInIsNeverReceived(t *testing.T) {
+	t.Parallel()
+	all, err := WholeList{Listed: []int{200}, Rate: 3000, Patience: 5 * time.Second, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantAll(t, named(t, all, "whole list at the rate, received (1 yes, 0 never)"), 0)
+}
+
+func TestHollowMembersMeetAndCostEachTheSame(t *testing.T) {
+	t.Parallel()
+	all, err := HollowMembers{Agents: []int{8, 24}, Rest: time.Second, Leaves: 2, Seed: 1, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantUnder(t, named(t, all, "membership at rest, datagrams an agent-second"), 41) // the rate of the settings, and the one that begins
+	if s := named(t, all, "a member's leave known to all, worst"); len(s.Points) != 2 {
+		t.Errorf("%+v", s.Points)
+	}
+}
+
+func TestHollowDutiesPassFromHolderToHolderBeforeAll(t *testing.T) {
+	t.Parallel()
+	all, err := HollowDuties{Agents: []int{4, 12}, Rest: time.Second, Releases: 2, Dir: t.TempDir(), Seed: 1, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range named(t, all, "duties at rest, bytes from voters an agent-second").Points {
+		if p.Y == 0 {
+			t.Error("no voter was asked")
+		}
+	}
+	if s := named(t, all, "a released duty's next holder known to all, worst"); len(s.Points) != 2 {
+		t.Errorf("%+v", s.Points)
+	}
+}
+
+func TestSimulatedMembersStayUnderTheirRateAndSeedsRepeat(t *testing.T) {
+	t.Parallel()
+	run := func(seed uint64) []*Series {
+		all, err := SimulatedMembers{Sizes: []int{16, 32}, Lossy: 10 * time.Second, Apart: 30 * time.Second, Seed: seed, Say: t.Logf}.Run(bounded(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return all
+	}
+	first, again := run(1), run(1)
+	for _, name := range []string{"all is well", "30 % lost"} {
+		wantAll(t, named(t, first, name+", false deaths"), 0)
+		wantUnder(t, named(t, first, name+", datagrams a member-second"), 40)
+	}
+	wantUnder(t, named(t, first, "two regions apart for 30s, datagrams a member-second"), 40)
+	for _, name := range []string{"30 % lost, bytes a member-second", "two regions apart for 30s, false deaths", "two regions apart for 30s, changes a member-minute"} {
+		a, b := named(t, first, name), named(t, again, name)
+		for i := range a.Points {
+			if a.Points[i] != b.Points[i] {
+				t.Errorf("%s: %v, then %v with the same seed", name, a.Points, b.Points)
+			}
+		}
+	}
+}
+
+func TestDecisionsServeEveryCallAtEachLength(t *testing.T) {
+	t.Parallel()
+	all, err := Decisions{Listed: []int{8, 100}, Calls: 200, Seed: 1, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := named(t, all, "decision module, processor time for a call"); len(s.Points) != 2 {
+		t.Errorf("%+v", s.Points)
+	}
+}
+
+const quickMembers = "period_ms = 250\npause_ms = 30000\nrate = 60\n"
+
+func TestAgentsAtRestCostTheSameWhateverTheListsLength(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "lemonrail")
+	build := exec.Command("go", "build", "-o", program, "lemonrail/cmd/lemonrail")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	if err := os.Mkdir(filepath.Join(dir, "fleets"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	all, err := ProcessRun{Program: program, Dir: filepath.Join(dir, "fleets"), Members: quickMembers, Agents: []int{2, 4}, Listed: []int{8, 100}, ListAgents: 2,
+		Rest: 2 * time.Second, Gap: 100 * time.Millisecond, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantFlat(t, named(t, all, "agent at rest, descriptors"), 0.3)
+	wantUnder(t, named(t, all, "agent at rest, descriptors"), 40)
+	wantUnder(t, named(t, all, "agent at rest, bytes from discovery a second"), 50) // heartbeats: nothing of the list
+	wantUnder(t, named(t, all, "agent at rest, datagrams to peers a second"), 60)
+	wantUnder(t, named(t, all, "agent at rest, resident memory"), 64)
+}
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,82 @@
+package scale
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+
+	"lemonrail/internal/chart"
+)
+
+// Report is what a run measured, and on what.
+type Report struct {
+	Command string    `json:"command"`
+	Commit  string    `json:"commit"` // empty: not known
+	Seed    uint64    `json:"seed"`
+	Cores   int       `json:"cores"`
+	Go      string    `json:"go"`
+	Load    string    `json:"load_average"` // of the machine, when the run ended
+	Series  []*Series `json:"series"`
+}
+
+// NewReport is one without series.
+func NewReport(command, commit string, seed uint64) *Report {
+	return &Report{Command: command, Commit: commit, Seed: seed, Cores: runtime.NumCPU(), Go: runtime.Version(), Load: loadAverage()}
+}
+
+// Text writes it for people.
+func (r *Report) Text(w io.Writer) error {
+	fmt.Fprintf(w, "%s\nseed %d, %d cores, %s, load average %s", r.Command, r.Seed, r.Cores, r.Go, r.Load)
+	if r.Commit != "" {
+		fmt.Fprintf(w, ", commit %s", r.Commit)
+	}
+	fmt.Fprintln(w)
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	heading := ""
+	for _, s := range r.Series {
+		if h := fmt.Sprintf("\n%s, by %s; %s", s.Layer, s.Per, s.Fixed); h != heading {
+			heading = h
+			fmt.Fprintln(tab, h)
+		}
+		fmt.Fprintf(tab, "  %s\t%s\t%s\n", s.Name, s.points(), s.line())
+	}
+	return tab.Flush()
+}
+
+func (s *Series) points() string {
+	var all []string
+	for _, p := range s.Points {
+		all = append(all, fmt.Sprintf("%g: %s", p.X, quantity(p.Y, s.Unit)))
+	}
+	return strings.Join(all, ", ")
+}
+
+func (s *Series) line() string {
+	if s.Slope == nil {
+		return ""
+	}
+	return fmt.Sprintf("%s + %s each, %g to %g, residual %.0f %%", quantity(s.Slope.AtZero, s.Unit), quantity(s.Slope.PerUnit, s.Unit),
+		s.Slope.From, s.Slope.To, 100*s.Slope.Worst)
+}
+
+func quantity(v float64, unit string) string {
+	return strings.TrimSpace(fmt.Sprintf("%.4g %s", v, unit))
+}
+
+// Page writes it as one HTML page with a plot for each series.
+func (r *Report) Page(w io.Writer) error {
+	var text strings.Builder
+	if err := r.Text(&text); err != nil {
+		return err
+	}
+	var plots []template.HTML
+	for _, s := range r.Series {
+		if len(s.Points) > 1 {
+			plots = append(plots, plot(s))
+		}
+	}
+	return chart.Page(w, chart.Document{Title: "Cost by size", Plots: plots, Text: text.String()})
+}
--- /dev/null
+++ b/internal/scale/seriesset.go
@@ -0,0 +1,85 @@
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+var sprintf = fmt.Sprintf
+
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1000 }
+
+// seriesSet gathers the series of one experiment, in the order in which they first appear.
+type seriesSet struct {
+	layer  Layer
+	per    string
+	fixed  string
+	order  []*Series
+	byName map[string]*Series
+}
+
+func newSeriesSet(layer Layer, per, fixed string) *seriesSet {
+	return &seriesSet{layer: layer, per: per, fixed: fixed, byName: map[string]*Series{}}
+}
+
+// add appends a measurement to the series of a name.
+func (s *seriesSet) add(name, unit string, x, y float64) {
+	series := s.byName[name]
+	if series == nil {
+		series = &Series{Layer: s.layer, Name: name, Per: s.per, Fixed: s.fixed, Unit: unit}
+		s.byName[name] = series
+		s.order = append(s.order, series)
+	}
+	series.Add(x, y)
+}
+
+// spread appends the median, the 99th percentile and the worst of a duration.
+func (s *seriesSet) spread(name string, x float64, took spread) {
+	s.add(name+", p50", "ms", x, milliseconds(took.p50))
+	s.add(name+", p99", "ms", x, milliseconds(took.p99))
+	s.add(name+", worst", "ms", x, milliseconds(took.worst))
+}
+
+// fit gives each series its slope; those of one size have none.
+func (s *seriesSet) fit() ([]*Series, error) {
+	for _, series := range s.order {
+		slope, err := Fit(series.Points)
+		if errors.Is(err, errOneSize) {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", series.Name, err)
+		}
+		series.Slope = slope
+	}
+	return s.order, nil
+}
+
+// span measures what this process uses from a moment on.
+type span struct {
+	began    time.Time
+	cpu      time.Duration
+	cpuErr   error
+	traffic  *traffic
+	sent     int64
+	received int64
+}
+
+// spent is what a span came to.
+type spent struct {
+	took, cpu      time.Duration
+	sent, received int64 // by the server's side
+}
+
+func startSpan(t *traffic) *span {
+	s := &span{began: time.Now(), traffic: t, sent: t.sent.Load(), received: t.received.Load()}
+	s.cpu, s.cpuErr = processorTime()
+	return s
+}
+
+func (s *span) end() (spent, error) {
+	cpu, err := processorTime()
+	return spent{took: time.Since(s.began), cpu: cpu - s.cpu, sent: s.traffic.sent.Load() - s.sent, received: s.traffic.received.Load() - s.received},
+		errors.Join(err, s.cpuErr)
+}
--- /dev/null
+++ b/internal/scale/usage.go
@@ -0,0 +1,81 @@
+package scale
+
+import (
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// processorTime is what this process has used so far.
+func processorTime() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, err
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
+
+// heapBytes is the live heap and the stacks of this process.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // what the first one finalised
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// heapGrowthKB is by how much the live heap and the stacks have grown.
+func heapGrowthKB(before uint64) float64 { return (float64(heapBytes()) - float64(before)) / 1024 }
+
+// traffic counts bytes over connections, without the headers of TCP and IP.
+type traffic struct {
+	accepted, received, sent atomic.Int64
+}
+
+// countingListener counts what its connections carry.
+type countingListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.traffic.accepted.Add(1)
+	return countingConn{conn, l.traffic}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+// loadAverage is the machine's, as the kernel tells it; empty where it doesn't.
+func loadAverage() string {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	return strings.Join(strings.Fields(string(raw))[:3], " ")
+}
--- /dev/null
+++ b/internal/scale/wholelist.go
@@ -0,0 +1,93 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"lemonrail/balance"
+	"lemonrail/internal/roster"
+	"lemonrail/internal/wire"
+)
+
+// WholeList measures the bytes of a whole list, and whether and when a client has it at a bounded rate.
+type WholeList struct {
+	Listed   []int
+	Rate     float64       // bytes a second from discovery to the client
+	Patience time.Duration // after which a client counts as one that never gets it
+	Say      func(format string, args ...any)
+}
+
+// Run measures all lengths.
+func (o WholeList) Run(ctx context.Context) ([]*Series, error) {
+	set := newSeriesSet(Hollow, "listed backends", sprintf("one client, discovery at %g bytes a second", o.Rate))
+	for _, listed := range o.Listed {
+		o.Say("a whole list of %d backends", listed)
+		if err := o.length(ctx, set, listed); err != nil {
+			return nil, err
+		}
+	}
+	return set.fit()
+}
+
+func (o WholeList) length(ctx context.Context, set *seriesSet, listed int) (err error) {
+	server, err := newListServer(listed, o.Rate)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closing := server.close(); err == nil {
+			err = closing
+		}
+	}()
+	raw, err := json.Marshal(server.whole())
+	if err != nil {
+		return err
+	}
+	x := float64(listed)
+	set.add("whole list, bytes", "B", x, float64(len(raw)))
+	set.add("whole list at the rate, by reckoning", "s", x, float64(len(raw))/o.Rate)
+	took, got, calls, err := o.receive(ctx, server)
+	if err != nil {
+		return err
+	}
+	set.add("whole list at the rate, received (1 yes, 0 never)", "", x, map[bool]float64{true: 1}[got])
+	set.add("whole list at the rate, time until received or given up", "s", x, took.Seconds())
+	set.add("whole list at the rate, watches opened meanwhile", "", x, float64(calls))
+	return nil
+}
+
+// receive has one client watch until it has the list, or patience ends.
+func (o WholeList) receive(ctx context.Context, server *listServer) (took time.Duration, got bool, calls int64, err error) {
+	service, err := netip.ParseAddrPort(server.addr)
+	if err != nil {
+		return 0, false, 0, err
+	}
+	limited, cancel := context.WithTimeout(ctx, o.Patience)
+	defer cancel()
+	arrived := make(chan struct{}, 1)
+	told := func(balance.List, map[string]string) {
+		select {
+		case arrived <- struct{}{}:
+		default:
+		}
+	}
+	c := roster.New(limited, roster.Config{Service: service, Names: wire.Names{Zones: Sites, Kinds: []string{Kind}}}, told, slog.New(slog.DiscardHandler))
+	ended := make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(ended)
+		c.Run()
+	}()
+	select {
+	case <-arrived:
+		got = true
+	case <-limited.Done():
+	}
+	took = time.Since(began)
+	cancel()
+	<-ended
+	return took, got, server.traffic.accepted.Load(), ctx.Err()
+}
