Call trees in simulated time: landed balancers decide each hop

What retries, deadlines and waits come to over 17 layers can't be had from one agent's tests. Ruled out: goroutines for backends, since a run has to be the same for a seed.

--- /dev/null
+++ b/internal/scale/calltree/calltree_test.go
@@ -0,0 +1,266 @@
+package calltree
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+// small is a run that takes a fraction of a second: its shape is that of the full size.
+func small(seed uint64) Config {
+	c := DefaultConfig()
+	c.Seed, c.Services, c.Backends, c.Depth, c.Gateways, c.Rate = seed, 18, 60, 9, 3, 6000
+	c.FaultService = 6
+	c.Warm, c.Measure = time.Second, 2*time.Second
+	return c
+}
+
+// scenario is a fault with its share.
+type scenario struct {
+	fault Fault
+	share float64
+}
+
+func (s scenario) String() string { return fmt.Sprintf("%s-%g", s.fault, s.share) }
+
+func (s scenario) of(c Config) Config {
+	c.Fault, c.FailShare = s.fault, s.share
+	return c
+}
+
+var scenarios = []scenario{
+	{FaultNone, 0}, {FaultLeafAttempts, 0.05}, {FaultLeafAttempts, 0.4}, {FaultLeafCalls, 0.17},
+	{FaultSlow, 0}, {FaultRefused, 0}, {FaultSilent, 0},
+}
+
+func play(t *testing.T, c Config) Result {
+	t.Helper()
+	r, err := Run(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// replay is how a failing case is played again.
+func replay(t *testing.T) string {
+	return fmt.Sprintf("replay: go test ./internal/scale/calltree -run '^%s$' -count 1", t.Name())
+}
+
+func TestSameSeedGivesTheSameResult(t *testing.T) {
+	for _, s := range []scenario{{FaultNone, 0}, {FaultLeafAttempts, 0.17}, {FaultSlow, 0}} {
+		t.Run(s.String(), func(t *testing.T) {
+			encode := func(seed uint64) string {
+				text, err := json.Marshal(play(t, s.of(small(seed))))
+				if err != nil {
+					t.Fatal(err)
+				}
+				return string(text)
+			}
+			first := encode(7)
+			if again := encode(7); again != first {
+				t.Errorf("two runs of one seed differ; %s", replay(t))
+			}
+			if other := encode(8); other == first {
+				t.Errorf("another seed gives the same run; %s", replay(t))
+			}
+		})
+	}
+}
+
+// Each call ends once, each attempt has one outcome, and what may run once runs once.
+func TestCallsAreConserved(t *testing.T) {
+	for _, s := range scenarios {
+		for _, variant := range []string{"plain", "cancel", "mark"} {
+			t.Run(s.String()+"/"+variant, func(t *testing.T) {
+				c := s.of(small(11))
+				c.Cancel, c.DontRetryMark = variant == "cancel", variant == "mark"
+				r := play(t, c)
+				k := r.Checks
+				if k.Started != k.Ended || k.EndedTwice != 0 || k.Open != 0 || k.NoOutcome != 0 || k.UnsafeTwice != 0 {
+					t.Errorf("%+v; %s", k, replay(t))
+				}
+				if r.Roots.Calls == 0 || r.Roots.Calls != r.Roots.Served+r.Roots.Refused+r.Roots.Failed {
+					t.Errorf("roots %+v; %s", r.Roots, replay(t))
+				}
+				for _, l := range r.Layers {
+					if l.Calls != l.Ending.Calls || l.Executions > l.Attempts {
+						t.Errorf("layer %+v; %s", l, replay(t))
+					}
+				}
+			})
+		}
+	}
+}
+
+// A bucket holds 100 tokens, a retry costs five at the least, and a served attempt brings one back.
+func TestRetriesStayWithinTheBuckets(t *testing.T) {
+	for _, s := range scenarios {
+		t.Run(s.String(), func(t *testing.T) {
+			r := play(t, s.of(small(3)))
+			if most := 20*r.Balancers + r.Checks.Served/5; r.Checks.Retries > most {
+				t.Errorf("%d retries where buckets pay for %d; %s", r.Checks.Retries, most, replay(t))
+			}
+		})
+	}
+}
+
+func TestNothingFailsWithoutAFault(t *testing.T) {
+	r := play(t, small(5))
+	if r.Retries != 0 || r.Roots.Served != r.Roots.Calls || r.ClientTries != r.Roots.Calls {
+		t.Errorf("retries %d, roots %+v, tries %d; %s", r.Retries, r.Roots, r.ClientTries, replay(t))
+	}
+}
+
+func TestNoRetriesWhereTheyAreOff(t *testing.T) {
+	c := scenario{FaultLeafAttempts, 0.4}.of(small(5))
+	c.MaxAttempts, c.ClientRetry = 1, false
+	r := play(t, c)
+	if r.Retries != 0 || r.ClientTries != r.Roots.Calls {
+		t.Errorf("%d retries, %d tries of %d roots; %s", r.Retries, r.ClientTries, r.Roots.Calls, replay(t))
+	}
+	base := play(t, small(5))
+	if a := Compare(base, r); a.Leaves > 1 || a.All > 1 {
+		t.Errorf("more attempts than without failures: %+v; %s", a, replay(t))
+	}
+}
+
+// Scenarios of one seed play the same trees.
+func TestFaultsChangeNoTree(t *testing.T) {
+	base := play(t, small(9))
+	for _, s := range scenarios[1:] {
+		r := play(t, s.of(small(9)))
+		if r.Roots.Calls != base.Roots.Calls {
+			t.Errorf("%s: %d roots, %d without it; %s", s, r.Roots.Calls, base.Roots.Calls, replay(t))
+		}
+		for i := range r.Depths {
+			if r.Depths[i].DeepCalls != base.Depths[i].DeepCalls || r.Depths[i].Ending.Calls != base.Depths[i].Ending.Calls {
+				t.Errorf("%s: depth %d: %+v, without it %+v; %s", s, i+1, r.Depths[i], base.Depths[i], replay(t))
+			}
+		}
+	}
+}
+
+// Calls grow as the traffic does, and decisions for a call don't.
+func TestCallsAreLinearAndStepsFlat(t *testing.T) {
+	one := play(t, small(13))
+	c := small(13)
+	c.Rate, c.Backends, c.Services = 2*c.Rate, 2*c.Backends, 2*c.Services
+	two := play(t, c)
+	if ratio := float64(two.Attempts) / float64(one.Attempts); math.Abs(ratio-2) > 0.2 {
+		t.Errorf("twice the traffic makes %.2f times the attempts; %s", ratio, replay(t))
+	}
+	perCall := func(r Result) float64 {
+		n := 0
+		for _, d := range r.Depths {
+			n += d.Steps
+		}
+		return float64(n) / float64(r.Attempts)
+	}
+	if a, b := perCall(one), perCall(two); a != 2 || b != 2 {
+		t.Errorf("%.3f and %.3f decisions for an attempt that is served, not 2; %s", a, b, replay(t))
+	}
+}
+
+// With the mark only the agents next to a failing leaf retry.
+func TestTheMarkStopsRetriesAbove(t *testing.T) {
+	c := scenario{FaultLeafCalls, 0.17}.of(small(17))
+	c.ClientRetry, c.Branch = false, 0
+	plain := play(t, c)
+	c.DontRetryMark = true
+	marked := play(t, c)
+	inner := func(r Result) (n int) {
+		for _, l := range r.Layers {
+			n += l.Attempts - l.Leaf
+		}
+		return n
+	}
+	again := func(r Result) int { // attempts of calls with children, beyond one for each such call of a tree
+		n := inner(r)
+		for _, d := range r.Depths {
+			n -= d.Ending.Calls * (d.Depth - 1)
+		}
+		return n
+	}
+	if again(plain) <= 0 || again(marked) > 0 {
+		t.Errorf("repeated above leaves: %d, with the mark %d; %s", again(plain), again(marked), replay(t))
+	}
+}
+
+func TestTreesKeepToTheirBounds(t *testing.T) {
+	c := DefaultConfig()
+	c.Fault, c.FaultService = FaultSlow, 20
+	l, shape := plan(&c)
+	f := forest{c: &c, layout: l, shape: source(1, sourceShape), poison: source(1, sourcePoison)}
+	for range 5000 {
+		tr := f.draw()
+		touched := false
+		var walk func(n *node) int
+		walk = func(n *node) int {
+			count := 1
+			touched = touched || n.service == c.FaultService
+			if l.services[n.service].layer != n.layer || n.layer > tr.deepest && n.layer >= c.Depth {
+				t.Fatalf("service %d at layer %d", n.service, n.layer)
+			}
+			for i, child := range n.children {
+				if child.layer != n.layer+1 || child.unsafe && (i > 0 || !n.unsafe) {
+					t.Fatalf("child %+v of %+v", child, n)
+				}
+				count += walk(child)
+			}
+			return count
+		}
+		if n := walk(tr.root); n != tr.calls || n > mostCalls+c.Depth*c.Depth || touched != tr.touched {
+			t.Fatalf("%d calls, said to be %d; touched %v, said to be %v", n, tr.calls, touched, tr.touched)
+		}
+	}
+	backends := 0
+	for _, s := range l.services {
+		backends += s.backends
+	}
+	if backends != c.Backends || shape.LeastBackends < 1 || shape.DeepestShare <= 0 {
+		t.Errorf("%d backends; %+v", backends, shape)
+	}
+}
+
+func TestQueueKeepsTimeThenOrder(t *testing.T) {
+	r := source(1, 1)
+	var q queue
+	for i := range 2000 {
+		q.push(time.Duration(r.IntN(50)), event{token: int64(i)})
+		if i%3 == 2 {
+			q.pop()
+		}
+	}
+	var before time.Duration
+	last := int64(-1)
+	for len(q.entries) > 0 {
+		at, e := q.pop()
+		if at < before || at == before && e.token < last {
+			t.Fatalf("event %d at %d after event %d at %d", e.token, at, last, before)
+		}
+		before, last = at, e.token
+	}
+}
+
+func TestConfigErrorsNameTheField(t *testing.T) {
+	for field, spoil := range map[string]func(*Config){
+		"Depth":        func(c *Config) { c.Depth = 0 },
+		"Services":     func(c *Config) { c.Services = 3 },
+		"Backends":     func(c *Config) { c.Backends = 3 },
+		"Rate":         func(c *Config) { c.Rate = math.NaN() },
+		"Patience":     func(c *Config) { c.Patience = c.Deadline + 1 },
+		"FailShare":    func(c *Config) { c.FailShare = 1.1 },
+		"FaultService": func(c *Config) { c.Fault, c.FaultService = FaultSlow, c.Services },
+		"Fault":        func(c *Config) { c.Fault = "rain" },
+	} {
+		c := small(1)
+		spoil(&c)
+		if _, err := Run(c); err == nil || !strings.Contains(err.Error(), field+" ") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
--- a/internal/scale/calltree/config.go
+++ b/internal/scale/calltree/config.go
@@ -64,6 +64,7 @@
 	ClientRetry bool // the client tries once more by itself
 	MaxAttempts int  // of a balancer for one call; 1: no retries
 	Peers       bool // balancers of one service tell each other what they want
+	Reports     bool // answers carry what the backend holds
 	Cancel      bool // what nobody waits for any longer is cancelled, down the tree
 
 	Fault        Fault
@@ -84,7 +85,7 @@
 		Warm: 4 * time.Second, Measure: 6 * time.Second,
 		Work: 4 * ms, Cores: 2, Queue: 64, Network: 250 * time.Microsecond,
 		Aim: 400 * ms, Deadline: 1500 * ms, Patience: 900 * ms,
-		ClientRetry: true, MaxAttempts: 4, Peers: true,
+		ClientRetry: true, MaxAttempts: 4, Peers: true, Reports: true,
 		Fault: FaultNone, FaultService: 20,
 	}
 }
@@ -114,7 +115,7 @@
 		{"Patience", c.Patience > 0 && c.Patience <= c.Deadline},
 		{"MaxAttempts", c.MaxAttempts >= 1},
 		{"FailShare", c.FailShare >= 0 && c.FailShare <= 1},
-		{"FaultService", c.FaultService >= 0 && c.FaultService < c.Services},
+		{"FaultService", !c.faultsService() || c.FaultService >= 0 && c.FaultService < c.Services},
 		{"Fault", c.Fault == FaultNone || c.Fault == FaultLeafAttempts || c.Fault == FaultLeafCalls ||
 			c.Fault == FaultSlow || c.Fault == FaultRefused || c.Fault == FaultSilent},
 	} {
--- a/internal/scale/calltree/result.go
+++ b/internal/scale/calltree/result.go
@@ -71,6 +71,8 @@
 	DeepCalls    int // nodes there, by the trees drawn
 	Steps        int
 	LatencyMs    float64 // mean of the served
+
+	roots []*root // until the end of the run
 }
 
 // Second is the roots that arrived in one second.
@@ -86,13 +88,15 @@
 	Repeated    float64 // executions of a node of a tree after its first
 }
 
-// Checks are what has to be nought, but for the first two, which have to be equal.
+// Checks are over the whole run, warm-up included. Started and Ended have to be equal; Retries may be no more than a
+// fifth of Served and what full buckets pay for; the others have to be nought.
 type Checks struct {
-	Started, Ended int
-	EndedTwice     int
-	UnsafeTwice    int // executions of a call that may run once, after the first
-	Open           int // calls left when the run was over
-	NoOutcome      int // attempts without one
+	Started, Ended  int // calls
+	Retries, Served int // attempts
+	EndedTwice      int // calls
+	UnsafeTwice     int // executions of a call that may run once, after the first
+	Open            int // calls left when the run was over
+	NoOutcome       int // attempts without one
 }
 
 // Amplification is attempts for each root call over those of a baseline without failures.
