Call trees: answers that fail at each layer, and runs without any retry

Failing leaves give only their own layer successes to pay retries with; a fault whose successes multiply at every layer is what the bound of 1.2 to the 17th is about. Ruled out: counting the client's own try among the balancers' retries.

--- a/internal/scale/calltree/backend.go
+++ b/internal/scale/calltree/backend.go
@@ -101,7 +101,7 @@
 	n := c.node
 	deadline := c.deadline - answerMargin*s.c.Network
 	if len(n.children) == 0 {
-		s.answer(run, outcome{result: balance.OK})
+		s.answer(run, s.served())
 		return
 	}
 	if s.now >= deadline {
@@ -129,10 +129,18 @@
 		return
 	}
 	if run.pending == 0 {
-		s.answer(run, outcome{result: balance.OK})
+		s.answer(run, s.served())
 	}
 }
 
+// served is the outcome of an execution whose work and children are done: an error where answers fail.
+func (s *simulation) served() outcome {
+	if s.c.Fault == FaultAnswers && s.faulty() && s.faults.Float64() < s.c.FailShare {
+		return outcome{result: balance.Errored}
+	}
+	return outcome{result: balance.OK}
+}
+
 // answer sends an execution's outcome back.
 func (s *simulation) answer(run *execution, o outcome) { s.answerAfter(run, o, 0) }
 
--- a/internal/scale/calltree/bench_test.go
+++ b/internal/scale/calltree/bench_test.go
@@ -22,6 +22,7 @@
 }{
 	{"landed", func(*Config) {}},
 	{"off", func(c *Config) { c.MaxAttempts = 1 }},
+	{"none", func(c *Config) { c.MaxAttempts, c.ClientRetry = 1, false }},
 	{"no-client-retry", func(c *Config) { c.ClientRetry = false }},
 	{"mark", func(c *Config) { c.DontRetryMark = true }},
 	{"cancel", func(c *Config) { c.Cancel = true }},
@@ -33,6 +34,7 @@
 		{FaultNone, 0},
 		{FaultLeafAttempts, 0.01}, {FaultLeafAttempts, 0.05}, {FaultLeafAttempts, 0.17}, {FaultLeafAttempts, 0.4},
 		{FaultLeafCalls, 0.01}, {FaultLeafCalls, 0.05}, {FaultLeafCalls, 0.17}, {FaultLeafCalls, 0.4},
+		{FaultAnswers, 0.01}, {FaultAnswers, 0.05}, {FaultAnswers, 0.17},
 		{FaultSlow, 0}, {FaultRefused, 0}, {FaultSilent, 0},
 	} {
 		for _, v := range fullVariants {
--- a/internal/scale/calltree/config.go
+++ b/internal/scale/calltree/config.go
@@ -31,6 +31,7 @@
 	FaultNone         Fault = "none"
 	FaultLeafAttempts Fault = "leaf-attempts" // each attempt at a leaf fails by chance, at once: a retry may help
 	FaultLeafCalls    Fault = "leaf-calls"    // some leaves of trees fail whenever they are tried: no retry helps
+	FaultAnswers      Fault = "answers"       // at each layer, answers fail by chance when all below has been served
 	FaultSlow         Fault = "slow"          // one service answers after the deadline
 	FaultRefused      Fault = "refused"       // one service is dead, and connections to it are refused
 	FaultSilent       Fault = "silent"        // one service is dead, and says nothing until the deadline
@@ -68,7 +69,7 @@
 	Cancel      bool // what nobody waits for any longer is cancelled, down the tree
 
 	Fault        Fault
-	FailShare    float64 // of FaultLeafAttempts and FaultLeafCalls
+	FailShare    float64 // of FaultLeafAttempts, FaultLeafCalls and FaultAnswers
 	FaultService int     // of the other faults
 
 	// DontRetryMark tries a mechanism that isn't built: a failure of a call that its own agent has dealt with is marked
@@ -116,7 +117,7 @@
 		{"MaxAttempts", c.MaxAttempts >= 1},
 		{"FailShare", c.FailShare >= 0 && c.FailShare <= 1},
 		{"FaultService", !c.faultsService() || c.FaultService >= 0 && c.FaultService < c.Services},
-		{"Fault", c.Fault == FaultNone || c.Fault == FaultLeafAttempts || c.Fault == FaultLeafCalls ||
+		{"Fault", c.Fault == FaultNone || c.Fault == FaultAnswers || c.Fault == FaultLeafAttempts || c.Fault == FaultLeafCalls ||
 			c.Fault == FaultSlow || c.Fault == FaultRefused || c.Fault == FaultSilent},
 	} {
 		if !f.ok {
