lemonctl scale calls: call trees with failing leaves as a layer of their own

Need: what retries come to at depth belongs beside the other slopes, with the same output. Ruled out: a second model in this package; internal/scale/calltree has one. Change: scale.Calls runs calltree at several shares of failing leaf attempts against a run without failures.

--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -59,6 +59,7 @@
 		Hollow    scaleHollowCmd    `cmd:"" help:"Control clients of up to 2,500 agents in this process, over loopback sockets."`
 		Members   scaleMembersCmd   `cmd:"" help:"The membership's decisions alone, in simulated time: loss, regions apart."`
 		Decisions scaleDecisionsCmd `cmd:"" help:"The balancing decisions alone, with lists of several lengths."`
+		Calls     scaleCallsCmd     `cmd:"" help:"Calls as trees in simulated time, with failing leaves: what retries come to."`
 		All       scaleAllCmd       `cmd:"" help:"All of them."`
 	} `cmd:"" help:"Cost as a function of agents, backends and changes: slopes, as text, JSON or a page."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
--- a/cmd/lemonctl/scale.go
+++ b/cmd/lemonctl/scale.go
@@ -13,6 +13,7 @@
 
 	"lemonrail/internal/cluster"
 	"lemonrail/internal/scale"
+	"lemonrail/internal/scale/calltree"
 )
 
 // shippedMembers is deploy/members.toml's protocol with a folder of each agent's own.
@@ -206,6 +207,37 @@
 	return c.run(ctx, s, c.experiment)
 }
 
+type scaleCallsCmd struct {
+	scaleOutput
+	Depth   int           `default:"17" help:"Layers of services, and the depth of the deepest call."`
+	Shares  []float64     `default:"0.01,0.05,0.17,0.4" help:"Of attempts at leaves that fail."`
+	Measure time.Duration `default:"2s" help:"Simulated time that is counted."`
+	Small   bool          `help:"60 backends and 4,000 calls a second in place of 450 and 76,000."`
+}
+
+const deepestCall = 34 // layers: more have fewer than two services each
+
+func (c *scaleCallsCmd) experiment(ctx context.Context, say func(string, ...any)) ([]*scale.Series, error) {
+	if err := sizes("--depth", []int{c.Depth}, deepestCall); err != nil {
+		return nil, err
+	}
+	for _, share := range c.Shares {
+		if !(share > 0 && share <= 1) {
+			return nil, fmt.Errorf("--shares: %v is no share", share)
+		}
+	}
+	config := calltree.DefaultConfig()
+	config.Seed, config.Depth, config.Measure = c.Seed, c.Depth, c.Measure
+	if c.Small {
+		config.Services, config.Backends, config.Gateways, config.Rate, config.Warm = 2*c.Depth, 60, 3, 4000, time.Second
+	}
+	return scale.Calls{Config: config, Shares: c.Shares, Say: say}.Run(ctx)
+}
+
+func (c *scaleCallsCmd) Run(ctx context.Context, s streams) error {
+	return c.run(ctx, s, c.experiment)
+}
+
 type scaleAllCmd struct {
 	scaleOutput
 	Agent string `default:"bin/lemonrail" help:"The agent's program."`
@@ -218,16 +250,18 @@
 		Rate: 6000, Rest: 10 * time.Second, Changes: 20}
 	members := &scaleMembersCmd{Sizes: []int{100, 225, 450}, Lossy: 30 * time.Second, Apart: 3 * time.Minute}
 	decisions := &scaleDecisionsCmd{Listed: []int{8, 100, 225, 450, 2000, 10000}, Calls: 20000}
+	calls := &scaleCallsCmd{Depth: 17, Shares: []float64{0.01, 0.05, 0.17, 0.4}, Measure: 2 * time.Second}
 	if c.Small {
 		processes.Agents, processes.Listed, processes.ListAgents, processes.Rest = []int{2, 4}, []int{8, 100}, 2, 2*time.Second
 		hollow.Agents, hollow.Lengths, hollow.Rest, hollow.Changes = []int{10, 40}, []int{4, 8}, 2*time.Second, 5
 		members.Sizes, members.Lossy = []int{20, 40}, 10*time.Second
 		decisions.Listed, decisions.Calls = []int{8, 100}, 1000
+		calls.Depth, calls.Measure, calls.Small = 9, time.Second, true
 	}
-	hollow.Seed, members.Seed, decisions.Seed = c.Seed, c.Seed, c.Seed
+	hollow.Seed, members.Seed, decisions.Seed, calls.Seed = c.Seed, c.Seed, c.Seed, c.Seed
 	inHollow, err := hollow.experiments()
 	if err != nil {
 		return err
 	}
-	return c.run(ctx, s, append(append([]experiment{processes.experiment}, inHollow...), members.experiment, decisions.experiment)...)
+	return c.run(ctx, s, append(append([]experiment{processes.experiment}, inHollow...), members.experiment, decisions.experiment, calls.experiment)...)
 }
--- a/internal/scale/layers_test.go
+++ b/internal/scale/layers_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"lemonrail/internal/scale/calltree"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -195,3 +197,19 @@
 	wantUnder(t, named(t, all, "agent at rest, datagrams to peers a second"), 60)
 	wantUnder(t, named(t, all, "agent at rest, resident memory"), 64)
 }
+
+func TestCallsAsTreesKeepTheRulesAndRetryMoreWhereMoreFails(t *testing.T) {
+	t.Parallel()
+	c := calltree.DefaultConfig()
+	c.Services, c.Backends, c.Depth, c.Gateways, c.Rate, c.Warm, c.Measure = 18, 60, 9, 3, 4000, time.Second, time.Second
+	all, err := Calls{Config: c, Shares: []float64{0.05, 0.2}, Say: t.Logf}.Run(bounded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantAll(t, named(t, all, "calls for which rules were broken"), 0)
+	wantUnder(t, named(t, all, "retries for each attempt that isn't one"), 0.3) // the bucket's fifth, and what is in it at first
+	s := named(t, all, "attempts over those without failures, leaves")
+	if s.Points[0].Y != 1 || s.Points[1].Y <= 1 || s.Points[2].Y <= s.Points[1].Y {
+		t.Errorf("%+v", s.Points)
+	}
+}
