Scale: bytes of memberships while they meet; the first figures

Need: the peak of a start of all at once is in the membership's first seconds, not at rest. Ruled out: sampling each second; the mean until all know all and the rate bound say enough.

--- a/internal/scale/hollowmembers.go
+++ b/internal/scale/hollowmembers.go
@@ -73,7 +73,9 @@
 	if err := f.meet(ctx); err != nil {
 		return err
 	}
-	set.add("all members know all, from a start at once", "s", x, time.Since(began).Seconds())
+	meeting := time.Since(began).Seconds()
+	set.add("all members know all, from a start at once", "s", x, meeting)
+	set.add("membership until all know all, bytes an agent-second", "B/s", x, float64(f.bytes.Load())/x/meeting)
 	set.add("membership, memory an agent", "KB", x, heapGrowthKB(heapBefore)/x)
 
 	cpu, err := processorTime()
