Scale: who hears of a later holder of a duty has heard of the earlier one

Cause: a run waited for all agents to hear of one epoch; where its holder lost the lease meanwhile (a busy machine), nobody could hear of it any more, and the run never ended (trials: 450 and 2,000 agents). Change: a later epoch counts for the earlier ones; changes of the holder at rest are counted.

--- a/internal/scale/hollowduties.go
+++ b/internal/scale/hollowduties.go
@@ -44,6 +44,7 @@
 	holder  string
 	changed chan struct{}
 	arrived map[duty.Epoch]*arrivals
+	latest  map[int]duty.Epoch // by agent: what it heard last
 }
 
 // Run measures all sizes.
@@ -65,7 +66,7 @@
 		cancel()
 		running.Wait()
 	}()
-	f := &dutyFleet{agents: agents, changed: make(chan struct{}), arrived: map[duty.Epoch]*arrivals{}}
+	f := &dutyFleet{agents: agents, changed: make(chan struct{}), arrived: map[duty.Epoch]*arrivals{}, latest: map[int]duty.Epoch{}}
 	settings, listeners, err := f.listen()
 	if err != nil {
 		return err
@@ -109,6 +110,10 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	set.add("duties at rest, changes of the holder", "", x, float64(f.epoch-epoch))
+	epoch = f.epoch
+	f.mu.Unlock()
 	seconds := spent.took.Seconds()
 	set.add("duties at rest, bytes from voters an agent-second", "B/s", x, float64(spent.sent)/x/seconds)
 	set.add("duties at rest, bytes to voters an agent-second", "B/s", x, float64(spent.received)/x/seconds)
@@ -197,7 +202,7 @@
 	}
 }
 
-// arrivalsOf is who has heard of an epoch's holder.
+// arrivalsOf is who has heard of an epoch's holder, or of a later one: a busy holder may lose the duty meanwhile.
 func (f *dutyFleet) arrivalsOf(epoch duty.Epoch) *arrivals {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -205,10 +210,18 @@
 }
 
 func (f *dutyFleet) arrivalsLocked(epoch duty.Epoch) *arrivals {
-	if f.arrived[epoch] == nil {
-		f.arrived[epoch] = newArrivals(f.agents)
+	a := f.arrived[epoch]
+	if a != nil {
+		return a
+	}
+	a = newArrivals(f.agents)
+	f.arrived[epoch] = a
+	for agent, latest := range f.latest {
+		if latest >= epoch {
+			a.at(agent)
+		}
 	}
-	return f.arrived[epoch]
+	return a
 }
 
 func (f *dutyFleet) heard(agent int, d duty.Duty) {
@@ -217,7 +230,13 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.arrivalsLocked(d.Epoch).at(agent)
+	f.latest[agent] = max(f.latest[agent], d.Epoch)
+	f.arrivalsLocked(d.Epoch)
+	for epoch, a := range f.arrived {
+		if epoch <= d.Epoch {
+			a.at(agent)
+		}
+	}
 	if d.Epoch > f.epoch {
 		f.epoch, f.holder = d.Epoch, d.Holder
 		close(f.changed)
