Clients who leave an agent that is busy, or runs a quarter of the time

Term: of attempts that begin over 0.1 s after the close two at the most are no break. 400 clients leave within 0.6 s, in their requests' retries, over new, kept and pipelined connections, by close, reset and half-close, one processor.

--- a/internal/agent/gone_test.go
+++ b/internal/agent/gone_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -215,6 +216,105 @@
 	t.Logf("%d clients left", len(leavers))
 }
 
+// Clients leave at any moment of their requests' retries while their agent, on one processor, has as much to do as it can, or
+// runs for a quarter of the time: of some hundred, two attempts at the most may begin over 0.1 s after the close.
+func TestLeaversUnderLoad(t *testing.T) {
+	t.Run("busy", func(t *testing.T) { leaversUnderLoad(t, 60, false) })
+	t.Run("slow", func(t *testing.T) { leaversUnderLoad(t, 6, true) })
+}
+
+func leaversUnderLoad(t *testing.T, busy int, slow bool) {
+	const leavers, late, mayBreak = 400, 100 * time.Millisecond, 2
+	var got attempts
+	p := newAgentProcess(t, "n0")
+	p.configure(longAim.Replace(configJSON(deadAddr(t), "", backend(t, got.serve(nil)), backend(t, got.serve(nil)))))
+	p.start()
+	p.ready()
+	stop := make(chan struct{})
+	var load, leaving sync.WaitGroup
+	for n := range busy {
+		load.Go(func() {
+			client := newClient(t)
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, _, err := ask(client, p.url(), fmt.Sprintf("busy-%d-%d", n, i)); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	if slow {
+		load.Go(func() { p.slow(stop) })
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	closed := map[string]time.Time{}
+	for n := range leavers {
+		id, stay := fmt.Sprint("wait-", n), time.Duration(rng.Int64N(int64(600*time.Millisecond)))
+		c := openClient(t, p.address, id, n, true)
+		leaving.Go(func() {
+			time.Sleep(stay)
+			at := time.Now()
+			leave(c, n)
+			mu.Lock()
+			defer mu.Unlock()
+			closed[id] = at
+		})
+	}
+	leaving.Wait()
+	time.Sleep(time.Second) // in which a retry that was to come would
+	close(stop)
+	load.Wait()
+	p.active(0)
+	got.mu.Lock()
+	defer got.mu.Unlock()
+	breaks, retried, served := 0, 0, 0
+	for id, at := range got.at {
+		if strings.HasPrefix(id, "busy") {
+			served++
+		}
+		if !strings.HasPrefix(id, "wait") {
+			continue
+		}
+		if len(at) > 1 {
+			retried++
+		}
+		for _, t := range at {
+			if t.Sub(closed[id]) > late {
+				breaks++
+			}
+		}
+	}
+	if breaks > mayBreak {
+		t.Errorf("%d attempts began over %v after the close", breaks, late)
+	}
+	t.Logf("%d clients left, %d after a retry; %d attempts began over %v after the close; %d requests served beside", leavers, retried, breaks, late, served)
+}
+
+// slow lets the process run for a quarter of the time, until stop.
+func (p *agentProcess) slow(stop <-chan struct{}) {
+	const standing, running = 150 * time.Millisecond, 50 * time.Millisecond
+	for {
+		for _, step := range []struct {
+			s syscall.Signal
+			d time.Duration
+		}{{syscall.SIGSTOP, standing}, {syscall.SIGCONT, running}} {
+			p.signal(step.s)
+			time.Sleep(step.d)
+		}
+		select {
+		case <-stop:
+			return
+		default:
+		}
+	}
+}
+
 // lateListener is an address where connections don't come up before it is opened: the kernel's queue of them is full.
 type lateListener struct {
 	t       *testing.T
