A service that pushes lists slowly is heard: the call after one that hung has more time

A service that pushes lists and takes over a second to begin its answer was never heard: each call was given up after 1 s (roster.opening). Found by TestMassRestart's slow discovery, whose log shows nothing but "watch is silent" each second. Change: after a call that hung the next may take 3 s to begin, and the one after that 1 s again; with both a call that hangs as discovery comes back leaves time for the next one. Dials have the same time.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -119,6 +119,7 @@
 	wake  chan struct{}      // ends the wait for the next one
 
 	missing atomic.Bool // a watch fell silent, and no list has come since
+	hung    atomic.Bool // the last call did not begin in time, and the one before had not hung
 
 	spoken chan struct{} // closed once a list has been told, or the first call for one has failed
 	speak  sync.Once
@@ -149,7 +150,7 @@
 // dial opens a connection to the service, within the time for a call to begin. Guards against dials that go on for minutes
 // after their calls were given up, as net/http's do where nobody answers: each holds a descriptor.
 func (d *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: d.opening}
+	dialer := net.Dialer{Timeout: d.patience()}
 	return dialer.DialContext(ctx, network, address)
 }
 
@@ -260,7 +261,7 @@
 	heard = time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(d.opening, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(d.patience(), func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	begun := false
 	defer func() {
@@ -271,6 +272,7 @@
 		if begun && errors.Is(err, errSilent) {
 			d.missing.Store(true)
 		}
+		d.hung.Store(!begun && errors.Is(err, errSilent) && !d.hung.Load())
 	}()
 	d.mu.Lock()
 	from := d.source()
@@ -312,6 +314,15 @@
 	}
 }
 
+// patience is how long a call may take to begin: the one after a call that hung may take longer. Guards against a service
+// that is too slow for the shorter time, and would never be heard.
+func (d *Client) patience() time.Duration {
+	if d.hung.Load() {
+		return max(d.opening, d.silence)
+	}
+	return d.opening
+}
+
 // take passes on one list.
 func (d *Client) take(l List, from source, watched bool) error {
 	d.mu.Lock()
