--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -54,8 +54,8 @@
 		HandOn  dutiesHandOnCmd  `cmd:"" name:"hand-on" help:"Name who is to take a duty over; its holder gives it once that one is ready."`
 		Release dutiesReleaseCmd `cmd:"" help:"Have a duty's holder let it go."`
 	} `cmd:"" help:"Duties that one agent holds at a time."`
-	Config    configCmd    `cmd:"" help:"Settings that change while the fleet runs."`
-	Scale struct {
+	Config configCmd `cmd:"" help:"Settings that change while the fleet runs."`
+	Scale  struct {
 		Processes scaleProcessesCmd `cmd:"" help:"Real agents, up to 60, with lists of several lengths."`
 		Hollow    scaleHollowCmd    `cmd:"" help:"Control clients of up to 2,500 agents in this process, over loopback sockets."`
 		Members   scaleMembersCmd   `cmd:"" help:"The membership's decisions alone, in simulated time: loss, regions apart."`
