Scale: hollow agents with configuration watches; two waits of agents are shortened by it

Need: time until a change is in force everywhere, at 450 and more agents and four control processes, idle and under faults. lemonctl scale configuration runs the landed watch in one process against real control processes.

Seen with it at 450 agents (machine load 15 to 24): (1) with 30 % of connections lost a change was in force after 13.6 s at the worst, and control said so after 17.7 s; (2) an agent that had gone to the witness in the other region got a change of its own region after 101 s while regions were apart (40 agents). Causes: Selector waits of up to 6 s between tries (FailureWaitMost); returns from another region's machine after 30 to 150 s as from one of its own (planReturn); a failed report tried again after 1 s, and only with the next tick (startReport). Ruled out: the control processes (a change idle: 0.23 s at the worst). Change: waits up to 2 s; back from another region's machine within 2 to 6 s; a failed report again after 0.3 s, by a timer. TestSelectorReturnsWithoutAWave plays the return from another region too; TestSelectorGoesOnAndReturns holds both times.

--- a/cmd/lemonctl/main.go
+++ b/cmd/lemonctl/main.go
@@ -56,12 +56,13 @@
 	} `cmd:"" help:"Duties that one agent holds at a time."`
 	Config configCmd `cmd:"" help:"Settings that change while the fleet runs."`
 	Scale  struct {
-		Processes scaleProcessesCmd `cmd:"" help:"Real agents, up to 60, with lists of several lengths."`
-		Hollow    scaleHollowCmd    `cmd:"" help:"Control clients of up to 2,500 agents in this process, over loopback sockets."`
-		Members   scaleMembersCmd   `cmd:"" help:"The membership's decisions alone, in simulated time: loss, regions apart."`
-		Decisions scaleDecisionsCmd `cmd:"" help:"The balancing decisions alone, with lists of several lengths."`
-		Calls     scaleCallsCmd     `cmd:"" help:"Calls as trees in simulated time, with failing leaves: what retries come to."`
-		All       scaleAllCmd       `cmd:"" help:"All of them."`
+		Processes     scaleProcessesCmd     `cmd:"" help:"Real agents, up to 60, with lists of several lengths."`
+		Hollow        scaleHollowCmd        `cmd:"" help:"Control clients of up to 2,500 agents in this process, over loopback sockets."`
+		Configuration scaleConfigurationCmd `cmd:"" help:"Configuration watches of up to 2,500 agents in this process, and four control processes."`
+		Members       scaleMembersCmd       `cmd:"" help:"The membership's decisions alone, in simulated time: loss, regions apart."`
+		Decisions     scaleDecisionsCmd     `cmd:"" help:"The balancing decisions alone, with lists of several lengths."`
+		Calls         scaleCallsCmd         `cmd:"" help:"Calls as trees in simulated time, with failing leaves: what retries come to."`
+		All           scaleAllCmd           `cmd:"" help:"All of them."`
 	} `cmd:"" help:"Cost as a function of agents, backends and changes: slopes, as text, JSON or a page."`
 	Overhead  overheadCmd  `cmd:"" help:"Measure agent, bare proxy and no proxy side by side on this machine."`
 	BareProxy bareProxyCmd `cmd:"" hidden:"" help:"The proxy that overhead compares with."`
--- a/cmd/lemonctl/scale.go
+++ b/cmd/lemonctl/scale.go
@@ -172,6 +172,33 @@
 	return c.run(ctx, s, all...)
 }
 
+type scaleConfigurationCmd struct {
+	scaleOutput
+	Control string        `default:"bin/lemoncontrol" help:"The control process's program."`
+	Agents  []int         `default:"100,225,450,2000" help:"Fleets' sizes."`
+	Rest    time.Duration `default:"10s" help:"Time that is measured without changes."`
+	Changes int           `default:"20" help:"Changes, one after the other."`
+	Burst   int           `default:"50" help:"Changes, one each 100 ms; 0: none."`
+	Faults  bool          `default:"true" negatable:"" help:"Also a mass restart, lost connections, a lost machine, regions apart."`
+}
+
+func (c *scaleConfigurationCmd) experiment(ctx context.Context, say func(string, ...any)) (series []*scale.Series, err error) {
+	if err := sizes("--agents", c.Agents, mostHollow); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "lemonctl-scale-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
+	return scale.HollowConfiguration{Program: c.Control, Agents: c.Agents, Rest: c.Rest, Changes: c.Changes, Burst: c.Burst, Faults: c.Faults,
+		Dir: dir, Seed: c.Seed, Say: say}.Run(ctx)
+}
+
+func (c *scaleConfigurationCmd) Run(ctx context.Context, s streams) error {
+	return c.run(ctx, s, c.experiment)
+}
+
 type scaleMembersCmd struct {
 	scaleOutput
 	Sizes []int         `default:"100,225,450,2000" help:"Fleets' sizes, in members."`
--- a/internal/cluster/usage.go
+++ b/internal/cluster/usage.go
@@ -13,7 +13,7 @@
 	"lemonrail/internal/standin"
 )
 
-// Usage is what an agent's process has used, as the kernel counts it.
+// Usage is what a process has used, as the kernel counts it.
 type Usage struct {
 	CPU         time.Duration
 	ResidentKB  int64
@@ -29,6 +29,11 @@
 	}
 	pid := a.cmd.Process.Pid
 	a.mu.Unlock()
+	return ProcessUsage(pid)
+}
+
+// ProcessUsage reads what a process of this machine has used.
+func ProcessUsage(pid int) (u Usage, err error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return u, err
--- a/internal/configuration/rig/rig.go
+++ b/internal/configuration/rig/rig.go
@@ -169,6 +169,17 @@
 	return address, err
 }
 
+// WitnessOf are the other regions in whose groups the machine votes.
+func (m *Machine) WitnessOf() (regions []string) {
+	for _, other := range m.rig.machines {
+		_, votes := m.groups[configuration.RegionGroup(other.Region)]
+		if votes && other.Region != m.Region && !slices.Contains(regions, other.Region) {
+			regions = append(regions, other.Region)
+		}
+	}
+	return regions
+}
+
 // writeSettings writes the machine's file, in which all other machines stand behind links.
 func (m *Machine) writeSettings() error {
 	m.file = filepath.Join(m.Folder, controlFile)
--- a/internal/configuration/selector.go
+++ b/internal/configuration/selector.go
@@ -21,10 +21,14 @@
 const (
 	FirstWaitMost   = time.Second       // before the first attempt of a process
 	FailureWaitBase = time.Second       // longest wait after the first failure; doubles with each further one
-	FailureWaitMost = 6 * time.Second   // up to this
+	FailureWaitMost = 2 * time.Second   // up to this: a change has to be in force within 9 s, also where three in ten connections fail
 	HeldAfter       = 10 * time.Second  // a watch that has lasted this long ends a row of failures
 	ReturnAfter     = 30 * time.Second  // shortest time at another machine before a preferred one is tried again
 	ReturnSpread    = 120 * time.Second // agents return evenly spread over this time after it
+	// The same at a machine of another region: while regions are apart it doesn't get what the agent's own region writes,
+	// and that has to be in force within seconds.
+	AwayReturnAfter  = 2 * time.Second
+	AwayReturnSpread = 4 * time.Second
 )
 
 // Selector decides which control machine an agent watches and when: one of its own region, by a hash of the agent's
@@ -32,6 +36,7 @@
 // on to the next one, with waits of full jitter, and returns to a preferred one later, at a time of chance.
 type Selector struct {
 	random   func() float64
+	region   string    // the agent's
 	machines []Machine // in order of preference
 	current  int       // place of the machine that is watched or tried
 	failures int       // in a row
@@ -44,7 +49,7 @@
 
 // NewSelector returns the selector of an agent. random returns evenly spread numbers in [0, 1).
 func NewSelector(place Place, machines []Machine, random func() float64) *Selector {
-	return &Selector{random: random, machines: preferred(place, machines)}
+	return &Selector{random: random, region: place.Region, machines: preferred(place, machines)}
 }
 
 // preferred are the machines that hold an agent's scopes, in its order of preference.
@@ -143,5 +148,9 @@
 }
 
 func (s *Selector) planReturn(now time.Duration) {
-	s.returnAt = now + ReturnAfter + time.Duration(s.random()*float64(ReturnSpread))
+	after, spread := ReturnAfter, ReturnSpread
+	if s.machines[s.current].Region != s.region {
+		after, spread = AwayReturnAfter, AwayReturnSpread
+	}
+	s.returnAt = now + after + time.Duration(s.random()*float64(spread))
 }
--- a/internal/configuration/selector_test.go
+++ b/internal/configuration/selector_test.go
@@ -109,11 +109,11 @@
 	wantNext(2)
 	s.Connected(time.Hour)
 	begin := time.Hour
-	if _, due := s.Return(begin + ReturnAfter - 1); due {
+	if _, due := s.Return(begin + AwayReturnAfter - 1); due {
 		t.Fatal("return too early")
 	}
 	for _, candidate := range []int{0, 1, 0} { // each preferred one in turn
-		now := begin + ReturnAfter + ReturnSpread
+		now := begin + AwayReturnAfter + AwayReturnSpread
 		m, due := s.Return(now)
 		if !due || m.Name != order[candidate].Name {
 			t.Fatalf("return to %+v, want %s", m, order[candidate].Name)
@@ -128,6 +128,9 @@
 	if s.current != 1 {
 		t.Fatalf("it is at %d", s.current)
 	}
+	if _, due := s.Return(begin + ReturnAfter - 1); due {
+		t.Fatal("return within the region too early")
+	}
 	m, due := s.Return(begin + ReturnAfter + ReturnSpread)
 	if !due || m.Name != order[0].Name {
 		t.Fatalf("then return to %+v", m)
@@ -158,13 +161,33 @@
 	}
 }
 
-// After a machine's death its agents return spread over ReturnSpread: no second has many.
+// After a machine's death its agents return spread over ReturnSpread: no second has many. Those that had to go to another
+// region's machine are back before a change of their own region may take longer than it is allowed to.
 func TestSelectorReturnsWithoutAWave(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		failures      int // machines of the region that were tried in vain
+		after, spread time.Duration
+		most          int // in a second
+	}{
+		{"within the region", 1, ReturnAfter, ReturnSpread, 15},
+		{"from another region", 2, AwayReturnAfter, AwayReturnSpread, 150},
+	} {
+		t.Run(test.name, func(t *testing.T) { returnsWithoutAWave(t, test.failures, test.after, test.spread, test.most) })
+	}
+	if late := AwayReturnAfter + AwayReturnSpread; late > 7*time.Second {
+		t.Errorf("an agent may stay at another region's machine for %v", late)
+	}
+}
+
+func returnsWithoutAWave(t *testing.T, failures int, after, spread time.Duration, limit int) {
 	perSecond := map[time.Duration]int{}
 	first, last := time.Hour, time.Duration(0)
 	for i := range 450 {
 		s := NewSelector(agentAt("east", i), controlMachines, newRand(uint64(i)).Float64)
-		s.Failed(0)
+		for range failures {
+			s.Failed(0)
+		}
 		s.Connected(0)
 		now := time.Duration(0)
 		for due := false; !due; _, due = s.Return(now) {
@@ -178,7 +201,7 @@
 		most = max(most, n)
 	}
 	t.Logf("450 return between %v and %v, at most %d in a second", first, last, most)
-	if first < ReturnAfter || last > ReturnAfter+ReturnSpread+10*time.Millisecond || most > 15 {
+	if first < after || last > after+spread+10*time.Millisecond || most > limit {
 		t.Errorf("450 return between %v and %v, at most %d in a second", first, last, most)
 	}
 }
--- a/internal/configuration/watch/stream.go
+++ b/internal/configuration/watch/stream.go
@@ -97,8 +97,9 @@
 // dial connects. All on the connection has to be done within a time, until its deadline is set anew.
 func (w *Watcher) dial(ctx context.Context, machine configuration.Machine, within time.Duration) (net.Conn, error) {
 	until := time.Now().Add(within)
-	dialer := net.Dialer{Deadline: until}
-	conn, err := dialer.DialContext(ctx, "tcp", machine.Address)
+	dialing, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	conn, err := w.cfg.Dial(dialing, "tcp", machine.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", machine.Name, err)
 	}
--- a/internal/configuration/watch/watch.go
+++ b/internal/configuration/watch/watch.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -29,7 +30,9 @@
 	// Check refuses an effective document that the agent can't apply. It must not wait.
 	Check func(effective *configuration.Document) error
 	// Apply puts an effective document in force and returns once it is, or why it isn't.
-	Apply  func(ctx context.Context, effective *configuration.Document) error
+	Apply func(ctx context.Context, effective *configuration.Document) error
+	// Dial opens a connection to a machine; nil: a net.Dialer's.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	Folder string         // where the last good documents are kept; empty: nowhere
 	Rand   func() float64 // evenly spread in [0, 1); nil: math/rand's
 	Log    *slog.Logger
@@ -49,7 +52,7 @@
 }
 
 func defaultTimes() times {
-	return times{silence: 5 * time.Second, open: 2 * time.Second, report: 2 * time.Second, reportAgain: time.Second,
+	return times{silence: 5 * time.Second, open: 2 * time.Second, report: 2 * time.Second, reportAgain: 300 * time.Millisecond,
 		reportEvery: time.Minute, tick: time.Second, apply: 2 * time.Second, warnFirst: 15 * time.Second, warnMost: time.Hour}
 }
 
@@ -85,6 +88,7 @@
 	dirty     bool                 // what is in force has changed since the last report was begun
 	reported  chan error           // how the report that is on its way ended
 	reportAt  time.Time            // no report before it
+	reportDue <-chan time.Time     // at reportAt, after a report that failed; nil: none has
 	sentAt    time.Time            // when the last report was begun
 	opened    chan openResult      // of the preferred machine, beside the open watch
 	giveUp    context.CancelFunc   // ends such an attempt; nil: none is on its way
@@ -106,6 +110,9 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
 	}
+	if cfg.Dial == nil {
+		cfg.Dial = new(net.Dialer).DialContext
+	}
 	w := &Watcher{cfg: cfg, times: defaultTimes(), log: cfg.Log, began: time.Now(), reported: make(chan error, 1), opened: make(chan openResult, 1),
 		refused: map[refusedAt]string{}, follower: configuration.NewFollower(cfg.Place, cfg.Check),
 		selector: configuration.NewSelector(cfg.Place, cfg.Machines, cfg.Rand)}
@@ -224,6 +231,8 @@
 			}
 		case err := <-w.reported:
 			w.reportEnded(err)
+		case <-w.reportDue:
+			w.reportDue = nil
 		case r := <-w.opened:
 			w.returned(r)
 		case <-tick.C:
@@ -443,5 +452,6 @@
 	if err != nil {
 		w.log.Debug("configuration: report not taken", "err", err)
 		w.dirty, w.reportAt = true, time.Now().Add(w.times.reportAgain)
+		w.reportDue = time.After(w.times.reportAgain)
 	}
 }
