--- a/internal/scale/calltree/config.go
+++ b/internal/scale/calltree/config.go
@@ -66,6 +66,7 @@
 	MaxAttempts int  // of a balancer for one call; 1: no retries
 	Peers       bool // balancers of one service tell each other what they want
 	Reports     bool // answers carry what the backend holds
+	TellLeft    bool // balancers are told the time that a call has left; else the root's deadline, always
 	Cancel      bool // what nobody waits for any longer is cancelled, down the tree
 
 	Fault        Fault
@@ -86,7 +87,7 @@
 		Warm: 4 * time.Second, Measure: 6 * time.Second,
 		Work: 4 * ms, Cores: 2, Queue: 64, Network: 250 * time.Microsecond,
 		Aim: 400 * ms, Deadline: 1500 * ms, Patience: 900 * ms,
-		ClientRetry: true, MaxAttempts: 4, Peers: true, Reports: true,
+		ClientRetry: true, MaxAttempts: 4, Peers: true, Reports: true, TellLeft: true,
 		Fault: FaultNone, FaultService: 20,
 	}
 }
--- a/internal/scale/calltree/run.go
+++ b/internal/scale/calltree/run.go
@@ -269,8 +269,12 @@
 	if n.unsafe {
 		class = classUnsafe
 	}
+	left := s.c.Deadline
+	if s.c.TellLeft {
+		left = deadline - s.now
+	}
 	t.root.steps++
-	s.step(a, balance.Request{ID: c.id, Class: class, Left: deadline - s.now,
+	s.step(a, balance.Request{ID: c.id, Class: class, Left: left,
 		Repeat: parent == nil && t.root.tries > 1})
 	return c
 }
