Call trees: the full size under another seed

One seed says nothing of how far figures swing. Ruled out: a seed for each fault, which would play other trees.

--- a/internal/scale/calltree/bench_test.go
+++ b/internal/scale/calltree/bench_test.go
@@ -13,7 +13,10 @@
 	"lemonrail/balance"
 )
 
-var outDir = flag.String("out", "", "folder for the results of BenchmarkFullSize, as JSON")
+var (
+	outDir   = flag.String("out", "", "folder for the results of BenchmarkFullSize, as JSON")
+	fullSeed = flag.Uint64("seed", 1, "seed of BenchmarkFullSize")
+)
 
 // fullVariants are what the full size is played with.
 var fullVariants = []struct {
@@ -41,6 +44,7 @@
 		for _, v := range fullVariants {
 			b.Run(s.String()+"/"+v.name, func(b *testing.B) {
 				c := DefaultConfig()
+				c.Seed = *fullSeed
 				c.Fault, c.FailShare = s.fault, s.share
 				v.set(&c)
 				for b.Loop() {
