Call trees: each fault fails the roots that it is to fail

A planted fault that does nothing was seen by no test: answers that don't fail passed. Ruled out: golden figures, which every change of balance would break. Six faults switched off in turn are caught each; go test ./internal/scale/calltree passes in 9 s.

--- a/internal/scale/calltree/calltree_test.go
+++ b/internal/scale/calltree/calltree_test.go
@@ -131,6 +131,22 @@
 	}
 }
 
+// Without retries a fault fails the roots that it is to fail: what is touched for good is not served at all.
+func TestEachFaultFailsItsRoots(t *testing.T) {
+	for _, s := range scenarios[1:] {
+		c := s.of(small(9))
+		c.MaxAttempts, c.ClientRetry = 1, false
+		r := play(t, c)
+		if most := float64(r.Roots.Calls) * 0.97; float64(r.Roots.Served) > most {
+			t.Errorf("%s: %d of %d roots served; %s", s, r.Roots.Served, r.Roots.Calls, replay(t))
+		}
+		lasting := c.faultsService() || c.Fault == FaultLeafCalls
+		if lasting && (r.Roots.Served != r.Untouched.Served || r.Untouched.Calls == r.Roots.Calls) {
+			t.Errorf("%s: roots %+v, untouched %+v; %s", s, r.Roots, r.Untouched, replay(t))
+		}
+	}
+}
+
 // Scenarios of one seed play the same trees.
 func TestFaultsChangeNoTree(t *testing.T) {
 	base := play(t, small(9))
