--- a/internal/agent/descriptors_test.go
+++ b/internal/agent/descriptors_test.go
@@ -121,8 +121,9 @@
 
 func fillDescriptors(t *testing.T, limit int) {
 	var backends []string
+	var got attempts
 	for range 3 {
-		backends = append(backends, backend(t, always(hello)))
+		backends = append(backends, backend(t, got.serve(nil)))
 	}
 	first := newLateListener(t, discoveryOf(50, backends[:2]...))
 	second := backend(t, discoveryOf(60, backends...))
@@ -190,7 +191,7 @@
 	p.until("aware of its peer", sees(p, "n1"))
 	p.until("seen by its peer", sees(other, "n0"))
 
-	served, refused := usualClients(t, p, 8, 20)
+	served, refused := usualClients(t, p, &got, 8, 20)
 	look()
 	if served < 8*20/2 {
 		t.Errorf("%d requests are served, %d refused", served, refused)
@@ -206,21 +207,23 @@
 	t.Logf("limit %d: %d held at rest, %d at most; %d requests served, %d refused", limit, rest, peak, served, refused)
 }
 
-// usualClients ask n times each and come again where they find no room; each request has to end, and none may fail.
-func usualClients(t *testing.T, p *agentProcess, clients, n int) (served, refused int) {
+// usualClients ask n times each. Each request is served or refused; where its connection was shut, no backend got it.
+func usualClients(t *testing.T, p *agentProcess, got *attempts, clients, n int) (served, refused int) {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	for c := range clients {
 		all.Go(func() {
 			client := newClient(t)
 			for i := range n {
-				resp, _, err := ask(client, p.url(), fmt.Sprintf("usual-%d-%d", c, i))
+				id := fmt.Sprintf("usual-%d-%d-", c, i)
+				resp, _, err := ask(client, p.url(), id)
 				mu.Lock()
 				switch {
 				case err == nil && resp.StatusCode == http.StatusOK:
 					served++
-				case err == nil && resp.StatusCode == http.StatusServiceUnavailable,
-					errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET): // shut unread
+				case err == nil && resp.StatusCode == http.StatusServiceUnavailable:
+					refused++
+				case shut(err) && got.ids(id) == 0:
 					refused++
 				default:
 					t.Errorf("client %d, request %d: %v, %v", c, i, resp, err)
@@ -232,3 +235,8 @@
 	all.Wait()
 	return served, refused
 }
+
+// shut reports whether a connection ended before anything of an answer had come.
+func shut(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || err != nil && strings.Contains(err.Error(), "server closed idle connection")
+}
