--- a/internal/scale/simulated.go
+++ b/internal/scale/simulated.go
@@ -56,5 +56,5 @@
 	set.add(name+", changes a member-minute", "/min", x, r.Changes)
 	set.add(name+", datagrams a member-second", "/s", x, r.Datagrams)
 	set.add(name+", bytes a member-second", "B/s", x, r.Bytes)
-	set.add(name+", processor time of the decisions a member-second", "us", x, 1e6*r.RealSeconds/(r.MemberHours*3600))
+	set.add(name+", time of the decisions a member-second (of the clock)", "us", x, 1e6*r.RealSeconds/(r.MemberHours*3600))
 }
