--- a/internal/configuration/rig/faults_test.go
+++ b/internal/configuration/rig/faults_test.go
@@ -475,28 +475,45 @@
 	ctx, r := start(t)
 	all := newClient(t, r)
 	mustPut(ctx, t, all, attempts(regionA, 0, 2))
-	damaged := waitLeader(ctx, t, r, "region-a")
-	waitApplied(ctx, t, damaged, regionA, 1)
-	damaged.Kill()
+	forgets := waitLeader(ctx, t, r, "region-a")
+	waitApplied(ctx, t, forgets, regionA, 1)
+	forgets.Kill()
 	earlier := filepath.Join(t.TempDir(), "earlier")
-	if err := os.CopyFS(earlier, os.DirFS(damaged.DataFolder())); err != nil {
+	if err := os.CopyFS(earlier, os.DirFS(forgets.DataFolder())); err != nil {
 		t.Fatal(err)
 	}
-	restart(ctx, t, damaged)
+	restart(ctx, t, forgets)
+	waitApplied(ctx, t, forgets, regionA, 1)
+
+	// The second revision is kept by the machine that forgets it and by one other. The third voter never hears of it.
+	var others []*rig.Machine
+	for _, name := range []string{"a1", "a2", "b1"} {
+		if name != forgets.Name {
+			others = append(others, r.Machine(name))
+		}
+	}
+	keeps, absent := others[0], others[1]
+	absent.Kill()
 	second := attempts(regionA, 1, 3)
-	accepted := mustPut(ctx, t, all, second)
-	waitApplied(ctx, t, damaged, regionA, 2)
-	damaged.Kill()
-	if err := os.RemoveAll(damaged.DataFolder()); err != nil {
+	accepted := mustPut(ctx, t, newClient(t, r, forgets.Name, keeps.Name), second)
+	forgets.Kill()
+	rollBack(t, forgets, earlier)
+	restart(ctx, t, absent) // with the one that forgot it would be a majority without the second revision
+	restart(ctx, t, forgets)
+	wantShown(ctx, t, r, second, accepted)
+	waitApplied(ctx, t, forgets, regionA, 2)
+	wantServedWithout(ctx, t, r, forgets, second, accepted)
+}
+
+// rollBack puts an earlier copy in place of a machine's data.
+func rollBack(t *testing.T, m *rig.Machine, earlier string) {
+	t.Helper()
+	if err := os.RemoveAll(m.DataFolder()); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.CopyFS(damaged.DataFolder(), os.DirFS(earlier)); err != nil {
+	if err := os.CopyFS(m.DataFolder(), os.DirFS(earlier)); err != nil {
 		t.Fatal(err)
 	}
-	restart(ctx, t, damaged)
-	waitApplied(ctx, t, damaged, regionA, 2)
-	wantShown(ctx, t, r, second, accepted)
-	wantServedWithout(ctx, t, r, damaged, second, accepted)
 }
 
 // large is a change with a document of some KB.
