Seats of duties run on the replica's voter and transport

The driving of raft and the frames stood twice, in internal/duty/seat and in internal/replica.

Tests: all assertions stay. The simulation takes frames off detached connections; "without asking the others" answers a seat's questions in the others' place instead of reaching into it.

--- a/internal/duty/seat/clerk.go
+++ b/internal/duty/seat/clerk.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lemonrail/internal/duty"
+	"lemonrail/internal/replica/transport"
 )
 
 // Work is what a duty has its holder do. Its functions are called by the clerk's goroutine and must not wait.
@@ -49,7 +50,7 @@
 	inbox   chan func()
 	ended   chan struct{}
 	lines   sync.WaitGroup
-	dialers map[string]*dialer
+	dialers map[string]*transport.Dialer
 	names   []string
 	leader  string
 	holders map[string]*duty.Holder
@@ -79,12 +80,12 @@
 	if o.Rand == nil {
 		o.Rand = newRand()
 	}
-	c := &Clerk{o: o, begun: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}), dialers: map[string]*dialer{}, holders: map[string]*duty.Holder{},
+	c := &Clerk{o: o, begun: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}), dialers: map[string]*transport.Dialer{}, holders: map[string]*duty.Holder{},
 		states: map[string][]byte{}, stepped: map[string]time.Duration{}}
-	mine := hello{magic, o.Settings.Fleet, o.Name}
+	mine := protocol(o.Settings, o.Name)
 	for _, p := range o.Settings.seats {
 		c.names = append(c.names, p.name)
-		c.dialers[p.name] = &dialer{addr: p.addr.String(), mine: mine, heard: c.heard, bad: func(err error) { o.Log.Debug("duties", "err", err) }}
+		c.dialers[p.name] = &transport.Dialer{Address: p.addr.String(), Protocol: mine, Handle: c.heard, Invalid: func(err error) { o.Log.Debug("duties", "err", err) }}
 	}
 	for _, spec := range o.Settings.specs {
 		if o.Work[spec.Name] == nil || len(spec.Eligible) > 0 && !slices.Contains(spec.Eligible, o.Name) {
@@ -122,7 +123,7 @@
 		c.lines.Wait()
 	}()
 	for _, d := range c.dialers {
-		c.lines.Go(func() { d.run(inner, rand.Float64) })
+		c.lines.Go(func() { d.Run(inner, rand.Float64) })
 	}
 	tick := time.NewTicker(c.o.Settings.tick())
 	defer tick.Stop()
@@ -185,7 +186,7 @@
 			all = all[1:] // whoever leads may be the one that is cut off
 		}
 		for _, d := range all {
-			if d.send(frameLook, nil) {
+			if d.Send(frameLook, nil) {
 				break
 			}
 		}
@@ -204,7 +205,7 @@
 
 // preferred are the seats in the order in which they are to be asked: the one that leads, as far as is known, then the
 // others by chance.
-func (c *Clerk) preferred() (all []*dialer) {
+func (c *Clerk) preferred() (all []*transport.Dialer) {
 	if d := c.dialers[c.leader]; d != nil {
 		all = append(all, d)
 	}
@@ -219,7 +220,7 @@
 func (c *Clerk) send(cmds []duty.Command) {
 	for _, cmd := range cmds {
 		for _, d := range c.preferred() {
-			if d.sendJSON(frameAsk, asked{cmd}) {
+			if d.SendJSON(frameAsk, asked{cmd}) {
 				break
 			}
 		}
@@ -241,20 +242,20 @@
 	}
 }
 
-// heard takes a frame; it is called by the lines' goroutines.
-func (c *Clerk) heard(l *line, k frameKind, content []byte) {
+// heard takes a frame; it is called by the connections' goroutines.
+func (c *Clerk) heard(from *transport.Conn, k transport.Kind, content []byte) {
 	switch k {
 	case frameAnswer:
 		var a answered
 		if json.Unmarshal(content, &a) != nil {
-			l.close()
+			from.Close()
 			return
 		}
-		c.post(func() { c.answered(l.name, &a) })
+		c.post(func() { c.answered(from.Peer(), &a) })
 	case frameTable:
 		var t shown
 		if json.Unmarshal(content, &t) != nil {
-			l.close()
+			from.Close()
 			return
 		}
 		c.post(func() { c.shown(&t) })
--- a/internal/duty/seat/gaps_test.go
+++ b/internal/duty/seat/gaps_test.go
@@ -1,7 +1,6 @@
 package seat
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -125,7 +124,7 @@
 			if x.broken != "" {
 				t.Fatal(x.broken)
 			}
-			t.Log(fmt.Sprintf("lease %v, stops %v: %d epochs in an hour", lease, stops, len(x.holders)))
+			t.Logf("lease %v, stops %v: %d epochs in an hour", lease, stops, len(x.holders))
 		}
 	}
 }
--- a/internal/duty/seat/history_test.go
+++ b/internal/duty/seat/history_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	crand "crypto/rand"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -18,6 +19,8 @@
 
 	"lemonrail/internal/duty"
 	"lemonrail/internal/duty/store"
+	"lemonrail/internal/replica/transport"
+	"lemonrail/internal/replica/voter"
 )
 
 // The landed seats, clerks and store in simulated time: five processes, of which three have seats, on clocks that run at
@@ -51,7 +54,6 @@
 	holders map[duty.Epoch]string
 	acked   uint64 // the most acts that were said to be kept
 	broken  string
-	lied    bool // a disk has said yes and kept nothing, at the seat that did
 	liar    int
 	began   int
 }
@@ -73,10 +75,10 @@
 // wire is a pair of lines between two processes: what is queued at one comes out at the other.
 type wire struct {
 	from, to int
-	a, b     *line // at from, at to
+	a, b     *transport.Conn // at from, at to
 	lives    [2]int
-	heardA   func(*line, frameKind, []byte)
-	heardB   func(*line, frameKind, []byte)
+	heardA   func(*transport.Conn, transport.Kind, []byte)
+	heardB   func(*transport.Conn, transport.Kind, []byte)
 	late     []lateFrame
 }
 
@@ -145,10 +147,10 @@
 }
 
 // join has a dialer's line lead to a seat, once both are up.
-func (x *sim) join(p *proc, _ netip.AddrPort, to int, d *dialer, heard func(*line, frameKind, []byte)) {
-	w := &wire{from: p.i, to: to, a: &line{out: make(chan []byte, queueMost), done: make(chan struct{}), name: fmt.Sprint("p", to)}, heardA: heard}
+func (x *sim) join(p *proc, _ netip.AddrPort, to int, d *transport.Dialer, heard func(*transport.Conn, transport.Kind, []byte)) {
+	w := &wire{from: p.i, to: to, a: transport.Detached(fmt.Sprint("p", to)), heardA: heard}
 	w.lives = [2]int{p.life, -1}
-	d.now = w.a
+	d.Attach(w.a)
 	x.wires = append(x.wires, w)
 }
 
@@ -202,14 +204,14 @@
 		}
 		if w.b == nil || w.lives[1] != to.life {
 			w.lives[1] = to.life
-			w.b = &line{out: make(chan []byte, queueMost), done: make(chan struct{}), name: from.name}
+			w.b = transport.Detached(from.name)
 			w.heardB, w.late = to.seat.heard, nil
 		}
-		for n := len(w.a.out); n > 0; n-- {
-			w.late = append(w.late, lateFrame{x.now + time.Duration(1+x.rng.IntN(8))*time.Millisecond, true, <-w.a.out})
+		for raw, ok := w.a.Next(); ok; raw, ok = w.a.Next() {
+			w.late = append(w.late, lateFrame{x.now + time.Duration(1+x.rng.IntN(8))*time.Millisecond, true, raw})
 		}
-		for n := len(w.b.out); n > 0; n-- {
-			w.late = append(w.late, lateFrame{x.now + time.Duration(1+x.rng.IntN(8))*time.Millisecond, false, <-w.b.out})
+		for raw, ok := w.b.Next(); ok; raw, ok = w.b.Next() {
+			w.late = append(w.late, lateFrame{x.now + time.Duration(1+x.rng.IntN(8))*time.Millisecond, false, raw})
 		}
 		rest := w.late[:0]
 		stuck := map[bool]bool{}
@@ -253,16 +255,11 @@
 		}
 		before := len(p.clerk.history)
 		if p.seat != nil {
-			if x.lacks.seating && p.seat.seating != nil && p.seat.rn == nil { // it trusts its disk
-				p.seat.seating.Heard(duty.CheckIn{})
-				if !p.seat.st.Empty() {
-					if err := p.seat.start(); err != nil {
-						p.seat.distrust(err)
-					}
-				}
+			if x.lacks.seating && !p.seat.voter.Votes() && p.seat.voter.Store() != nil && !p.seat.voter.Store().Empty() { // it trusts its disk
+				p.trustDisk()
 			}
 			drain(p.seat.inbox)
-			p.seat.guarded(func() { p.seat.turn(x.now%(2*simStep) == 0) })
+			p.seat.turn(x.now%(2*simStep) == 0)
 		}
 		drain(p.clerk.inbox)
 		p.clerk.turn()
@@ -289,6 +286,21 @@
 	x.acts = kept
 }
 
+// trustDisk answers a seat's questions in the others' place: nothing was promised.
+func (p *proc) trustDisk() {
+	for i := range simSeats {
+		reply, err := json.Marshal(duty.CheckIn{Seat: fmt.Sprint("p", i), ID: uint64(i + 1)})
+		if err != nil {
+			p.s.t.Fatal(err)
+		}
+		m, err := voter.Decode(voter.KindCheckInReply, reply)
+		if err != nil {
+			p.s.t.Fatal(err)
+		}
+		p.seat.voter.Receive(fmt.Sprint("p", i), m)
+	}
+}
+
 // see looks for two that may act, and for what was said to be kept.
 func (x *sim) see() {
 	may := ""
--- a/internal/duty/seat/settings_test.go
+++ b/internal/duty/seat/settings_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"strings"
 	"testing"
+
+	"lemonrail/internal/replica/transport"
 )
 
 func TestShippedFileAndNonsense(t *testing.T) {
@@ -39,7 +41,7 @@
 
 // Frames of another version, cut at each byte, of a length that was only announced, or spoilt: an error, never a frame.
 func TestFrames(t *testing.T) {
-	whole := appendFrame(nil, frameAsk, []byte("content"))
+	whole := transport.AppendFrame(nil, frameAsk, []byte("content"))
 	for cut := range whole {
 		if _, _, err := readFrame(reader(whole[:cut])); err == nil {
 			t.Fatalf("cut at %d it was read", cut)
@@ -58,8 +60,8 @@
 }
 
 func FuzzFrame(f *testing.F) {
-	f.Add(appendFrame(nil, frameLook, nil))
-	f.Add(appendFrame(nil, frameRaft, []byte{8, 1, 16, 2}))
+	f.Add(transport.AppendFrame(nil, frameLook, nil))
+	f.Add(transport.AppendFrame(nil, frameRaft, []byte{8, 1, 16, 2}))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		k, content, err := readFrame(reader(raw))
 		if err == nil && (k >= frameKinds || len(content) > len(raw)) {
@@ -68,4 +70,10 @@
 	})
 }
 
+// readFrame reads a frame of the seats' protocol.
+func readFrame(r *bufio.Reader) (transport.Kind, []byte, error) {
+	mine := protocol(&Settings{}, "reader")
+	return mine.ReadFrame(r)
+}
+
 func reader(raw []byte) *bufio.Reader { return bufio.NewReader(bytes.NewReader(raw)) }
--- a/internal/replica/transport/conn.go
+++ b/internal/replica/transport/conn.go
@@ -32,6 +32,17 @@
 	Admit   func(name string) bool // whether the other end may be of that name; nil: any
 }
 
+// ReadFrame reads a frame of the protocol.
+func (p *Protocol) ReadFrame(r *bufio.Reader) (kind Kind, content []byte, err error) {
+	if kind, content, err = ReadFrame(r); err != nil {
+		return 0, nil, err
+	}
+	if ping := kind == KindPing && p.Ping > 0; kind >= p.Kinds && !ping {
+		return 0, nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
+	}
+	return kind, content, nil
+}
+
 // hello begins a connection. The keys are part of the protocol.
 type hello struct {
 	Magic string
@@ -124,15 +135,11 @@
 	defer c.Close()
 	for {
 		c.socket.SetReadDeadline(time.Now().Add(protocol.Silence))
-		kind, content, err := ReadFrame(reader)
+		kind, content, err := protocol.ReadFrame(reader)
 		if err != nil {
 			return err
 		}
-		switch {
-		case kind == KindPing && protocol.Ping > 0:
-		case kind >= protocol.Kinds:
-			return fmt.Errorf("%w: kind %d", ErrFrame, kind)
-		default:
+		if kind != KindPing {
 			handle(c, kind, content)
 		}
 	}
