--- a/internal/configuration/follower_test.go
+++ b/internal/configuration/follower_test.go
@@ -491,3 +491,12 @@
 	later := strings.Replace(string(kept[strings.Index(string(kept), "\n")+1:]), `"format":1`, `"format":2`, 1)
 	refuse("a later format", testPlace, append([]byte(keptHead([]byte(later))), later...))
 }
+
+func TestRefusalsAreCutBetweenCharacters(t *testing.T) {
+	f := NewFollower(testPlace, func(*Document) error { return errors.New("x" + strings.Repeat("é", RefusalMost)) })
+	take(t, f, whole(Fleet, 1, `{"format":1}`), ResultTaken)
+	why := f.Report().Refused[0].Why
+	if want := "x" + strings.Repeat("é", (RefusalMost-1)/2); why != want {
+		t.Errorf("why has %d bytes: %q", len(why), why)
+	}
+}
--- a/internal/configuration/registry_scope.go
+++ b/internal/configuration/registry_scope.go
@@ -114,13 +114,11 @@
 	return append(parts, text[begin:])
 }
 
-// jsonWidth is the length of a character in a JSON string.
+// jsonWidth is the length of a character of a canonical text in a JSON string. What JSON escapes at length is ASCII
+// there by then.
 func jsonWidth(r rune) int {
-	switch {
-	case r == '"' || r == '\\':
+	if r == '"' || r == '\\' {
 		return 2
-	case r < ' ' || r == '<' || r == '>' || r == '&' || r == '\u2028' || r == '\u2029':
-		return 6
 	}
 	return utf8.RuneLen(r)
 }
