Control process: the log names a replica's group once

Cause: the replica adds its group to the log that it is given, which had it already. Change: it is given the machine's log.

--- a/internal/configuration/server/server.go
+++ b/internal/configuration/server/server.go
@@ -122,7 +122,7 @@
 			Listener: listener,
 			Tick:     s.settings.tick(),
 			Machine:  g,
-			Log:      g.log,
+			Log:      s.log, // the replica adds the group
 		})
 		if err != nil {
 			listener.Close()
