Agent: one that stops as planned tells control, unless it is replaced

Cause: control waits for an agent that has stopped until it forgets it, so that no revision would be in force everywhere. The last report has Leaving, at the drain of a planned stop, within 0.4 s; a process with a successor says nothing, since to control both are one agent.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -154,7 +154,7 @@
 	}
 	list, word := listPart(ctx, cfg, l, hup, log)
 	door.word, door.wait = word, cfg.firstWord
-	configured, err := configurationPart(cfg, l, server, log)
+	configured, err := configurationPart(cfg, l, server, home, log)
 	if err != nil {
 		return parts{dia}, err
 	}
--- a/internal/agent/configuration.go
+++ b/internal/agent/configuration.go
@@ -196,7 +196,7 @@
 }
 
 // configurationPart follows the control machines. It does nothing where settings are those of the start.
-func configurationPart(cfg *Config, l *core.Loop, server *front.Server, log *slog.Logger) (*part, error) {
+func configurationPart(cfg *Config, l *core.Loop, server *front.Server, home *household, log *slog.Logger) (*part, error) {
 	if cfg.configuration == nil {
 		return &part{name: "configuration"}, nil
 	}
@@ -211,6 +211,11 @@
 			w.Restore(t.ctx) // within the loop's next step: what was kept holds for the first client
 			t.Go(w.Run)
 		},
+		drain: func() {
+			if !home.heir() { // a successor is the same agent to control
+				w.Leave()
+			}
+		},
 		routes: []control.Route{control.Text("GET /api/config", "application/json",
 			func(context.Context) ([]byte, error) { return c.describe(set.place, w.Status()) })},
 		figures: configurationGauges(w)}, nil
--- a/internal/agent/configuration_test.go
+++ b/internal/agent/configuration_test.go
@@ -317,6 +317,7 @@
 	if v := s.Verdict(); !v.Held() || v.Requests < 20 {
 		t.Error(v.String())
 	}
+	machine.reported(t, func(r configuration.Report) bool { return r.Leaving })
 }
 
 // What an agent can't apply it refuses, says why to control and to staff, and serves on by what it had.
--- a/internal/configuration/watch/watch.go
+++ b/internal/configuration/watch/watch.go
@@ -43,6 +43,7 @@
 	reportAgain time.Duration // after one that failed
 	reportEvery time.Duration // a report is sent again though nothing has changed
 	tick        time.Duration // between two looks at what is due
+	leave       time.Duration // for the last report of an agent that stops
 	apply       time.Duration // for the agent to put a document in force
 	warnFirst   time.Duration // without a word from control until the log says so; doubles each time
 	warnMost    time.Duration
@@ -50,7 +51,7 @@
 
 func defaultTimes() times {
 	return times{silence: 5 * time.Second, open: 2 * time.Second, report: 2 * time.Second, reportAgain: time.Second,
-		reportEvery: time.Minute, tick: time.Second, apply: 2 * time.Second, warnFirst: 15 * time.Second, warnMost: time.Hour}
+		reportEvery: time.Minute, tick: time.Second, leave: 400 * time.Millisecond, apply: 2 * time.Second, warnFirst: 15 * time.Second, warnMost: time.Hour}
 }
 
 // Status is how a Watcher stands.
@@ -74,12 +75,15 @@
 	log      *slog.Logger
 	began    time.Time
 	restored bool
+	leaving  context.Context // ends with Leave
+	leave    context.CancelFunc
 
 	mu     sync.Mutex
 	status Status
 
 	// Of Run's goroutine alone.
 	stream    *stream              // that is open
+	last      *stream              // that was opened last
 	hint      string               // machine that another one named; empty: none
 	reporting bool                 // a report is on its way
 	dirty     bool                 // what is in force has changed since the last report was begun
@@ -106,7 +110,8 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
 	}
-	w := &Watcher{cfg: cfg, times: defaultTimes(), log: cfg.Log, began: time.Now(), reported: make(chan error, 1), opened: make(chan openResult, 1),
+	leaving, leave := context.WithCancel(context.Background())
+	w := &Watcher{leaving: leaving, leave: leave, cfg: cfg, times: defaultTimes(), log: cfg.Log, began: time.Now(), reported: make(chan error, 1), opened: make(chan openResult, 1),
 		refused: map[refusedAt]string{}, follower: configuration.NewFollower(cfg.Place, cfg.Check),
 		selector: configuration.NewSelector(cfg.Place, cfg.Machines, cfg.Rand)}
 	w.status.Report = w.follower.Report()
@@ -149,10 +154,40 @@
 	}
 }
 
-// Run follows the control machines until ctx ends.
+// Leave says that the agent stops as planned and isn't replaced: Run tells control so, which then doesn't wait for this
+// agent any more, and returns.
+func (w *Watcher) Leave() { w.leave() }
+
+// Run follows the control machines until ctx ends, or Leave.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.Restore(ctx)
-	defer w.finish()
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(w.leaving, stop)()
+	err := w.followMachines(running)
+	w.finish()
+	if ctx.Err() == nil && err == nil {
+		w.sayGoodbye(ctx)
+	}
+	return err
+}
+
+// sayGoodbye tells the machine that was watched last that the agent has nothing in force any more.
+func (w *Watcher) sayGoodbye(ctx context.Context) {
+	if w.last == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.times.leave)
+	defer cancel()
+	report := w.follower.Report()
+	report.Leaving = true
+	if err := w.post(ctx, w.last.machine, report); err != nil {
+		w.log.Info("configuration: control isn't told that the agent stops", "err", err)
+	}
+}
+
+// followMachines watches one machine after the other until ctx ends.
+func (w *Watcher) followMachines(ctx context.Context) error {
 	for ctx.Err() == nil {
 		machine, wait, ok := w.selector.Next()
 		if !ok {
@@ -237,7 +272,7 @@
 // use makes a stream the one that is followed.
 func (w *Watcher) use(s *stream) {
 	w.closeStream()
-	w.stream = s
+	w.stream, w.last = s, s
 	w.dirty, w.reportAt = true, time.Time{} // this machine doesn't know yet what is in force
 	w.selector.Connected(w.now())
 	w.log.Info("configuration: watch open", "machine", s.machine.Name)
--- a/internal/configuration/watch/watch_test.go
+++ b/internal/configuration/watch/watch_test.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -348,7 +349,11 @@
 				dead.Name, live.machine.Name = live.machine.Name, dead.Name // the dead one is tried first
 			}
 			cfg, _ := config(dead, live.machine)
-			start(t, cfg, func(tm *times) { tm.open = 100 * time.Millisecond })
+			start(t, cfg, func(tm *times) {
+				if tm.open = 100 * time.Millisecond; name == "noise" {
+					tm.open = 2 * scripted.Patience // its length is what ends it
+				}
+			})
 			await(t, live.asked)
 			live.say(t, update(t, configuration.Fleet, 1, attempts(2), false))
 			live.reported(t, at(configuration.Fleet, 1))
@@ -444,12 +449,50 @@
 		w.WriteHeader(http.StatusNoContent)
 	}
 	cfg, _ := config(c.machine)
-	start(t, cfg, nil)
+	start(t, cfg, func(tm *times) { tm.silence = 2 * scripted.Patience }) // no new watch brings one
 	for range 4 {
 		await(t, c.reports)
 	}
 }
 
+// An agent that stops as planned says so last, and ends; where control hangs it ends all the same.
+func TestGoodbye(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		c := newControl(t, "a1", "a")
+		free := make(chan struct{})
+		var hang atomic.Bool
+		c.answer = func(w http.ResponseWriter) {
+			if hang.Load() {
+				<-free
+			}
+			w.WriteHeader(http.StatusNoContent)
+		}
+		cfg, _ := config(c.machine)
+		w, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.times.leave = 50 * time.Millisecond
+		if !hangs {
+			w.times.leave = scripted.Patience
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(context.Background()) }()
+		c.say(t, update(t, configuration.Fleet, 1, attempts(2), false))
+		if r := c.reported(t, at(configuration.Fleet, 1)); r.Leaving {
+			t.Errorf("reported %+v", r)
+		}
+		hang.Store(hangs)
+		w.Leave()
+		w.Leave() // twice says no more
+		c.reported(t, func(r configuration.Report) bool { return r.Leaving })
+		if err := await(t, ended); err != nil {
+			t.Error(err)
+		}
+		close(free)
+	}
+}
+
 // restarted is what a new process with a folder puts in force before any control machine is asked; nil: nothing.
 func restarted(t *testing.T, folder string) (*configuration.Document, Status, string) {
 	t.Helper()
