--- a/internal/agent/configuration_test.go
+++ b/internal/agent/configuration_test.go
@@ -532,10 +532,11 @@
 func TestChangeOfABusyLoop(t *testing.T) {
 	bal := newScripted(func(balance.Event) []balance.Action { return nil })
 	cfg := testConfig(t, deadAddr(t))
+	cfg.Settings.RetryAfter = true
 	l := core.New(bal, &cfg.Settings, quiet)
 	c := &configured{cfg: cfg, loop: l, server: &front.Server{Settings: &cfg.Settings}, now: cfg.Settings}
-	attempts := 2
-	d := &configuration.Document{Format: 1, Limits: &configuration.LimitsDocument{Attempts: &attempts}}
+	attempts, advice := 2, 70.0
+	d := &configuration.Document{Format: 1, Limits: &configuration.LimitsDocument{Attempts: &attempts, MaxRetryAfterMs: &advice}}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if err := c.apply(ctx, d); err == nil || !strings.Contains(err.Error(), "busy") {
@@ -551,6 +552,9 @@
 	if e := next[balance.Reconfigure](t, bal); e.Settings.MaxAttempts != 3 {
 		t.Errorf("the module was told of %d attempts", e.Settings.MaxAttempts)
 	}
+	if got := c.server.ComeBack(); got != 70*time.Millisecond {
+		t.Errorf("clients that the front turns away are told %v", got)
+	}
 	stop()
 	await(t, ended)
 	if err := c.apply(context.Background(), d); !errors.Is(err, core.ErrEnded) {
--- a/internal/configuration/watch/watch.go
+++ b/internal/configuration/watch/watch.go
@@ -438,13 +438,14 @@
 	w.selector.Returned(w.now(), false)
 }
 
-// keepHint takes note of the machine that one which doesn't hold the agent's settings has named.
+// keepHint takes note of a machine that one which can't serve the agent has named: any of them, so that not all agents of
+// a full machine go to the same.
 func (w *Watcher) keepHint(err error) {
 	var answer *configuration.ErrorBody
 	if !errors.As(err, &answer) || answer.Kind != configuration.ErrorNotHere || len(answer.Machines) == 0 {
 		return
 	}
-	w.hint = answer.Machines[0]
+	w.hint = answer.Machines[int(w.cfg.Rand()*float64(len(answer.Machines)))]
 }
 
 // takeHint returns the machine that was named, if it is known. It is tried once.
