Control process: the agents' own side against real control machines

Need: the watch package and the control process met in no test.

Ruled out: status right after a machine's restart without a settling time (the rig's): an agent on its way is at no machine, and 3 of 3 counted as everywhere.

Change: agents that refuse, whose region is lost, and whose leader is killed between accepting and answering; a change at a leader without a majority, cut off one way.

--- a/internal/configuration/rig/faults_test.go
+++ b/internal/configuration/rig/faults_test.go
@@ -228,7 +228,8 @@
 
 func TestLeaderKilledBetweenAcceptingAndAnswering(t *testing.T) {
 	ctx, r := start(t)
-	leader := waitLeader(ctx, t, r, "region-a")
+	agents := startWatchers(ctx, t, r, 4)
+	leader := waitLeader(ctx, t, r, "fleet")
 	const operator = "operator"
 	through, err := r.Outside(operator, leader)
 	if err != nil {
@@ -247,7 +248,7 @@
 	t.Cleanup(c.Close)
 
 	r.Cut(leader.Name, operator) // the change arrives, the answer doesn't
-	change := attempts(regionA, 0, 2)
+	change := attempts(configuration.Fleet, 0, 2)
 	type result struct {
 		accepted configuration.Accepted
 		err      error
@@ -257,7 +258,7 @@
 		accepted, err := settledPut(ctx, c, change)
 		answered <- result{accepted, err}
 	}()
-	waitApplied(ctx, t, leader, regionA, 1)
+	waitApplied(ctx, t, leader, configuration.Fleet, 1)
 	leader.Kill()
 	r.Heal(leader.Name, operator)
 
@@ -265,13 +266,9 @@
 	if got.err != nil || got.accepted.Revision != 1 {
 		t.Fatalf("the change sent again got %+v, %v, want revision 1", got.accepted, got.err)
 	}
-	if err := leader.Start(); err != nil {
-		t.Fatal(err)
-	}
-	if err := leader.WaitUp(ctx); err != nil {
-		t.Fatal(err)
-	}
+	restart(ctx, t, leader)
 	wantShown(ctx, t, r, change, got.accepted)
+	wantInForce(ctx, t, r, agents, configuration.Fleet, got.accepted)
 }
 
 func TestMachinePausedBeyondElectionAnswersTrueOrNot(t *testing.T) {
--- /dev/null
+++ b/internal/configuration/rig/watcher_test.go
@@ -0,0 +1,172 @@
+package rig_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+
+	"lemonrail/internal/configuration"
+	"lemonrail/internal/configuration/rig"
+	"lemonrail/internal/configuration/watch"
+)
+
+// startWatcher runs the agents' own side of a watch against all machines; check may refuse documents.
+func startWatcher(t *testing.T, r *rig.Rig, place configuration.Place, check func(*configuration.Document) error) *watch.Watcher {
+	t.Helper()
+	w, err := watch.New(watch.Config{
+		Place: place,
+		Machines: []configuration.Machine{
+			{Name: "a1", Region: "a", Address: r.Machine("a1").Address, WitnessOf: []string{"b"}},
+			{Name: "a2", Region: "a", Address: r.Machine("a2").Address},
+			{Name: "b1", Region: "b", Address: r.Machine("b1").Address, WitnessOf: []string{"a"}},
+			{Name: "b2", Region: "b", Address: r.Machine("b2").Address},
+		},
+		Check: check,
+		Apply: func(context.Context, *configuration.Document) error { return nil },
+		Log:   slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { w.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return w
+}
+
+// startWatchers starts as many agents in both regions and returns once all watch a machine. The last one refuses more
+// than four attempts.
+func startWatchers(ctx context.Context, t *testing.T, r *rig.Rig, count int) []*watch.Watcher {
+	t.Helper()
+	takesAll := func(*configuration.Document) error { return nil }
+	takesFewAttempts := func(d *configuration.Document) error {
+		if d.Limits != nil && d.Limits.Attempts != nil && *d.Limits.Attempts > 4 {
+			return errors.New("too many attempts for this service")
+		}
+		return nil
+	}
+	var agents []*watch.Watcher
+	for i := range count {
+		check := takesAll
+		if i == count-1 {
+			check = takesFewAttempts
+		}
+		agents = append(agents, startWatcher(t, r, agentPlace(fmt.Sprintf("n%d", i), []string{"a", "b"}[i%2]), check))
+	}
+	waitConnected(ctx, t, agents, "a1", "a2", "b1", "b2")
+	return agents
+}
+
+// waitConnected returns once each agent watches one of the machines.
+func waitConnected(ctx context.Context, t *testing.T, agents []*watch.Watcher, machines ...string) {
+	t.Helper()
+	err := rig.Wait(ctx, func() bool {
+		for _, agent := range agents {
+			status := agent.Status()
+			if !status.Connected || !slices.Contains(machines, status.Machine) {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatalf("not all agents watch one of %v: %v", machines, err)
+	}
+}
+
+func TestAgentThatRefusesIsNamedAndKeepsWhatItHad(t *testing.T) {
+	ctx, r := start(t)
+	const count = 6
+	agents := startWatchers(ctx, t, r, count)
+	c := newClient(t, r)
+	mustPut(ctx, t, c, attempts(configuration.Fleet, 0, 2))
+	if status, err := c.Wait(ctx, configuration.Fleet, 1); err != nil || status.InForce != count {
+		t.Fatalf("got %+v, %v", status, err)
+	}
+	mustPut(ctx, t, c, attempts(configuration.Fleet, 1, 5))
+	var status configuration.Status
+	err := rig.Wait(ctx, func() (reached bool) {
+		var err error
+		status, err = c.Status(ctx, configuration.Fleet, 2)
+		return err == nil && status.InForce == count-1
+	})
+	if err != nil || status.Everywhere || len(status.Behind) != 1 || status.Behind[0].Agent != "n5" || status.Behind[0].Revision != 1 {
+		t.Fatalf("got %+v, %v", status, err)
+	}
+	if got := agents[count-1].Status().Report.InForce[configuration.Fleet].Revision; got != 1 {
+		t.Errorf("the agent that refused has revision %d in force", got)
+	}
+	mustPut(ctx, t, c, attempts(configuration.Fleet, 2, 3)) // back again is a new revision
+	if status, err := c.Wait(ctx, configuration.Fleet, 3); err != nil || status.InForce != count {
+		t.Errorf("got %+v, %v", status, err)
+	}
+}
+
+func TestAgentsOfALostRegionGoToTheWitnessAndComeUpToDate(t *testing.T) {
+	ctx, r := start(t)
+	agents := startWatchers(ctx, t, r, 4)
+	mustPut(ctx, t, newClient(t, r), attempts(regionA, 0, 2))
+	waitApplied(ctx, t, r.Machine("b1"), regionA, 1)
+	r.Machine("a1").Kill()
+	r.Machine("a2").Kill()
+	waitConnected(ctx, t, agents, "b1", "b2")
+	restart(ctx, t, r.Machine("a1")) // a majority again, with the witness
+	change := attempts(regionA, 1, 3)
+	mustPut(ctx, t, newClient(t, r, "a1", "b1"), change)
+	err := rig.Wait(ctx, func() bool {
+		return agents[0].Status().Report.InForce[regionA].Revision == 2 && agents[2].Status().Report.InForce[regionA].Revision == 2
+	})
+	if err != nil {
+		t.Errorf("the agents of region a don't get the change: %v", err)
+	}
+}
+
+func TestChangeAtALeaderWithoutMajorityIsNeverWritten(t *testing.T) {
+	ctx, r := start(t)
+	agents := startWatchers(ctx, t, r, 4)
+	leader := waitLeader(ctx, t, r, "fleet")
+	others := slices.DeleteFunc(slices.Clone(r.Machines()), func(m *rig.Machine) bool { return m == leader })
+	var names []string
+	for _, m := range others {
+		names = append(names, m.Name)
+		r.Cut(m.Name, leader.Name) // one way: the others go on hearing of it
+	}
+	_, err := newClient(t, r, leader.Name).Put(ctx, attempts(configuration.Fleet, 0, 2))
+	wantKind(t, err, configuration.ErrorNoQuorum)
+	leader.Kill()
+	r.HealAll()
+	kept := attempts(configuration.Fleet, 0, 3)
+	accepted := mustPut(ctx, t, newClient(t, r, names...), kept)
+	restart(ctx, t, leader)
+	wantShown(ctx, t, r, kept, accepted)
+	wantInForce(ctx, t, r, agents, configuration.Fleet, accepted)
+}
+
+// wantInForce checks that the agents come to have a revision in force, and that the machines say so.
+func wantInForce(ctx context.Context, t *testing.T, r *rig.Rig, agents []*watch.Watcher, scope configuration.Scope, accepted configuration.Accepted) {
+	t.Helper()
+	c := newClient(t, r)
+	var status configuration.Status
+	err := rig.Wait(ctx, func() bool {
+		var err error
+		status, err = c.Status(ctx, scope, accepted.Revision)
+		return err == nil && status.Everywhere && status.InForce == len(agents)
+	})
+	if err != nil {
+		t.Errorf("not in force at %d agents: %+v", len(agents), status)
+	}
+	for _, agent := range agents {
+		report := agent.Status().Report
+		if report.InForce[scope] != accepted.Position {
+			t.Errorf("agent %s has %+v in force, not %+v", report.Agent, report.InForce[scope], accepted.Position)
+		}
+	}
+}
