Control process: regions apart with a machine down; a race in the tests' agent

Need: the design's table says which scopes are written then, and nothing played it. The race detector found the tests' agent begin a watch without its lock.

Change: the case by real processes; the agent's lock.

--- a/internal/configuration/rig/agent_test.go
+++ b/internal/configuration/rig/agent_test.go
@@ -74,8 +74,7 @@
 }
 
 func (a *testAgent) run(ctx context.Context, address string) error {
-	a.follower.Connected()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, watchURL(address, a.place, a.follower.Have()), nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, watchURL(address, a.place, a.begin()), nil)
 	if err != nil {
 		return err
 	}
@@ -109,6 +108,14 @@
 	}
 }
 
+// begin tells the follower of a new watch, and returns what it has.
+func (a *testAgent) begin() map[configuration.Scope]configuration.Position {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.follower.Connected()
+	return a.follower.Have()
+}
+
 // take applies an update and reports what is in force after it.
 func (a *testAgent) take(ctx context.Context, address string, line []byte) error {
 	var update configuration.Update
--- a/internal/configuration/rig/faults_test.go
+++ b/internal/configuration/rig/faults_test.go
@@ -403,6 +403,31 @@
 	wantNeverWritten(ctx, t, r, configuration.Fleet)
 }
 
+func TestRegionsApartAndAMachineDown(t *testing.T) {
+	ctx, r := start(t)
+	r.CutRegions()
+	r.Machine("a2").Kill()
+	waitLeader(ctx, t, r, "region-b", "b1", "b2")
+	err := rig.Wait(ctx, func() bool { // a1 is alone in region a
+		status, err := r.Machine("a1").Group(ctx, "region-a")
+		return err == nil && status.Leader == ""
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = newClient(t, r, "a1").Put(ctx, attempts(regionA, 0, 2))
+	wantKind(t, err, configuration.ErrorNoQuorum)
+	changeB := attempts(regionB, 0, 3)
+	acceptedB := mustPut(ctx, t, newClient(t, r, "b1", "b2"), changeB)
+
+	r.HealAll()
+	changeA := attempts(regionA, 0, 4) // a1 and the witness are a majority
+	acceptedA := mustPut(ctx, t, newClient(t, r, "a1"), changeA)
+	restart(ctx, t, r.Machine("a2"))
+	wantShown(ctx, t, r, changeA, acceptedA)
+	wantShown(ctx, t, r, changeB, acceptedB)
+}
+
 func TestWitnessServesAgentsOfALostRegion(t *testing.T) {
 	ctx, r := start(t)
 	mustPut(ctx, t, newClient(t, r), attempts(regionA, 0, 2))
