--- a/internal/configuration/rig/faults_test.go
+++ b/internal/configuration/rig/faults_test.go
@@ -228,7 +228,8 @@
 
 func TestLeaderKilledBetweenAcceptingAndAnswering(t *testing.T) {
 	ctx, r := start(t)
-	leader := waitLeader(ctx, t, r, "region-a")
+	agents := startWatchers(ctx, t, r, 4)
+	leader := waitLeader(ctx, t, r, "fleet")
 	const operator = "operator"
 	through, err := r.Outside(operator, leader)
 	if err != nil {
@@ -247,7 +248,7 @@
 	t.Cleanup(c.Close)
 
 	r.Cut(leader.Name, operator) // the change arrives, the answer doesn't
-	change := attempts(regionA, 0, 2)
+	change := attempts(configuration.Fleet, 0, 2)
 	type result struct {
 		accepted configuration.Accepted
 		err      error
@@ -257,7 +258,7 @@
 		accepted, err := settledPut(ctx, c, change)
 		answered <- result{accepted, err}
 	}()
-	waitApplied(ctx, t, leader, regionA, 1)
+	waitApplied(ctx, t, leader, configuration.Fleet, 1)
 	leader.Kill()
 	r.Heal(leader.Name, operator)
 
@@ -265,13 +266,9 @@
 	if got.err != nil || got.accepted.Revision != 1 {
 		t.Fatalf("the change sent again got %+v, %v, want revision 1", got.accepted, got.err)
 	}
-	if err := leader.Start(); err != nil {
-		t.Fatal(err)
-	}
-	if err := leader.WaitUp(ctx); err != nil {
-		t.Fatal(err)
-	}
+	restart(ctx, t, leader)
 	wantShown(ctx, t, r, change, got.accepted)
+	wantInForce(ctx, t, r, agents, configuration.Fleet, got.accepted)
 }
 
 func TestMachinePausedBeyondElectionAnswersTrueOrNot(t *testing.T) {
@@ -406,6 +403,31 @@
 	wantNeverWritten(ctx, t, r, configuration.Fleet)
 }
 
+func TestRegionsApartAndAMachineDown(t *testing.T) {
+	ctx, r := start(t)
+	r.CutRegions()
+	r.Machine("a2").Kill()
+	waitLeader(ctx, t, r, "region-b", "b1", "b2")
+	err := rig.Wait(ctx, func() bool { // a1 is alone in region a
+		status, err := r.Machine("a1").Group(ctx, "region-a")
+		return err == nil && status.Leader == ""
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = newClient(t, r, "a1").Put(ctx, attempts(regionA, 0, 2))
+	wantKind(t, err, configuration.ErrorNoQuorum)
+	changeB := attempts(regionB, 0, 3)
+	acceptedB := mustPut(ctx, t, newClient(t, r, "b1", "b2"), changeB)
+
+	r.HealAll()
+	changeA := attempts(regionA, 0, 4) // a1 and the witness are a majority
+	acceptedA := mustPut(ctx, t, newClient(t, r, "a1"), changeA)
+	restart(ctx, t, r.Machine("a2"))
+	wantShown(ctx, t, r, changeA, acceptedA)
+	wantShown(ctx, t, r, changeB, acceptedB)
+}
+
 func TestWitnessServesAgentsOfALostRegion(t *testing.T) {
 	ctx, r := start(t)
 	mustPut(ctx, t, newClient(t, r), attempts(regionA, 0, 2))
@@ -475,28 +497,45 @@
 	ctx, r := start(t)
 	all := newClient(t, r)
 	mustPut(ctx, t, all, attempts(regionA, 0, 2))
-	damaged := waitLeader(ctx, t, r, "region-a")
-	waitApplied(ctx, t, damaged, regionA, 1)
-	damaged.Kill()
+	forgets := waitLeader(ctx, t, r, "region-a")
+	waitApplied(ctx, t, forgets, regionA, 1)
+	forgets.Kill()
 	earlier := filepath.Join(t.TempDir(), "earlier")
-	if err := os.CopyFS(earlier, os.DirFS(damaged.DataFolder())); err != nil {
+	if err := os.CopyFS(earlier, os.DirFS(forgets.DataFolder())); err != nil {
 		t.Fatal(err)
 	}
-	restart(ctx, t, damaged)
+	restart(ctx, t, forgets)
+	waitApplied(ctx, t, forgets, regionA, 1)
+
+	// The second revision is kept by the machine that forgets it and by one other. The third voter never hears of it.
+	var others []*rig.Machine
+	for _, name := range []string{"a1", "a2", "b1"} {
+		if name != forgets.Name {
+			others = append(others, r.Machine(name))
+		}
+	}
+	keeps, absent := others[0], others[1]
+	absent.Kill()
 	second := attempts(regionA, 1, 3)
-	accepted := mustPut(ctx, t, all, second)
-	waitApplied(ctx, t, damaged, regionA, 2)
-	damaged.Kill()
-	if err := os.RemoveAll(damaged.DataFolder()); err != nil {
+	accepted := mustPut(ctx, t, newClient(t, r, forgets.Name, keeps.Name), second)
+	forgets.Kill()
+	rollBack(t, forgets, earlier)
+	restart(ctx, t, absent) // with the one that forgot it would be a majority without the second revision
+	restart(ctx, t, forgets)
+	wantShown(ctx, t, r, second, accepted)
+	waitApplied(ctx, t, forgets, regionA, 2)
+	wantServedWithout(ctx, t, r, forgets, second, accepted)
+}
+
+// rollBack puts an earlier copy in place of a machine's data.
+func rollBack(t *testing.T, m *rig.Machine, earlier string) {
+	t.Helper()
+	if err := os.RemoveAll(m.DataFolder()); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.CopyFS(damaged.DataFolder(), os.DirFS(earlier)); err != nil {
+	if err := os.CopyFS(m.DataFolder(), os.DirFS(earlier)); err != nil {
 		t.Fatal(err)
 	}
-	restart(ctx, t, damaged)
-	waitApplied(ctx, t, damaged, regionA, 2)
-	wantShown(ctx, t, r, second, accepted)
-	wantServedWithout(ctx, t, r, damaged, second, accepted)
 }
 
 // large is a change with a document of some KB.
