--- a/internal/agent/configuration_test.go
+++ b/internal/agent/configuration_test.go
@@ -404,6 +404,9 @@
 	if got := order(); !reflect.DeepEqual(got, []string{"attempts 2", "request"}) {
 		t.Errorf("told %v", got)
 	}
+	if !keptBeforeClients(t, config(deadAddr(t))) {
+		t.Error("the part that follows, which takes clients, would be started before what was kept holds")
+	}
 	whole, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -416,6 +419,24 @@
 	}
 }
 
+// keptBeforeClients reports whether the module knows the kept settings once the part has been started.
+func keptBeforeClients(t *testing.T, cfg *Config) bool {
+	t.Helper()
+	bal := newScripted(func(balance.Event) []balance.Action { return nil })
+	l := core.New(bal, &cfg.Settings, quiet)
+	p, err := configurationPart(cfg, l, &front.Server{Settings: &cfg.Settings}, nil, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	running := newTasks(ctx)
+	defer running.all.Wait()
+	defer stop()
+	running.Go(l.Run)
+	p.start(running)
+	return len(bal.seen) == 1
+}
+
 // With control that refuses, hangs, vanished or answers and then says nothing, the agent serves by its start file, and says
 // that nothing has come.
 func TestControlDoesNotAnswer(t *testing.T) {
@@ -539,8 +560,10 @@
 	d := &configuration.Document{Format: 1, Limits: &configuration.LimitsDocument{Attempts: &attempts, MaxRetryAfterMs: &advice}}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if err := c.apply(ctx, d); err == nil || !strings.Contains(err.Error(), "busy") {
-		t.Errorf("got %v", err)
+	for range 100 { // so that some have surely been posted before the loop runs
+		if err := c.apply(ctx, d); err == nil || !strings.Contains(err.Error(), "busy") {
+			t.Errorf("got %v", err)
+		}
 	}
 	running, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -557,6 +580,11 @@
 	}
 	stop()
 	await(t, ended)
+	for len(bal.seen) > 0 {
+		if e, ok := (<-bal.seen).(balance.Reconfigure); ok {
+			t.Errorf("told of a change that was refused: %d attempts", e.Settings.MaxAttempts)
+		}
+	}
 	if err := c.apply(context.Background(), d); !errors.Is(err, core.ErrEnded) {
 		t.Errorf("once the loop has ended: %v", err)
 	}
