Watch: an agent too busy to apply a document in time refuses nothing

Cause: on a starved machine a loop that is 2 s behind would have refused the revision until the next one, and the scope would never be in force everywhere. It is tried again with the next tick instead. TestBusyAgentIsTriedAgain; go test -race ./internal/configuration/watch and the agent's tests of changes pass.

--- a/internal/configuration/watch/watch.go
+++ b/internal/configuration/watch/watch.go
@@ -28,7 +28,8 @@
 	Machines []configuration.Machine
 	// Check refuses an effective document that the agent can't apply. It must not wait.
 	Check func(effective *configuration.Document) error
-	// Apply puts an effective document in force and returns once it is, or why it isn't.
+	// Apply puts an effective document in force and returns once it is, or why it isn't. After a context.DeadlineExceeded
+	// nothing was changed, and it is tried again; by any other error the document is refused.
 	Apply  func(ctx context.Context, effective *configuration.Document) error
 	Folder string         // where the last good documents are kept; empty: nowhere
 	Rand   func() float64 // evenly spread in [0, 1); nil: math/rand's
@@ -92,6 +93,7 @@
 	sentAt    time.Time            // when the last report was begun
 	opened    chan openResult      // of the preferred machine, beside the open watch
 	giveUp    context.CancelFunc   // ends such an attempt; nil: none is on its way
+	again     bool                 // the agent was too busy to apply what is pending
 	refused   map[refusedAt]string // refusals that the log has told
 	lastWarn  time.Duration        // age of control's last word at the last warning; 0: none
 }
@@ -263,6 +265,9 @@
 			w.returned(r)
 		case <-tick.C:
 			w.startReturn(ctx)
+			if w.again {
+				w.apply(ctx, w.Status().Kept)
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -335,16 +340,24 @@
 // apply puts in force what is pending.
 func (w *Watcher) apply(ctx context.Context, kept bool) {
 	changed := false
+	w.again = false
 	for {
 		effective, ok := w.follower.Pending()
 		if !ok {
 			break
 		}
+		err := w.applyOne(ctx, effective)
+		if ctx.Err() != nil && err != nil {
+			return // the agent ends: nothing was refused
+		}
+		// Guards against an agent that stays behind for good since it was starved for a moment.
+		if errors.Is(err, context.DeadlineExceeded) {
+			w.log.Warn("configuration: the agent is too busy: tried again", "revisions", positionsText(effective.Positions))
+			w.again = true
+			break
+		}
 		changed = true
-		if err := w.applyOne(ctx, effective); err != nil {
-			if ctx.Err() != nil {
-				return // the agent ends: nothing was refused
-			}
+		if err != nil {
 			w.follower.Failed(effective, err)
 			continue
 		}
--- a/internal/configuration/watch/watch_test.go
+++ b/internal/configuration/watch/watch_test.go
@@ -292,6 +292,34 @@
 	}
 }
 
+// An agent that is too busy to apply a document in time refuses nothing: it is tried again.
+func TestBusyAgentIsTriedAgain(t *testing.T) {
+	c := newControl(t, "a1", "a")
+	cfg, applied := config(c.machine)
+	apply, busy := cfg.Apply, 3
+	cfg.Apply = func(ctx context.Context, d *configuration.Document) error {
+		if busy--; busy >= 0 {
+			<-ctx.Done()
+			return fmt.Errorf("busy: %w", ctx.Err())
+		}
+		return apply(ctx, d)
+	}
+	w := start(t, cfg, func(tm *times) { tm.apply = 5 * time.Millisecond })
+	c.say(t, update(t, configuration.Fleet, 1, attempts(2), false))
+	await(t, applied)
+	for r := range c.reports {
+		if len(r.Refused) > 0 {
+			t.Errorf("reported %+v", r)
+		}
+		if r.InForce[configuration.Fleet].Revision == 1 {
+			break
+		}
+	}
+	if st := w.Status(); st.Refusals != 0 || st.Changes != 1 {
+		t.Errorf("status %+v", st)
+	}
+}
+
 // machines returns two control machines in the agent's order of preference.
 func machines(t testing.TB) (first, second *control) {
 	t.Helper()
