--- a/cmd/lemonctl/doors_test.go
+++ b/cmd/lemonctl/control_test.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"lemonrail/internal/duty/seat"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 )
 
-// tells answers a path as an agent's door does; changes are noted.
+// tells answers a path as an agent's control listener does; changes are noted.
 func tells(t *testing.T, path string, v any, put *string) string {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -33,8 +33,8 @@
 }
 
 func TestSitesShow(t *testing.T) {
-	report := func(state, cause string) *pilot.Report {
-		return &pilot.Report{Own: "a", Basis: "planned", Sites: []pilot.Row{{Site: "a", State: "well", Since: time.Now(), Remain: 1, Attempts: 7},
+	report := func(state, cause string) *driver.Report {
+		return &driver.Report{Own: "a", Basis: "planned", Sites: []driver.Row{{Site: "a", State: "well", Since: time.Now(), Remain: 1, Attempts: 7},
 			{Site: "b", State: state, Cause: cause, Since: time.Now(), FailShare: 1}}}
 	}
 	x, y := tells(t, "/api/sites", report("lost", ""), nil), tells(t, "/api/sites", report("cut", "mine"), nil)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,6 +83,7 @@
 	Refused               // nothing ran: trying again is harmless
 	Failed                // promises nothing
 	Duplicate             // its id is or has just been in use
+	Abandoned             // its client has left
 )
 
 // Answer is a call's final answer.
@@ -99,6 +100,7 @@
 	Deadline time.Time
 	Upload   time.Duration // of the time until then, what the rest of its body may take to come
 	Reply    chan Answer   // with room for the one final answer
+	HungUp   func() bool   // whether the client has left by now, from any goroutine; nil: only Left tells
 
 	attempts []*attempt // in the order of their Send
 	open     int        // of these, still out
@@ -145,7 +147,7 @@
 	Peers   Peers   // nil where agents don't talk
 	Watcher Watcher // nil: nobody watches
 	Figures *figures.Figures
-	s       *balance.Settings
+	s       *balance.Settings // in force; replaced by Reconfigure, never changed
 
 	events  []balance.Event  // for the next step
 	calls   map[string]*Call // in hand, or answered with attempts still out
@@ -238,10 +240,17 @@
 	}
 }
 
-// Event adds one to the next step. It belongs to the loop's goroutine, as do Arrived, Left, Listed and
-// Stopping: others Post a function that calls them.
+// Event adds one to the next step. It belongs to the loop's goroutine, as do Reconfigure, Arrived, Left, Listed
+// and Stopping: others Post a function that calls them.
 func (l *Loop) Event(e balance.Event) { l.events = append(l.events, e) }
 
+// Reconfigure puts settings in force for calls that arrive from now on: between two steps, for the module and the loop
+// alike. They must have passed balance.Settings.CanBecome, and aren't to be changed any more.
+func (l *Loop) Reconfigure(s *balance.Settings) {
+	l.s = s
+	l.Event(balance.Reconfigure{Settings: *s})
+}
+
 // Arrived takes a client's request in hand.
 func (l *Loop) Arrived(c *Call) {
 	if l.calls[c.Event.ID] != nil || l.past.has(c.Event.ID) {
@@ -306,6 +315,14 @@
 	}
 }
 
+// abandon ends a call whose client was found to have left before the front has seen it.
+func (l *Loop) abandon(c *Call) {
+	if !c.answered {
+		l.Event(balance.Abandoned{Request: c.Event.ID})
+		l.answer(c, Answer{Kind: Abandoned})
+	}
+}
+
 // answer gives a call its final answer, once.
 func (l *Loop) answer(c *Call, a Answer) {
 	if c.answered {
@@ -357,8 +374,11 @@
 	a.cancel()
 	a.over, a.ran = true, !r.Result.NeverRan()
 	c.open--
-	if r.Result == balance.OK {
+	switch {
+	case r.Result == balance.OK:
 		l.answer(c, Answer{Kind: Served, Payload: r.Payload})
+	case r.Result == balance.Withdrawn && a.permit.ClientLeft():
+		l.abandon(c)
 	}
 	sent := a.sent
 	if r.Sent.After(sent) {
@@ -572,7 +592,7 @@
 	if s.By > 0 {
 		by = l.clock.time(s.By)
 	}
-	p := NewPermit(by)
+	p := NewPermit(by).Unless(c.HungUp)
 	c.attempts = append(c.attempts, &attempt{backend: s.Backend, addr: addr, sent: now, cancel: cancel, permit: p})
 	c.open++
 	if c.answered || addr == "" || !until.After(now) {
