--- a/internal/agent/duties.go
+++ b/internal/agent/duties.go
@@ -33,7 +33,7 @@
 	return nil
 }
 
-// dutiesPart makes seat and clerk.
+// dutiesPart makes seat and client.
 func dutiesPart(cfg *Config, sites *driver.Driver, members *link.Link, log *slog.Logger) (*part, error) {
 	s := cfg.duties
 	if s == nil {
@@ -54,32 +54,32 @@
 			return nil, err
 		}
 	}
-	work := map[string]seat.Work{}
+	dutyTasks := map[string]seat.Task{}
 	if sites != nil {
-		work[seat.PaceDuty] = &pacing{sites: sites, fence: duty.NewFence(), span: time.Duration(s.FallbackS * float64(time.Second)), log: log}
+		dutyTasks[seat.PaceDuty] = &pacing{sites: sites, fence: duty.NewFence(), span: time.Duration(s.FallbackS * float64(time.Second)), log: log}
 	}
 	if members != nil {
 		if d.fleet == nil {
 			d.fleet = &fleetView{link: members}
 		}
-		work[seat.NotesDuty] = &keeping{fleet: d.fleet, log: log}
+		dutyTasks[seat.NotesDuty] = &keeping{fleet: d.fleet, log: log}
 	}
 	zone := ""
 	if z := cfg.Settings.Zone; z >= 0 && z < len(cfg.Names.Zones) {
 		zone = cfg.Names.Zones[z]
 	}
-	d.clerk = seat.NewClerk(seat.ClerkOptions{Settings: s, Name: cfg.Name, Zone: zone, Work: work, Log: log})
+	d.client = seat.NewClient(seat.ClientOptions{Settings: s, Name: cfg.Name, Zone: zone, Tasks: dutyTasks, Log: log})
 	return &part{name: "duties",
 		start: func(t *tasks) {
 			if d.seat != nil {
 				t.Go(d.seat.Run)
 			}
-			t.Go(d.clerk.Run)
+			t.Go(d.client.Run)
 			if d.fleet != nil {
 				t.Go(d.fleet.run)
 			}
 		},
-		leave: func(time.Time) { go d.clerk.Leave(time.Second) },
+		leave: func(time.Time) { go d.client.Leave(time.Second) },
 		routes: []control.Route{
 			control.Text("GET /api/duties", "application/json", d.report),
 			{Pattern: "PUT /api/duties/{name}/hand-on/{to}", Answer: d.handOn},
@@ -92,12 +92,12 @@
 type duties struct {
 	settings *seat.Settings
 	seat     *seat.Seat // nil: it has none
-	clerk    *seat.Clerk
+	client   *seat.Client
 	fleet    *fleetView // nil: no membership
 }
 
 func (d *duties) report(ctx context.Context) ([]byte, error) {
-	r, err := d.clerk.Report(ctx)
+	r, err := d.client.Report(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -110,7 +110,7 @@
 }
 
 func (d *duties) handOn(w http.ResponseWriter, r *http.Request) {
-	if err := d.clerk.HandOn(r.Context(), r.PathValue("name"), r.PathValue("to")); err != nil {
+	if err := d.client.HandOn(r.Context(), r.PathValue("name"), r.PathValue("to")); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
@@ -118,7 +118,7 @@
 }
 
 func (d *duties) release(w http.ResponseWriter, r *http.Request) {
-	held, err := d.clerk.Release(r.Context(), r.PathValue("name"))
+	held, err := d.client.Release(r.Context(), r.PathValue("name"))
 	switch {
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -130,7 +130,7 @@
 }
 
 func (d *duties) gauges() []figures.Gauge {
-	all := []figures.Gauge{{Name: "duties_held", Value: d.clerk.Held}}
+	all := []figures.Gauge{{Name: "duties_held", Value: d.client.Held}}
 	if d.seat != nil {
 		all = append(all, figures.Gauge{Name: "duties_seat_votes", Value: d.seat.Votes}, figures.Gauge{Name: "duties_seat_leads", Value: d.seat.Leads})
 	}
--- a/internal/duty/seat/asks.go
+++ b/internal/duty/seat/asks.go
@@ -29,10 +29,10 @@
 	Duties []duty.Duty
 }
 
-// heard takes a frame; it is called by the connections' goroutines.
-func (s *Seat) heard(c *transport.Conn, frame transport.Kind, content []byte) {
+// receive takes a frame; it is called by the connections' goroutines.
+func (s *Seat) receive(c *transport.Conn, frame transport.Kind, content []byte) {
 	if kind, ok := kindOf(frame); ok {
-		s.heardVoter(c, kind, content)
+		s.receiveVoter(c, kind, content)
 		return
 	}
 	switch frame {
@@ -48,8 +48,8 @@
 	}
 }
 
-// heardVoter hands a message of another seat to the voter.
-func (s *Seat) heardVoter(c *transport.Conn, kind voter.Kind, content []byte) {
+// receiveVoter hands a message of another seat to the voter.
+func (s *Seat) receiveVoter(c *transport.Conn, kind voter.Kind, content []byte) {
 	m, err := voter.Decode(kind, content)
 	if err != nil {
 		s.reject(c, err)
@@ -65,7 +65,7 @@
 }
 
 func (s *Seat) reject(c *transport.Conn, err error) {
-	s.garbled(fmt.Errorf("%w: %w", transport.ErrFrame, err))
+	s.invalid(fmt.Errorf("%w: %w", transport.ErrFrame, err))
 	c.Close()
 }
 
--- a/internal/duty/seat/gaps_test.go
+++ b/internal/duty/seat/gaps_test.go
@@ -24,7 +24,7 @@
 		may := func() int {
 			for i, p := range x.procs {
 				if p.up && !p.stopped {
-					if _, ok := p.clerk.holders["work"].May(p.clock()); ok {
+					if _, ok := p.client.holders["work"].May(p.clock()); ok {
 						return i
 					}
 				}
@@ -47,11 +47,11 @@
 		case "killed":
 			p.kill()
 		case "released":
-			p.clerk.holders["work"].Want(p.clock(), false)
-			p.clerk.holders["work"].Release(p.clock())
+			p.client.holders["work"].Want(p.clock(), false)
+			p.client.holders["work"].Release(p.clock())
 		case "handed on":
 			to := x.procs[(holder+1)%simAgents]
-			to.clerk.send([]duty.Command{{Kind: duty.Name, Duty: "work", Agent: to.name}})
+			to.client.send([]duty.Command{{Kind: duty.Name, Duty: "work", Agent: to.name}})
 			for may() == holder && x.now < begun+time.Minute {
 				x.step()
 			}
--- a/internal/duty/seat/history_test.go
+++ b/internal/duty/seat/history_test.go
@@ -23,7 +23,7 @@
 	"lemonrail/internal/replica/voter"
 )
 
-// The landed seats, clerks and store in simulated time: five processes, of which three have seats, on clocks that run at
+// The landed seats, clients and store in simulated time: five processes, of which three have seats, on clocks that run at
 // their own speeds, with processes stopped and killed, links held one way and both, and disks that lie. Frames go
 // through the lines' own queues; no goroutine runs.
 const (
@@ -65,9 +65,9 @@
 	rate    float64
 	up      bool
 	stopped bool
-	disk    *store.Liar
+	disk    *store.FaultyDisk
 	seat    *Seat
-	clerk   *Clerk
+	client  *Client
 	life    int
 	told    uint64
 }
@@ -77,8 +77,8 @@
 	from, to int
 	a, b     *transport.Conn // at from, at to
 	lives    [2]int
-	heardA   func(*transport.Conn, transport.Kind, []byte)
-	heardB   func(*transport.Conn, transport.Kind, []byte)
+	receiveA func(*transport.Conn, transport.Kind, []byte)
+	receiveB func(*transport.Conn, transport.Kind, []byte)
 	late     []lateFrame
 }
 
@@ -114,7 +114,7 @@
 			p.rate = []float64{0.7, 1.3}[i%2]
 		}
 		if i < simSeats {
-			p.disk = store.NewLiar(seed*8 + uint64(i))
+			p.disk = store.NewFaultyDisk(seed*8 + uint64(i))
 		}
 		x.procs = append(x.procs, p)
 		p.start()
@@ -129,8 +129,8 @@
 func (p *proc) start() {
 	p.up, p.stopped = true, false
 	p.life++
-	p.clerk = NewClerk(ClerkOptions{Settings: p.s.set, Name: p.name, Work: map[string]Work{"work": p}, Log: silentLog, Now: p.clock, Rand: p.s.rng})
-	p.clerk.begun = time.Now()
+	p.client = NewClient(ClientOptions{Settings: p.s.set, Name: p.name, Tasks: map[string]Task{"work": p}, Log: silentLog, Now: p.clock, Rand: p.s.rng})
+	p.client.begun = time.Now()
 	if p.disk != nil {
 		var err error
 		if p.seat, err = New(Options{Settings: p.s.set, Name: p.name, FS: p.disk, Log: silentLog, Now: p.clock, Rand: p.s.rng}); err != nil {
@@ -140,15 +140,15 @@
 	}
 	for j := range simSeats {
 		if j != p.i && p.seat != nil {
-			p.s.join(p, p.s.set.seats[j].addr, j, p.seat.dialers[fmt.Sprint("p", j)], p.seat.heard)
+			p.s.join(p, p.s.set.seats[j].addr, j, p.seat.dialers[fmt.Sprint("p", j)], p.seat.receive)
 		}
-		p.s.join(p, p.s.set.seats[j].addr, j, p.clerk.dialers[fmt.Sprint("p", j)], p.clerk.heard)
+		p.s.join(p, p.s.set.seats[j].addr, j, p.client.dialers[fmt.Sprint("p", j)], p.client.receive)
 	}
 }
 
 // join has a dialer's line lead to a seat, once both are up.
 func (x *sim) join(p *proc, _ netip.AddrPort, to int, d *transport.Dialer, heard func(*transport.Conn, transport.Kind, []byte)) {
-	w := &wire{from: p.i, to: to, a: transport.Detached(fmt.Sprint("p", to)), heardA: heard}
+	w := &wire{from: p.i, to: to, a: transport.Detached(fmt.Sprint("p", to)), receiveA: heard}
 	w.lives = [2]int{p.life, -1}
 	d.Attach(w.a)
 	x.wires = append(x.wires, w)
@@ -157,7 +157,7 @@
 // kill ends a process: what was not synced goes with it.
 func (p *proc) kill() {
 	p.up = false
-	p.clerk, p.seat = nil, nil
+	p.client, p.seat = nil, nil
 	if p.disk != nil {
 		p.disk.Kill()
 	}
@@ -173,7 +173,7 @@
 	p.s.wires = kept
 }
 
-// Step is the work: an act on its way, and a count that goes from holder to holder.
+// Step is the task: an act on its way, and a count that goes from holder to holder.
 func (p *proc) Step(_ time.Time, permit duty.Permit, state []byte) ([]byte, bool) {
 	x := p.s
 	if who := x.holders[permit.Epoch]; who != "" && who != p.name {
@@ -205,7 +205,7 @@
 		if w.b == nil || w.lives[1] != to.life {
 			w.lives[1] = to.life
 			w.b = transport.Detached(from.name)
-			w.heardB, w.late = to.seat.heard, nil
+			w.receiveB, w.late = to.seat.receive, nil
 		}
 		for raw, ok := w.a.Next(); ok; raw, ok = w.a.Next() {
 			w.late = append(w.late, lateFrame{x.now + time.Duration(1+x.rng.IntN(8))*time.Millisecond, true, raw})
@@ -230,9 +230,9 @@
 				x.t.Fatal(err)
 			}
 			if f.toB {
-				w.heardB(w.b, k, content)
+				w.receiveB(w.b, k, content)
 			} else {
-				w.heardA(w.a, k, content)
+				w.receiveA(w.a, k, content)
 			}
 		}
 		w.late = rest
@@ -253,7 +253,7 @@
 		if !p.up || p.stopped {
 			continue
 		}
-		before := len(p.clerk.history)
+		before := len(p.client.history)
 		if p.seat != nil {
 			if x.lacks.seating && !p.seat.voter.Votes() && p.seat.voter.Store() != nil && !p.seat.voter.Store().Empty() { // it trusts its disk
 				p.trustDisk()
@@ -261,12 +261,12 @@
 			drain(p.seat.inbox)
 			p.seat.turn(x.now%(2*simStep) == 0)
 		}
-		drain(p.clerk.inbox)
-		p.clerk.turn()
-		for _, e := range p.clerk.history[before:] {
+		drain(p.client.inbox)
+		p.client.turn()
+		for _, e := range p.client.history[before:] {
 			if e.What == "began" {
 				x.began++
-				n, _ := strconv.ParseUint(string(p.clerk.states["work"]), 10, 64)
+				n, _ := strconv.ParseUint(string(p.client.states["work"]), 10, 64)
 				if n < x.acked {
 					x.broken = fmt.Sprintf("%s begins epoch %d with %d acts, %d were said to be kept", p.name, e.Epoch, n, x.acked)
 				}
@@ -308,7 +308,7 @@
 		if !p.up || p.stopped {
 			continue
 		}
-		h := p.clerk.holders["work"]
+		h := p.client.holders["work"]
 		if _, ok := h.May(p.clock()); ok {
 			if may != "" {
 				x.broken = fmt.Sprintf("%s and %s may act at once", may, p.name)
@@ -346,7 +346,7 @@
 		// One disk of the three lies, for good: more would be a majority that forgets.
 		if x.liar < 0 && p.disk != nil {
 			x.liar = p.i
-			p.disk.Lies = true
+			p.disk.DropsSyncs = true
 		}
 	case 6, 7: // all is well again
 		x.heal()
--- a/internal/duty/seat/seat.go
+++ b/internal/duty/seat/seat.go
@@ -1,4 +1,4 @@
-// Package seat drives internal/duty: a seat of the agreement (internal/replica/voter), and the clerk, an agent's side that asks
+// Package seat drives internal/duty: a seat of the agreement (internal/replica/voter), and the client, an agent's side that asks
 // the seats. TCP between them (internal/replica/transport), on a port of its own.
 //
 // A Seat is owned by one goroutine (Run): agreement, store, table. Connections hand over what comes as functions on an inbox;
@@ -86,16 +86,16 @@
 		}
 	}
 	mine := protocol(o.Settings, o.Name)
-	s.server = &transport.Server{Listener: ln, Protocol: mine, Handle: s.heard, Invalid: s.garbled}
+	s.server = &transport.Server{Listener: ln, Protocol: mine, Handle: s.receive, Invalid: s.invalid}
 	for _, p := range o.Settings.seats {
 		if p.name != o.Name {
-			s.dialers[p.name] = &transport.Dialer{Address: p.addr.String(), Protocol: mine, Handle: s.heard, Invalid: s.garbled}
+			s.dialers[p.name] = &transport.Dialer{Address: p.addr.String(), Protocol: mine, Handle: s.receive, Invalid: s.invalid}
 		}
 	}
 	return s, nil
 }
 
-func (s *Seat) garbled(err error) {
+func (s *Seat) invalid(err error) {
 	s.bad.Add(1)
 	s.o.Log.Debug("duties", "err", err)
 }
--- a/internal/duty/seat/settings.go
+++ b/internal/duty/seat/settings.go
@@ -42,7 +42,7 @@
 	addr netip.AddrPort
 }
 
-// Names of the duties that agents have work for.
+// Names of the duties that agents have tasks for.
 const (
 	PaceDuty  = "pace"  // of a site's return
 	NotesDuty = "notes" // keeper of the fleet's
--- a/internal/duty/store/store.go
+++ b/internal/duty/store/store.go
@@ -10,7 +10,7 @@
 // ones go once it is synced. Places count records over all segments without a gap.
 //
 // What a kill may leave is a last record that is cut short: it was never said to be kept, and is cut off. A record that
-// is whole and doesn't fit its checksum, or one before the end, was kept and is spoilt: ErrSpoilt. A disk that said yes
+// is whole and doesn't fit its checksum, or one before the end, was kept and is spoilt: ErrCorrupt. A disk that said yes
 // and kept nothing, or a folder that was put back, looks like an earlier state and can't be told from within: whoever
 // opens the store asks the other seats what they have had from this one (State.Behind).
 //
@@ -50,24 +50,24 @@
 	kindSnapshot
 )
 
-// ErrSpoilt says that what was kept can't be trusted: the seat must not vote by it.
-var ErrSpoilt = errors.New("what was kept is spoilt")
+// ErrCorrupt says that what was kept can't be trusted: the seat must not vote by it.
+var ErrCorrupt = errors.New("what was kept is spoilt")
 
 // ErrBroken says that the disk refused a write or a sync: nothing after it is known to be kept, and the seat must not
 // go on by this store.
 var ErrBroken = errors.New("the disk failed")
 
-// Spoilt tells where.
-type Spoilt struct {
+// CorruptError tells where.
+type CorruptError struct {
 	File string
 	At   int64 // bytes from its beginning
 	What string
 }
 
-func (e *Spoilt) Error() string { return fmt.Sprintf("%s, byte %d: %s", e.File, e.At, e.What) }
+func (e *CorruptError) Error() string { return fmt.Sprintf("%s, byte %d: %s", e.File, e.At, e.What) }
 
-// Unwrap is ErrSpoilt.
-func (e *Spoilt) Unwrap() error { return ErrSpoilt }
+// Unwrap is ErrCorrupt.
+func (e *CorruptError) Unwrap() error { return ErrCorrupt }
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
@@ -120,7 +120,7 @@
 			continue
 		}
 		if short != nil {
-			err = &Spoilt{logs[i], 0, "its head is not whole, and it is the only one"}
+			err = &CorruptError{logs[i], 0, "its head is not whole, and it is the only one"}
 		}
 		if err != nil {
 			return nil, false, err
@@ -148,7 +148,7 @@
 	number, _ := strconv.ParseUint(strings.TrimSuffix(name, suffix), 16, 64)
 	s.number, s.name = number, name
 	at, heads := int64(0), 0
-	spoilt := func(what string, v ...any) error { return &Spoilt{name, at, fmt.Sprintf(what, v...)} }
+	spoilt := func(what string, v ...any) error { return &CorruptError{name, at, fmt.Sprintf(what, v...)} }
 	var snap *pb.Snapshot
 	for int(at) < len(raw) {
 		rest := raw[at:]
@@ -219,10 +219,10 @@
 		if last {
 			return &unfinished{name}
 		}
-		return &Spoilt{name, at, "its head is not whole, and it is the only one"}
+		return &CorruptError{name, at, "its head is not whole, and it is the only one"}
 	}
 	if end, _ := s.LastIndex(); s.hard.GetCommit() > end {
-		return &Spoilt{name, at, fmt.Sprintf("entries up to %d were agreed on, and there are %d", s.hard.GetCommit(), end)}
+		return &CorruptError{name, at, fmt.Sprintf("entries up to %d were agreed on, and there are %d", s.hard.GetCommit(), end)}
 	}
 	if err := s.SetHardState(s.hard); err != nil {
 		return err
--- a/internal/duty/store/store_test.go
+++ b/internal/duty/store/store_test.go
@@ -116,7 +116,7 @@
 			bad[at] ^= 1 << bit
 			must(t, os.WriteFile(path, bad, 0o600))
 			s, _, err := Open(dir, 1)
-			var spoilt *Spoilt
+			var spoilt *CorruptError
 			switch {
 			case errors.As(err, &spoilt):
 				refused++
@@ -160,7 +160,7 @@
 		must(t, os.WriteFile(path, whole[:n], 0o600))
 		s, _, err := Open(dir, 1)
 		if err != nil {
-			if !errors.Is(err, ErrSpoilt) {
+			if !errors.Is(err, ErrCorrupt) {
 				var u *unfinished
 				if !errors.As(err, &u) {
 					t.Fatalf("cut at %d: %v", n, err)
@@ -189,7 +189,7 @@
 // store takes nothing more once it has failed.
 func TestFailuresAtEachStep(t *testing.T) {
 	for step := 1; ; step++ {
-		mem := NewLiar(uint64(step))
+		mem := NewFaultyDisk(uint64(step))
 		mem.FailAt = step
 		kept := uint64(0)
 		s, _, err := Open(mem, 77)
@@ -236,7 +236,7 @@
 func TestADiskThatLies(t *testing.T) {
 	behind, whole := 0, 0
 	rapid.Check(t, func(r *rapid.T) {
-		mem := NewLiar(rapid.Uint64().Draw(r, "seed"))
+		mem := NewFaultyDisk(rapid.Uint64().Draw(r, "seed"))
 		s, _, err := Open(mem, 77)
 		if err != nil {
 			r.Fatal(err)
@@ -244,7 +244,7 @@
 		if err := s.Save(hard(1, 0, 1), nil, begun(1, 77, 78, 79)); err != nil {
 			r.Fatal(err)
 		}
-		mem.Lies = rapid.Bool().Draw(r, "lies")
+		mem.DropsSyncs = rapid.Bool().Draw(r, "lies")
 		n := uint64(rapid.IntRange(2, 12).Draw(r, "entries"))
 		for i := uint64(2); i <= n; i++ {
 			if err := s.Save(hard(1+i, 77, i-1), []*pb.Entry{entry(i, 1+i, "x")}, nil); err != nil {
@@ -256,11 +256,11 @@
 		s, _, err = Open(mem, 78)
 		switch {
 		case err != nil:
-			if !mem.Lies {
+			if !mem.DropsSyncs {
 				r.Fatal(err)
 			}
 		case s.Behind(promised):
-			if !mem.Lies {
+			if !mem.DropsSyncs {
 				r.Fatalf("promised %v, kept %v", promised, s.State())
 			}
 			behind++
--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -251,13 +251,13 @@
 				p = w.processes[(p.index+1)%len(w.processes)]
 			}
 			identity := p.replica.voter.Store().ID()
-			p.disk.Lies = true
+			p.disk.DropsSyncs = true
 			for i := range 5 {
 				w.write(command{ID: fmt.Sprint("lost ", i), New: fmt.Sprint(i)})
 			}
 			before := p.replica.voter.Store().State()
 			p.kill()
-			p.disk.Lies = false
+			p.disk.DropsSyncs = false
 			p.start()
 			forgot := p.replica.voter.Store().State() != before // a kill may leave all by chance
 			w.write(command{ID: "after", New: "after"})
@@ -330,7 +330,7 @@
 	p.start()
 	w.write(command{ID: "after", New: "after"})
 	status := p.replica.status()
-	if status.Votes || !errors.Is(p.replica.voter.Fault(), store.ErrSpoilt) || !strings.Contains(status.Why, names[0]+", byte ") {
+	if status.Votes || !errors.Is(p.replica.voter.Fault(), store.ErrCorrupt) || !strings.Contains(status.Why, names[0]+", byte ") {
 		t.Errorf("%+v", status)
 	}
 	if out := w.outcomeOf(p.propose(command{ID: "there", New: "there"})); !surelyNot(out.err) {
--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -224,7 +224,7 @@
 	}
 	longest := slices.MaxFunc(h.processes, func(a, b *process) int { return len(a.machine.Order) - len(b.machine.Order) }).machine.Order
 	for _, p := range h.processes {
-		if p.disk.Lies && errors.Is(p.replica.voter.Fault(), store.ErrSpoilt) {
+		if p.disk.DropsSyncs && errors.Is(p.replica.voter.Fault(), store.ErrCorrupt) {
 			continue // it is known to hold nothing whole, which is for staff to mend
 		}
 		if !p.replica.voter.Votes() {
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -121,7 +121,7 @@
 	rate    float64 // of its clock
 	up      bool
 	stopped bool
-	disk    *store.Liar
+	disk    *store.FaultyDisk
 	replica *Replica
 	machine *register
 	life    int
@@ -147,7 +147,7 @@
 	w.cut = make([][]bool, size)
 	for i := range size {
 		w.cut[i] = make([]bool, size)
-		w.processes = append(w.processes, &process{world: w, index: i, name: fmt.Sprint("m", i), rate: 1 + 0.02*(2*w.rng.Float64()-1), disk: store.NewLiar(seed*8 + uint64(i))})
+		w.processes = append(w.processes, &process{world: w, index: i, name: fmt.Sprint("m", i), rate: 1 + 0.02*(2*w.rng.Float64()-1), disk: store.NewFaultyDisk(seed*8 + uint64(i))})
 	}
 	for _, p := range w.processes {
 		p.start()
@@ -195,7 +195,7 @@
 	p.up, p.replica = false, nil
 	p.disk.Kill()
 	w := p.world
-	w.forgotten = w.forgotten || slices.ContainsFunc(w.processes, func(q *process) bool { return q != p && q.disk.Lies })
+	w.forgotten = w.forgotten || slices.ContainsFunc(w.processes, func(q *process) bool { return q != p && q.disk.DropsSyncs })
 	w.links = slices.DeleteFunc(w.links, func(l *link) bool { return l.from == p.index })
 	for _, l := range w.links {
 		if l.to == p.index {
@@ -281,7 +281,7 @@
 // noteForgotten notes that a member whose disk lies asks what it had promised while another one can't answer.
 func (w *world) noteForgotten() {
 	for _, p := range w.processes {
-		if !p.disk.Lies || !p.up || p.replica.voter.Votes() {
+		if !p.disk.DropsSyncs || !p.up || p.replica.voter.Votes() {
 			continue
 		}
 		for _, q := range w.processes {
@@ -357,8 +357,8 @@
 	case 5:
 		w.breakLinks(p)
 	case 6: // one disk lies, for good: more would be a majority that forgets
-		if !slices.ContainsFunc(w.processes, func(p *process) bool { return p.disk.Lies }) {
-			p.disk.Lies = true
+		if !slices.ContainsFunc(w.processes, func(p *process) bool { return p.disk.DropsSyncs }) {
+			p.disk.DropsSyncs = true
 		}
 	case 7, 8:
 		w.heal()
--- a/internal/replica/tcp_test.go
+++ b/internal/replica/tcp_test.go
@@ -203,7 +203,7 @@
 
 func TestOptionsThatMakeNoSense(t *testing.T) {
 	good := func() Options {
-		return Options{Group: "g", Name: "m0", Members: []Member{{"m0", "127.0.0.1:0"}}, FS: store.NewLiar(1), Machine: newRegister(), Now: func() time.Duration { return 0 }}
+		return Options{Group: "g", Name: "m0", Members: []Member{{"m0", "127.0.0.1:0"}}, FS: store.NewFaultyDisk(1), Machine: newRegister(), Now: func() time.Duration { return 0 }}
 	}
 	if _, err := New(good()); err != nil {
 		t.Fatal(err)
--- a/internal/replica/voter/voter_test.go
+++ b/internal/replica/voter/voter_test.go
@@ -77,7 +77,7 @@
 // pair is two members that have begun.
 func pair(t *testing.T) (a, b *member) {
 	t.Helper()
-	a, b = newMember("a", store.NewLiar(1), "a", "b"), newMember("b", store.NewLiar(2), "a", "b")
+	a, b = newMember("a", store.NewFaultyDisk(1), "a", "b"), newMember("b", store.NewFaultyDisk(2), "a", "b")
 	for range 100 {
 		for _, m := range []*member{a, b} {
 			m.turn()
@@ -200,7 +200,7 @@
 
 // While a snapshot is too long the log stays, and the member votes; once it is shorter the log is shortened.
 func TestSnapshotThatIsTooLong(t *testing.T) {
-	m := newMember("a", store.NewLiar(3), "a")
+	m := newMember("a", store.NewFaultyDisk(3), "a")
 	for range 40 {
 		m.turn()
 	}
@@ -231,7 +231,7 @@
 
 // A snapshot that the state machine refuses ends the vote with a reason.
 func TestSnapshotThatIsRefused(t *testing.T) {
-	disk := store.NewLiar(4)
+	disk := store.NewFaultyDisk(4)
 	m := newMember("a", disk, "a")
 	for range 40 {
 		m.turn()
@@ -258,7 +258,7 @@
 		if Kind(kind) > KindJoin {
 			t.Fatal(fmt.Sprint("kind ", kind, " was read"))
 		}
-		v := newMember("a", store.NewLiar(5), "a", "b")
+		v := newMember("a", store.NewFaultyDisk(5), "a", "b")
 		v.voter.Receive("b", m)
 		v.turn()
 	})
--- a/internal/scale/hollowduties.go
+++ b/internal/scale/hollowduties.go
@@ -36,7 +36,7 @@
 
 type dutyFleet struct {
 	agents  int
-	clients []*seat.Clerk
+	clients []*seat.Client
 	traffic traffic
 
 	mu      sync.Mutex
@@ -83,7 +83,7 @@
 		running.Go(func() { s.Run(inner) })
 	}
 	for i := range agents {
-		c := seat.NewClerk(seat.ClerkOptions{Settings: settings, Name: fmt.Sprintf("agent-%d", i), Work: map[string]seat.Work{dutyName: &dutyWork{f, i}},
+		c := seat.NewClient(seat.ClientOptions{Settings: settings, Name: fmt.Sprintf("agent-%d", i), Tasks: map[string]seat.Task{dutyName: &dutyTask{f, i}},
 			Log: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(o.Seed, uint64(i)))})
 		f.clients = append(f.clients, c)
 		running.Go(func() { c.Run(inner) })
@@ -244,14 +244,14 @@
 	}
 }
 
-// dutyWork is an agent's work under the duty: none.
-type dutyWork struct {
+// dutyTask is an agent's task under the duty: none.
+type dutyTask struct {
 	fleet *dutyFleet
 	agent int
 }
 
-// Step implements seat.Work.
-func (w *dutyWork) Step(time.Time, duty.Permit, []byte) ([]byte, bool) { return nil, false }
+// Step implements seat.Task.
+func (w *dutyTask) Step(time.Time, duty.Permit, []byte) ([]byte, bool) { return nil, false }
 
-// Heard implements seat.Work.
-func (w *dutyWork) Heard(_ time.Time, d duty.Duty) { w.fleet.heard(w.agent, d) }
+// Heard implements seat.Task.
+func (w *dutyTask) Heard(_ time.Time, d duty.Duty) { w.fleet.heard(w.agent, d) }
