Store: errors name the store, which duties and replicas share

Control processes would have logged errors of their store as "duties: ...". Ruled out: a prefix handed in by each user, for seven messages.

--- a/internal/duty/store/store.go
+++ b/internal/duty/store/store.go
@@ -92,7 +92,7 @@
 	s = &Store{MemoryStorage: raft.NewMemoryStorage(), fs: fs, hard: &pb.HardState{}}
 	names, err := fs.List()
 	if err != nil {
-		return nil, false, fmt.Errorf("duties: %w", err)
+		return nil, false, fmt.Errorf("store: %w", err)
 	}
 	var logs []string
 	for _, n := range names {
@@ -113,7 +113,7 @@
 		var short *unfinished
 		if errors.As(err, &short) && i > 0 {
 			if err := fs.Remove(logs[i]); err != nil {
-				return nil, false, fmt.Errorf("duties: %w", err)
+				return nil, false, fmt.Errorf("store: %w", err)
 			}
 			*s = Store{MemoryStorage: raft.NewMemoryStorage(), fs: fs, hard: &pb.HardState{}}
 			logs = logs[:i]
@@ -127,7 +127,7 @@
 		}
 		for _, old := range logs[:i] { // left over from a kill between two steps
 			if err := fs.Remove(old); err != nil {
-				return nil, false, fmt.Errorf("duties: %w", err)
+				return nil, false, fmt.Errorf("store: %w", err)
 			}
 		}
 		return s, false, nil
@@ -143,7 +143,7 @@
 func (s *Store) read(name string, last bool) error {
 	raw, err := s.fs.Read(name)
 	if err != nil {
-		return fmt.Errorf("duties: %w", err)
+		return fmt.Errorf("store: %w", err)
 	}
 	number, _ := strconv.ParseUint(strings.TrimSuffix(name, suffix), 16, 64)
 	s.number, s.name = number, name
@@ -333,7 +333,7 @@
 // SetID gives another identity to a store in which nothing is kept yet.
 func (s *Store) SetID(id uint64) error {
 	if !s.Empty() {
-		return errors.New("duties: a store that holds promises keeps its identity")
+		return errors.New("store: one that holds promises keeps its identity")
 	}
 	s.id = id
 	return s.begin(nil)
@@ -435,10 +435,10 @@
 		if errors.Is(err, raft.ErrSnapOutOfDate) {
 			return nil
 		}
-		return fmt.Errorf("duties: snapshot: %w", err)
+		return fmt.Errorf("store: snapshot: %w", err)
 	}
 	if err := s.MemoryStorage.Compact(index); err != nil && !errors.Is(err, raft.ErrCompacted) {
-		return fmt.Errorf("duties: snapshot: %w", err)
+		return fmt.Errorf("store: snapshot: %w", err)
 	}
 	return s.begin(snap)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,8 +5,8 @@
 // refused with ErrNoQuorum and nothing of it stands in any log. A majority that is lost between the two leaves the outcome unknown;
 // commands should carry an identity of their own, so that one can be sent again.
 //
-// A disk that fails or that forgot what it had promised, or a panic of raft or of the state machine, ends this member's vote with a reason
-// (Status), not the process.
+// A disk that forgot what it had promised is put aside, and the member returns under another identity. A disk that fails or is corrupt, or a
+// panic of raft or of the state machine, ends this member's vote with a reason (Status), not the process.
 //
 // A Replica is owned by one goroutine (Run): raft, store and state machine. Connections and callers hand it functions over a
 // bounded inbox.
