--- a/internal/duty/store/store.go
+++ b/internal/duty/store/store.go
@@ -10,7 +10,7 @@
 // ones go once it is synced. Places count records over all segments without a gap.
 //
 // What a kill may leave is a last record that is cut short: it was never said to be kept, and is cut off. A record that
-// is whole and doesn't fit its checksum, or one before the end, was kept and is spoilt: ErrSpoilt. A disk that said yes
+// is whole and doesn't fit its checksum, or one before the end, was kept and is spoilt: ErrCorrupt. A disk that said yes
 // and kept nothing, or a folder that was put back, looks like an earlier state and can't be told from within: whoever
 // opens the store asks the other seats what they have had from this one (State.Behind).
 //
@@ -50,24 +50,24 @@
 	kindSnapshot
 )
 
-// ErrSpoilt says that what was kept can't be trusted: the seat must not vote by it.
-var ErrSpoilt = errors.New("what was kept is spoilt")
+// ErrCorrupt says that what was kept can't be trusted: the seat must not vote by it.
+var ErrCorrupt = errors.New("what was kept is spoilt")
 
 // ErrBroken says that the disk refused a write or a sync: nothing after it is known to be kept, and the seat must not
 // go on by this store.
 var ErrBroken = errors.New("the disk failed")
 
-// Spoilt tells where.
-type Spoilt struct {
+// CorruptError tells where.
+type CorruptError struct {
 	File string
 	At   int64 // bytes from its beginning
 	What string
 }
 
-func (e *Spoilt) Error() string { return fmt.Sprintf("%s, byte %d: %s", e.File, e.At, e.What) }
+func (e *CorruptError) Error() string { return fmt.Sprintf("%s, byte %d: %s", e.File, e.At, e.What) }
 
-// Unwrap is ErrSpoilt.
-func (e *Spoilt) Unwrap() error { return ErrSpoilt }
+// Unwrap is ErrCorrupt.
+func (e *CorruptError) Unwrap() error { return ErrCorrupt }
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
@@ -92,7 +92,7 @@
 	s = &Store{MemoryStorage: raft.NewMemoryStorage(), fs: fs, hard: &pb.HardState{}}
 	names, err := fs.List()
 	if err != nil {
-		return nil, false, fmt.Errorf("duties: %w", err)
+		return nil, false, fmt.Errorf("store: %w", err)
 	}
 	var logs []string
 	for _, n := range names {
@@ -113,21 +113,21 @@
 		var short *unfinished
 		if errors.As(err, &short) && i > 0 {
 			if err := fs.Remove(logs[i]); err != nil {
-				return nil, false, fmt.Errorf("duties: %w", err)
+				return nil, false, fmt.Errorf("store: %w", err)
 			}
 			*s = Store{MemoryStorage: raft.NewMemoryStorage(), fs: fs, hard: &pb.HardState{}}
 			logs = logs[:i]
 			continue
 		}
 		if short != nil {
-			err = &Spoilt{logs[i], 0, "its head is not whole, and it is the only one"}
+			err = &CorruptError{logs[i], 0, "its head is not whole, and it is the only one"}
 		}
 		if err != nil {
 			return nil, false, err
 		}
 		for _, old := range logs[:i] { // left over from a kill between two steps
 			if err := fs.Remove(old); err != nil {
-				return nil, false, fmt.Errorf("duties: %w", err)
+				return nil, false, fmt.Errorf("store: %w", err)
 			}
 		}
 		return s, false, nil
@@ -143,12 +143,12 @@
 func (s *Store) read(name string, last bool) error {
 	raw, err := s.fs.Read(name)
 	if err != nil {
-		return fmt.Errorf("duties: %w", err)
+		return fmt.Errorf("store: %w", err)
 	}
 	number, _ := strconv.ParseUint(strings.TrimSuffix(name, suffix), 16, 64)
 	s.number, s.name = number, name
 	at, heads := int64(0), 0
-	spoilt := func(what string, v ...any) error { return &Spoilt{name, at, fmt.Sprintf(what, v...)} }
+	spoilt := func(what string, v ...any) error { return &CorruptError{name, at, fmt.Sprintf(what, v...)} }
 	var snap *pb.Snapshot
 	for int(at) < len(raw) {
 		rest := raw[at:]
@@ -219,10 +219,10 @@
 		if last {
 			return &unfinished{name}
 		}
-		return &Spoilt{name, at, "its head is not whole, and it is the only one"}
+		return &CorruptError{name, at, "its head is not whole, and it is the only one"}
 	}
 	if end, _ := s.LastIndex(); s.hard.GetCommit() > end {
-		return &Spoilt{name, at, fmt.Sprintf("entries up to %d were agreed on, and there are %d", s.hard.GetCommit(), end)}
+		return &CorruptError{name, at, fmt.Sprintf("entries up to %d were agreed on, and there are %d", s.hard.GetCommit(), end)}
 	}
 	if err := s.SetHardState(s.hard); err != nil {
 		return err
@@ -333,7 +333,7 @@
 // SetID gives another identity to a store in which nothing is kept yet.
 func (s *Store) SetID(id uint64) error {
 	if !s.Empty() {
-		return errors.New("duties: a store that holds promises keeps its identity")
+		return errors.New("store: one that holds promises keeps its identity")
 	}
 	s.id = id
 	return s.begin(nil)
@@ -435,10 +435,10 @@
 		if errors.Is(err, raft.ErrSnapOutOfDate) {
 			return nil
 		}
-		return fmt.Errorf("duties: snapshot: %w", err)
+		return fmt.Errorf("store: snapshot: %w", err)
 	}
 	if err := s.MemoryStorage.Compact(index); err != nil && !errors.Is(err, raft.ErrCompacted) {
-		return fmt.Errorf("duties: snapshot: %w", err)
+		return fmt.Errorf("store: snapshot: %w", err)
 	}
 	return s.begin(snap)
 }
