Cold start: a fleet all of whose backends are cold, overloaded

Need: with no warm backend the budget rests on the number of agents alone, and no case forced that share: a trickle that was not divided by the agents passed. Ruled out: the case without overload, in which the limit in flight holds it. Change: a case with twice the load and short queues, and the same with agents that each believe to be alone as a fault that the count has to see.

--- a/internal/scale/coldstart/cases.go
+++ b/internal/scale/coldstart/cases.go
@@ -23,6 +23,7 @@
 	add("three cold at once", func(c *Case) { c.Burst, c.Cold = 2.5, 3 })
 	add("zone back cold", func(c *Case) { c.Burst, c.Cold, c.CameBack, c.ToldWithin = 1.5, c.Warm/2, true, time.Second })
 	add("all cold", func(c *Case) { c.Cold, c.Warm, c.Load, c.Burst = c.Warm, 0, .6, 0 })
+	add("all cold, overloaded", func(c *Case) { c.Cold, c.Warm, c.Load, c.Burst, c.ShortQueues = c.Warm, 0, 2, 0, true })
 	add("restarted before", func(c *Case) { c.Burst, c.Restarted, c.RestartedFrom = 2.5, .7, -time.Second })
 	add("restarted after, told late", func(c *Case) { c.Burst, c.Restarted, c.ToldWithin, c.CameBack = 2.5, .7, 2*time.Second, true })
 	add("all restarted", func(c *Case) { c.Burst, c.Restarted, c.ToldWithin = 2.5, 1, 0 })
@@ -62,7 +63,13 @@
 		c.Cold, c.Warm, c.Burst, c.BelievedAgents = c.Warm, 0, 0, max(1, agents/3)
 	})
 	add("all cold, each believes to be alone", func(c *Case) { c.Cold, c.Warm, c.Burst, c.BelievedAgents = c.Warm, 0, 0, 1 })
-	return cases
+	return append(cases, Alone(agents, warm))
+}
+
+// Alone is the case that the budget can't bear: no backend is warm, so that it rests on the number of agents, and each believes to be the only one.
+func Alone(agents, warm int) Case {
+	return Case{Name: "all cold, overloaded, each believes to be alone", Agents: agents, Cold: warm, Load: 2, Skew: .6, ShortQueues: true,
+		ToldWithin: 500 * time.Millisecond, Zones: 2, BelievedAgents: 1}
 }
 
 // Planted are faults that the count has to see: agents that know of no cold start, and such that believe besides that each is alone.
--- a/internal/scale/coldstart/coldstart_test.go
+++ b/internal/scale/coldstart/coldstart_test.go
@@ -85,7 +85,11 @@
 // The count sees faults that push backends over.
 func TestPlantedFaultsAreSeen(t *testing.T) {
 	for _, f := range []size{{30, 6}, {300, 12}} {
-		for _, c := range coldstart.Planted(f.agents, f.warm) {
+		faults := coldstart.Planted(f.agents, f.warm)
+		if f.agents == 300 { // fewer that believe to be alone stay near the bound
+			faults = append(faults, coldstart.Alone(f.agents, f.warm))
+		}
+		for _, c := range faults {
 			t.Run(f.String()+"/"+c.Name, func(t *testing.T) {
 				t.Parallel()
 				if s := sweep(t, c); s.OverBound < s.Runs {
