Cold start: unequal work that requests tell

No agent can know: requests don't tell their work there. Change: the same case with work told, where the budget has to hold by work too.

--- a/internal/scale/coldstart/case.go
+++ b/internal/scale/coldstart/case.go
@@ -34,6 +34,7 @@
 
 	Keys        bool    // requests carry keys, and a backend that met a key lately needs less work
 	Unequal     bool    // one class of little work and one of twenty times as much
+	Hints       bool    // requests tell their work
 	Errors      float64 // share of answers that are errors
 	ColdFails   bool    // a cold backend answers half of what it gets with an error, at once
 	ShortQueues bool    // backends turn away what finds no free core and one place to wait
--- a/internal/scale/coldstart/cases.go
+++ b/internal/scale/coldstart/cases.go
@@ -33,6 +33,7 @@
 	add("connections late", func(c *Case) { c.Burst, c.SlowConns = 2.5, .3 })
 	add("keys", func(c *Case) { c.Burst, c.Keys = 2.5, true })
 	add("unequal work", func(c *Case) { c.Burst, c.Unequal = 2.5, true })
+	add("unequal work, told", func(c *Case) { c.Burst, c.Unequal, c.Hints = 2.5, true, true })
 	add("load reports", func(c *Case) { c.Burst, c.Inline = 2.5, true })
 	add("sizes", func(c *Case) { c.Burst, c.Sizes, c.ColdSize = 2.5, true, .7 })
 	return cases
--- a/internal/scale/coldstart/fleet.go
+++ b/internal/scale/coldstart/fleet.go
@@ -273,7 +273,11 @@
 	if f.rng.Float64() < f.Leavers {
 		f.at(f.now+f.within(k.Deadline), func() { f.leave(a, r) })
 	}
-	f.step(a, balance.Request{ID: r.id, Class: r.class, Key: r.key, Left: k.Deadline})
+	event := balance.Request{ID: r.id, Class: r.class, Key: r.key, Left: k.Deadline}
+	if f.Hints {
+		event.Work = r.work
+	}
+	f.step(a, event)
 }
 
 func (f *fleet) drawClass() int {
