--- a/cmd/lemonrail/configuration_test.go
+++ b/cmd/lemonrail/configuration_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -93,6 +94,13 @@
 	c.changed = make(chan struct{})
 }
 
+// left reports whether a process has said that the agent stops.
+func (c *controlMachine) left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.reports, func(r configuration.Report) bool { return r.Leaving })
+}
+
 // configState is what the test reads of GET /api/config.
 type configState struct {
 	InForce map[configuration.Scope]configuration.Position `json:"in_force"`
@@ -159,6 +167,18 @@
 	close(over)
 	revision := <-last
 	next.hasInForce(revision)
+	defer func() {
+		if err := next.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		next.ended()
+		if !machine.left() {
+			t.Error("the last process hasn't told control that the agent stops")
+		}
+	}()
+	if machine.left() {
+		t.Error("the process that was replaced has told control that the agent stops")
+	}
 	if n := stop(); n < 20 || revision < 3 {
 		t.Errorf("%d requests, %d revisions", n, revision)
 	}
