Control process: changes while the machines are killed or stopped in turn

Need: an acknowledged change may not be lost, nor done twice, through a rolling restart.

Change: a writer whose every change makes the next revision, beside four agents.

--- a/internal/configuration/rig/faults_test.go
+++ b/internal/configuration/rig/faults_test.go
@@ -150,7 +150,7 @@
 			t.Fatalf("%s: show %s: %v", m.Name, change.Scope, err)
 		}
 		if shown.Position != accepted.Position || shown.Change != change.ID || shown.Digest != accepted.Digest {
-			t.Errorf("%s shows %+v, but %+v was accepted of change %s", m.Name, shown, accepted, change.ID)
+			t.Errorf("%s shows %+v of change %s, but %+v was accepted of change %s", m.Name, shown.Position, shown.Change, accepted.Position, change.ID)
 		}
 	}
 }
--- a/internal/configuration/rig/watcher_test.go
+++ b/internal/configuration/rig/watcher_test.go
@@ -150,6 +150,61 @@
 	wantInForce(ctx, t, r, agents, configuration.Fleet, accepted)
 }
 
+// A writer makes one change after another while the machines are killed or stopped in turn, and started again. Each of its changes makes the next
+// revision: none is lost and none is done twice, or the next one would be a conflict.
+func TestChangesDuringARollingRestart(t *testing.T) {
+	ctx, r := start(t)
+	agents := startWatchers(ctx, t, r, 4)
+	c := newClient(t, r)
+	var last configuration.Change
+	var accepted configuration.Accepted
+	restarted := make(chan struct{})
+	written := make(chan error, 1)
+	go func() {
+		written <- func() (err error) {
+			for base := uint64(0); ; base++ {
+				last = attempts(configuration.Fleet, base, 2+int(base%3))
+				if accepted, err = settledPut(ctx, c, last); err != nil {
+					return fmt.Errorf("on revision %d: %w", base, err)
+				}
+				select {
+				case <-restarted:
+					return nil
+				default:
+				}
+			}
+		}()
+	}()
+	for i, m := range r.Machines() {
+		if i%2 == 0 {
+			m.Kill()
+		} else if err := m.Stop(); err != nil {
+			t.Errorf("%s: %v", m.Name, err)
+		}
+		restart(ctx, t, m)
+		waitVotes(ctx, t, m, "fleet")
+	}
+	close(restarted)
+	if err := <-written; err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d changes", accepted.Revision)
+	wantShown(ctx, t, r, last, accepted)
+	wantInForce(ctx, t, r, agents, configuration.Fleet, accepted)
+}
+
+// waitVotes returns once a machine takes part in a group and knows its leader.
+func waitVotes(ctx context.Context, t *testing.T, m *rig.Machine, group string) {
+	t.Helper()
+	err := rig.Wait(ctx, func() bool {
+		status, err := m.Group(ctx, group)
+		return err == nil && status.Votes && status.Leader != ""
+	})
+	if err != nil {
+		t.Fatalf("%s doesn't vote in %s: %v", m.Name, group, err)
+	}
+}
+
 // wantInForce checks that the agents come to have a revision in force, and that the machines say so.
 func wantInForce(ctx context.Context, t *testing.T, r *rig.Rig, agents []*watch.Watcher, scope configuration.Scope, accepted configuration.Accepted) {
 	t.Helper()
