--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -31,7 +31,7 @@
 	"lemonrail/internal/duty/seat"
 	"lemonrail/internal/ledger"
 	"lemonrail/internal/member/link"
-	"lemonrail/internal/site/pilot"
+	"lemonrail/internal/site/driver"
 	"lemonrail/internal/standin"
 )
 
@@ -50,6 +50,9 @@
 	Args     []string          // further ones of each agent; DIR in them is the agent's own folder
 	Seed     uint64            // of what links do by chance
 	Observer standin.Observer  // of the site; nil: a ledger of its own
+
+	// Amend changes an agent's configuration before it is written; nil: nothing is changed.
+	Amend func(agent int, config map[string]any)
 }
 
 // Cluster is a running rig.
@@ -177,6 +180,9 @@
 	}
 	all["peers"] = peers
 	all["settings"].(map[string]any)["PolicyLimits"].(map[string]any)["Peers"] = true
+	if a.c.o.Amend != nil {
+		a.c.o.Amend(a.number, all)
+	}
 	if raw, err = json.MarshalIndent(all, "", " "); err != nil {
 		return err
 	}
@@ -407,7 +413,7 @@
 func (a *Agent) Members() (*link.Report, error) { return view(a.Door) }
 
 // Sites is what the agent holds the sites for.
-func (a *Agent) Sites() (*pilot.Report, error) { return told[pilot.Report](a.Door, "/api/sites") }
+func (a *Agent) Sites() (*driver.Report, error) { return told[driver.Report](a.Door, "/api/sites") }
 
 func view(door string) (*link.Report, error) { return told[link.Report](door, "/api/members") }
 
