--- a/internal/configuration/server/agents.go
+++ b/internal/configuration/server/agents.go
@@ -94,5 +94,10 @@
 	if err != nil || revision == 0 {
 		return configuration.Position{}, failure(configuration.ErrorInvalid, "revision %q is no number from 1 on", text)
 	}
-	return configuration.Position{Revision: revision}, nil
+	if g := s.groups[scope.Group()]; g != nil {
+		if applied, ok := g.revision(scope); ok && applied.Revision == revision {
+			return applied.Position, nil
+		}
+	}
+	return configuration.Position{Revision: revision}, nil // an earlier one: its epoch isn't known any more
 }
--- a/internal/configuration/server/server_test.go
+++ b/internal/configuration/server/server_test.go
@@ -75,7 +75,7 @@
 	}
 	defer c.Close()
 	status, err := c.Status(t.Context(), testRegionA, 1)
-	if err != nil || status.Everywhere || !slices.Equal(status.Unreachable, []string{"b2"}) {
+	if err != nil || status.Epoch != 1 || status.Everywhere || !slices.Equal(status.Unreachable, []string{"b2"}) {
 		t.Errorf("got %+v, %v", status, err)
 	}
 }
