--- a/internal/configuration/follower_test.go
+++ b/internal/configuration/follower_test.go
@@ -400,6 +400,29 @@
 	wantInForce(t, f, `{"format":1,"classes":{"scan":{"aim_ms":1500}}}`, Fleet, service)
 }
 
+// Applying may refuse even that a refused document goes: here one without an aim for scans.
+func TestFollowerEndsWhereWhatIsRefusedCantGo(t *testing.T) {
+	f := NewFollower(testPlace, checkStart)
+	take(t, f, whole(agentScope, 4, `{"format":1,"classes":{"scan":{"aim_ms":1500}}}`), ResultTaken)
+	apply(t, f)
+	take(t, f, whole(Fleet, 1, `{"format":1,"classes":{"scan":{"deadline_ms":1000}}}`), ResultTaken)
+	tries := 0
+	for effective, ok := f.Pending(); ok; effective, ok = f.Pending() {
+		if tries++; tries > 10 {
+			t.Fatal("it never ends")
+		}
+		if effective.Document.Classes["scan"].AimMs == nil {
+			f.Failed(effective, errors.New("no aim"))
+		} else {
+			f.InForce(effective)
+		}
+	}
+	wantInForce(t, f, `{"format":1,"classes":{"scan":{"aim_ms":1500,"deadline_ms":1000}}}`, agentScope)
+	take(t, f, whole(Fleet, 2, `{"format":1}`), ResultTaken)
+	apply(t, f)
+	wantInForce(t, f, `{"format":1,"classes":{"scan":{"aim_ms":1500}}}`)
+}
+
 func TestFollowerKeepsWhatIsInForce(t *testing.T) {
 	f := NewFollower(testPlace, checkStart)
 	take(t, f, whole(Fleet, 3, `{"format":1,"cold":{"from":0.5}}`), ResultTaken)
--- a/internal/configuration/registry_test.go
+++ b/internal/configuration/registry_test.go
@@ -195,6 +195,8 @@
 	wantKind(t, "more bytes", r.Check(change("more", service, 0, big)), ErrorInvalid)
 	_, err := put(t, r, 1, change("more", service, 0, big))
 	wantKind(t, "more bytes", err, ErrorInvalid)
+	restored := restoredCopy(t, r)
+	wantKind(t, "more bytes after a snapshot", restored.Check(change("again", service, 0, big)), ErrorInvalid)
 	// A document in place of another counts for the difference.
 	mustPut(t, r, 1, change("other", Scope{Level: LevelService, Name: "s0"}, 1, longDocument(200, 2)))
 	total := 0
--- a/internal/configuration/registry_updates_test.go
+++ b/internal/configuration/registry_updates_test.go
@@ -156,6 +156,35 @@
 	}
 }
 
+// Nor is one that is shorter than the whole, but longer than an update may be, or one that names much that has gone.
+func TestUpdatesSendNoLongPatch(t *testing.T) {
+	r := NewRegistry(FleetGroup)
+	before, after := longDocument(150, 1), longDocument(150, 1)
+	for i, name := 0, ""; i < 60; i++ {
+		name = fmt.Sprintf("class-%04d-é<%d>", i, i)
+		after.Classes[name] = ClassDocument{AimMs: pointer(2.0), Worth: pointer(0.5)}
+	}
+	mustPut(t, r, 1, change("before", Fleet, 0, before))
+	mustPut(t, r, 1, change("after", Fleet, 1, after))
+	patch, err := MakePatch(before.Canonical(), after.Canonical())
+	if err != nil || len(patch) <= PartMost || len(patch) >= len(after.Canonical()) {
+		t.Fatalf("a patch of %d bytes isn't what this is about (%v)", len(patch), err)
+	}
+	if updates := r.Updates(Fleet, Position{1, 1}); len(updates) < 2 || updates[0].From != 0 {
+		t.Errorf("%d updates, the first from %d", len(updates), updates[0].From)
+	}
+
+	mustPut(t, r, 1, change("two", service, 0, mustParse(t, `{"format":1,"classes":{"x1":{"worth":1},"x2":{"worth":1}}}`)))
+	mustPut(t, r, 1, change("one", service, 1,
+		mustParse(t, `{"format":1,"classes":{"y":{"aim_ms":10,"deadline_ms":20,"late_worth":0.5,"worth":1}}}`)))
+	if len(r.scopes[service].steps) != 1 {
+		t.Fatal("there is no way back to patch from")
+	}
+	if updates := r.Updates(service, Position{1, 1}); len(updates) != 1 || updates[0].From != 0 {
+		t.Errorf("updates %+v", updates)
+	}
+}
+
 // Each line of a watch fits into the burst that the pace allows, whatever the document is made of.
 func TestUpdatesFitThePace(t *testing.T) {
 	for _, text := range []string{"x", `"`, `\`, "<", "é", "\u2028", "\x01", "😀"} {
--- a/internal/configuration/tracker_test.go
+++ b/internal/configuration/tracker_test.go
@@ -44,6 +44,11 @@
 	if got := tracker.Local(time.Hour + 5*time.Second); !reflect.DeepEqual(got, want) {
 		t.Errorf("local %+v", got)
 	}
+	must(t, tracker.Connected(place("b"), time.Hour+5*time.Second))
+	if got := tracker.Local(time.Hour + 5*time.Second)[1]; !got.Connected {
+		t.Errorf("back again it is %+v", got)
+	}
+	tracker.Disconnected(place("b"), time.Hour+5*time.Second)
 	leaving := reportOf("a", 3)
 	leaving.Leaving = true
 	must(t, tracker.Reported(leaving, time.Hour+6*time.Second))
@@ -183,6 +188,9 @@
 		want        bool
 	}{
 		{"all of them", [][]AgentStatus{{good}}, nil, true},
+		{"reported to another machine than it watches", [][]AgentStatus{
+			{{Report: reportOf("a", 4), Connected: true, Machine: "m1", AgeMs: 50}},
+			{{Report: reportOf("a", 5), Connected: false, Machine: "m2", AgeMs: 5}}}, nil, true},
 		{"a machine is unreachable", [][]AgentStatus{{good}}, []string{"m2"}, false},
 		{"nobody is known", [][]AgentStatus{{}}, nil, false},
 		{"asked nobody", nil, nil, false},
