Configuration: Merge copies no map twice

A mutant without the copy was found by no test, as a merged document's maps are its own from the first. The copy goes. go test ./internal/configuration passes, timetables included.

--- a/internal/configuration/document_merge.go
+++ b/internal/configuration/document_merge.go
@@ -1,7 +1,5 @@
 package configuration
 
-import "maps"
-
 // Merge lays a narrower document over a wider one, field by field. It changes neither; either may be nil.
 func Merge(wide, narrow *Document) *Document {
 	merged := &Document{Format: Format}
@@ -13,7 +11,7 @@
 	return merged
 }
 
-// lay sets what a narrower document sets.
+// lay sets what a narrower document sets. It changes d, which shares no map with another document.
 func (d *Document) lay(narrow *Document) {
 	d.Classes = layAll(d.Classes, narrow.Classes, ClassDocument.lay)
 	d.Tenants = layAll(d.Tenants, narrow.Tenants, TenantDocument.lay)
@@ -25,12 +23,9 @@
 	}
 }
 
-func layAll[T any](wide, narrow map[string]T, lay func(wide, narrow T) T) map[string]T {
-	if len(narrow) == 0 {
-		return wide
-	}
-	merged := maps.Clone(wide)
-	if merged == nil {
+// layAll lays each element of narrow over the one of the same name in merged, which is the merged document's own.
+func layAll[T any](merged, narrow map[string]T, lay func(wide, narrow T) T) map[string]T {
+	if merged == nil && len(narrow) > 0 {
 		merged = map[string]T{}
 	}
 	for name, n := range narrow {
