Diameter: answers queued as a planned stop ends are written before the connection ends

Ruled out: the goodbye crossing with the answer (the client answers DPR without leaving). Change: at the end of a stop nothing more is read, the writer drains its queue, and what is left at the stop's time is closed; a writer that fails closes its connection. A watch without a log has none.

--- a/internal/configuration/watch/watch.go
+++ b/internal/configuration/watch/watch.go
@@ -36,7 +36,7 @@
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	Folder string         // where the last good documents are kept; empty: nowhere
 	Rand   func() float64 // evenly spread in [0, 1); nil: math/rand's
-	Log    *slog.Logger
+	Log    *slog.Logger   // nil: none
 }
 
 // times are the waits of a Watcher.
@@ -116,6 +116,9 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
 	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = new(net.Dialer).DialContext
 	}
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -109,7 +110,8 @@
 		f.accept(nc)
 	}
 	told := f.sayGoodbye()
-	for end := by(); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	end := by()
+	for ; time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		f.mu.Lock()
 		n := f.table.InHand()
 		f.mu.Unlock()
@@ -119,14 +121,30 @@
 	}
 	f.mu.Lock()
 	f.done = true
-	for _, c := range f.conns {
-		c.Close()
-	}
+	open := slices.Collect(maps.Values(f.conns))
 	f.mu.Unlock()
+	for _, c := range open {
+		c.finish()
+	}
+	late := time.AfterFunc(time.Until(end), func() { // whatever is still to be written
+		for _, c := range open {
+			c.Close()
+		}
+	})
+	defer late.Stop()
 	f.wait.Wait()
 	return fault
 }
 
+// finish reads nothing more of a connection, which ends once what is queued for its client has been written. Guards
+// against an answer that is in the queue, and no longer in hand, when the connection is closed.
+func (c *conn) finish() {
+	reader, ok := c.Conn.(interface{ CloseRead() error })
+	if !ok || reader.CloseRead() != nil {
+		c.Close()
+	}
+}
+
 // sayGoodbye asks the clients that are known to end their connections (DPR, RFC 6733, 5.4) and returns theirs. What
 // they still send is taken, what they are owed they get: the connections end once all is answered.
 func (f *Front) sayGoodbye() (told []*conn) {
@@ -205,6 +223,7 @@
 				case raw := <-c.writes:
 					c.SetWriteDeadline(time.Now().Add(writeLimit))
 					if _, err := c.Write(raw); err != nil {
+						c.Close()
 						return
 					}
 				default:
@@ -433,6 +452,9 @@
 	origin := relay.Origin{Host: strings.ToLower(host), EndToEnd: m.EndToEnd}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.done { // it has come as the connection ends: nobody would get its answer
+		return
+	}
 	verdict, kept := f.table.Arrive(origin, relay.Waiter{Conn: c.no, HopByHop: m.HopByHop}, f.now())
 	switch verdict {
 	case relay.Answered:
