--- a/internal/scale/bounds_test.go
+++ b/internal/scale/bounds_test.go
@@ -7,11 +7,21 @@
 	"time"
 )
 
+// ended waits for a context's end, for so long at the most.
+func ended(t *testing.T, ctx context.Context) {
+	t.Helper()
+	select {
+	case <-ctx.Done():
+	case <-time.After(patience):
+		t.Fatalf("the run goes on after %v", patience)
+	}
+}
+
 func TestARunEndsAtItsBoundOfMemory(t *testing.T) {
 	t.Parallel()
 	ctx, release := Bounds{Time: time.Hour, MemoryBytes: 1}.Apply(context.Background())
 	defer release()
-	<-ctx.Done()
+	ended(t, ctx)
 	if err := context.Cause(ctx); !errors.Is(err, ErrMemory) {
 		t.Errorf("ended by %v", err)
 	}
@@ -21,7 +31,7 @@
 	t.Parallel()
 	ctx, release := Bounds{Time: time.Millisecond, MemoryBytes: 1 << 62}.Apply(context.Background())
 	defer release()
-	<-ctx.Done()
+	ended(t, ctx)
 	if err := context.Cause(ctx); errors.Is(err, ErrMemory) || errors.Is(err, context.Canceled) {
 		t.Errorf("ended by %v", err)
 	}
--- a/internal/scale/layers_test.go
+++ b/internal/scale/layers_test.go
@@ -102,7 +102,7 @@
 // A list that needs longer than a watch may be silent is given up each time: the agent never has it.
 func TestAWholeListThatTricklesInIsNeverReceived(t *testing.T) {
 	t.Parallel()
-	all, err := WholeList{Listed: []int{200}, Rate: 3000, Patience: 5 * time.Second, Say: t.Logf}.Run(bounded(t))
+	all, err := WholeList{Listed: []int{200}, Rate: 8000, Patience: 9 * time.Second, Say: t.Logf}.Run(bounded(t))
 	if err != nil {
 		t.Fatal(err)
 	}
