--- a/cmd/lemonrail/upgrade_test.go
+++ b/cmd/lemonrail/upgrade_test.go
@@ -72,7 +72,7 @@
 	log   bytes.Buffer
 }
 
-// start starts a process with a configuration and a door of its own.
+// start starts a process with a configuration and a control address of its own.
 func (p *platform) start(config string, args ...string) *instance {
 	p.t.Helper()
 	desk := scripted.Listen(p.t)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,8 +26,8 @@
 const reservedSockets = 32 // for standard streams, listeners, discovery, peers and the poller
 
 const (
-	listPatience = 1500 * time.Millisecond // for discovery, before this process says that it serves
-	firstWord    = 200 * time.Millisecond  // for what is pushed, before it takes the first client
+	listPatience  = 1500 * time.Millisecond // for discovery, before this process says that it serves
+	firstListWait = 200 * time.Millisecond  // for what is pushed, before it takes the first client
 )
 
 // Run serves until ctx ends, then answers what is in hand. It returns nil after such a stop.
@@ -66,28 +66,28 @@
 			}
 		}()
 	}
-	desk, err := openDoor(cfg)
+	controlListener, err := listenControl(cfg)
 	if err != nil {
 		return err
 	}
-	if desk != nil {
-		defer desk.Close()
+	if controlListener != nil {
+		defer controlListener.Close()
 	}
 	peers, err := listenPeers(cfg, log)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, cfg, bal, ln, desk, peers, hup, log)
+	return serve(ctx, cfg, bal, ln, controlListener, peers, hup, log)
 }
 
 // serve runs the parts round a balancer until ctx ends or one of them fails.
-func serve(ctx context.Context, cfg *Config, bal core.Decider, ln, desk net.Listener, peers *peers, hup <-chan os.Signal,
+func serve(ctx context.Context, cfg *Config, bal core.Decider, ln, controlListener net.Listener, peers *peers, hup <-chan os.Signal,
 	log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.Background())
 	t := newTasks(inner)
 	defer t.all.Wait()
 	defer stop()
-	all, err := assemble(inner, cfg, bal, ln, desk, peers, hup, log)
+	all, err := assemble(inner, cfg, bal, ln, controlListener, peers, hup, log)
 	defer all.close()
 	if err != nil {
 		return err
@@ -117,7 +117,7 @@
 }
 
 // assemble makes the parts, in the order in which they start. With an error come those that are to be closed.
-func assemble(ctx context.Context, cfg *Config, bal core.Decider, ln, desk net.Listener, peers *peers, hup <-chan os.Signal,
+func assemble(ctx context.Context, cfg *Config, bal core.Decider, ln, controlListener net.Listener, peers *peers, hup <-chan os.Signal,
 	log *slog.Logger) (all parts, err error) {
 	socks := &upstream.Sockets{Limit: int64(max(0, cfg.Sockets-reservedSockets))}
 	l := core.New(bal, &cfg.Settings, log)
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	clients, server, door, err := clientsPart(cfg, l, up, socks, ln, log)
+	clients, server, listener, err := clientsPart(cfg, l, up, socks, ln, log)
 	if err != nil {
 		return parts{dia}, err
 	}
@@ -141,10 +141,10 @@
 	if err != nil {
 		return parts{dia}, err
 	}
-	home := newHousehold(cfg, l, up, socks, door, members, log)
-	door.home = home
-	staffed := &staff{loop: l, figures: l.Figures, home: home}
-	sites, siteDriver, err := sitesPart(cfg, l, members, staffed, log)
+	processes := newProcessGroup(cfg, l, up, socks, listener, members, log)
+	listener.processes = processes
+	operators := &controlAPI{loop: l, figures: l.Figures, processes: processes}
+	sites, siteDriver, err := sitesPart(cfg, l, members, operators, log)
 	if err != nil {
 		return parts{dia}, err
 	}
@@ -152,29 +152,29 @@
 	if err != nil {
 		return parts{dia}, err
 	}
-	list, word := listPart(ctx, cfg, l, hup, log)
-	door.word, door.wait = word, cfg.firstWord
-	configured, err := configurationPart(cfg, l, server, home, log)
+	list, firstList := listPart(ctx, cfg, l, hup, log)
+	listener.firstList, listener.wait = firstList, cfg.firstListWait
+	configured, err := configurationPart(cfg, l, server, processes, log)
 	if err != nil {
 		return parts{dia}, err
 	}
 	all = parts{
-		{name: "staff", leave: func(time.Time) { staffed.stops.Store(true) }}, // before all: no yes while it stops
+		{name: "operators", leave: func(time.Time) { operators.stops.Store(true) }}, // before all: no yes while it stops
 		loopPart(l),
 		configured, // before clients: what was kept holds for the first one
 		{name: "backends", start: func(t *tasks) { t.Go(func(ctx context.Context) error { up.Run(ctx); return nil }) }},
-		home.part(),
+		processes.part(),
 		list,
 		peersPart(peers, l),
 		sites,
 		membersPart(members),
 		duties,
 		clients,
-		staffed.part(desk, log),
+		operators.part(controlListener, log),
 		dia,
 	}
-	staffed.ready, door.ready = all.ready, all.ready
-	staffed.gauges, staffed.routes = all.gauges(), all.routes()
+	operators.ready, listener.ready = all.ready, all.ready
+	operators.gauges, operators.routes = all.gauges(), all.routes()
 	return all, nil
 }
 
@@ -196,34 +196,34 @@
 	}}
 }
 
-// clientDoor is where clients come in over HTTP/1.1.
-type clientDoor struct {
+// clientListener is where clients come in over HTTP/1.1.
+type clientListener struct {
 	*admission.Listener
-	home  *household
-	ready func() bool
-	word  <-chan struct{} // closed once discovery has said what it has, where lists are pushed; else nil
-	wait  time.Duration   // for that
+	processes *processGroup
+	ready     func() bool
+	firstList <-chan struct{} // closed once discovery has said what it has, where lists are pushed; else nil
+	wait      time.Duration   // for that
 }
 
 // hold waits with the first client until this process may serve it: until one of an earlier generation need not, and
 // until discovery has said what it has. That counts as told from the process's first moment on, while the list that is
 // known may be of any age; clients wait in the listener's queue meanwhile.
-func (d *clientDoor) hold(ctx context.Context) {
-	d.home.hold(ctx, d.ready)
-	if d.word == nil {
+func (d *clientListener) hold(ctx context.Context) {
+	d.processes.hold(ctx, d.ready)
+	if d.firstList == nil {
 		return
 	}
 	late := time.NewTimer(d.wait)
 	defer late.Stop()
 	select {
-	case <-d.word:
+	case <-d.firstList:
 	case <-late.C: // it is down
 	case <-ctx.Done():
 	}
 }
 
 func clientsPart(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, ln net.Listener,
-	log *slog.Logger) (*part, *front.Server, *clientDoor, error) {
+	log *slog.Logger) (*part, *front.Server, *clientListener, error) {
 	s := &front.Server{Loop: l, Settings: &cfg.Settings, Names: cfg.Names, Figures: l.Figures, Memory: cfg.MemoryMB << 20}
 	gate, err := admission.Listen(ln, admission.DefaultConfig(int(socks.Limit), cfg.MemoryMB<<20), s.ComeBack(),
 		admission.Hooks{
@@ -239,12 +239,12 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	door := &clientDoor{Listener: gate}
+	listener := &clientListener{Listener: gate}
 	srv := s.HTTP(log)
 	return &part{name: "clients",
 		start: func(t *tasks) {
 			t.Go(func(ctx context.Context) error {
-				door.hold(ctx)
+				listener.hold(ctx)
 				if err := srv.Serve(gate); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 					return fmt.Errorf("clients: %w", err)
 				}
@@ -256,7 +256,7 @@
 		},
 		ready: s.Ready.Load,
 		leave: func(time.Time) {
-			if door.home.heir() {
+			if listener.processes.successorServes() {
 				log.Info("a successor serves: new connections are its own")
 				gate.Leave()
 			}
@@ -270,7 +270,7 @@
 				log.Warn("connections cut off", "count", left)
 			}
 			srv.Close()
-		}}, s, door, nil
+		}}, s, listener, nil
 }
 
 // listPart is where the list of backends comes from, and when it has first said what it has; nil: that needs no wait.
@@ -293,16 +293,16 @@
 			t.Go(func(context.Context) error { listed.follow(hup); return nil })
 		},
 		// Guards against a yes that rests on the list that was known, of any age; but discovery may be down.
-		ready: func() bool { return fresh.Load() || time.Since(begun) > listPatience }}, listed.word
+		ready: func() bool { return fresh.Load() || time.Since(begun) > listPatience }}, listed.firstList
 }
 
 // source is where the list of backends comes from.
 type source struct {
-	lists  core.Lists
-	begin  func()                 // tells what is known
-	run    func()                 // follows it until the agent ends
-	follow func(<-chan os.Signal) // reads what has changed with each signal
-	word   <-chan struct{}        // closed once it has said what it has; nil: that needs no wait
+	lists     core.Lists
+	begin     func()                 // tells what is known
+	run       func()                 // follows it until the agent ends
+	follow    func(<-chan os.Signal) // reads what has changed with each signal
+	firstList <-chan struct{}        // closed once it has said what it has; nil: that needs no wait
 }
 
 // listing is discovery, or a file in its place.
@@ -321,11 +321,11 @@
 		}}
 	}
 	d := roster.New(ctx, roster.Config{Service: cfg.Discovery, Ask: cfg.Settings.Subscribe, Names: cfg.Names, Seq: cfg.Known.Seq}, told, log)
-	var word <-chan struct{}
+	var firstList <-chan struct{}
 	if !cfg.Settings.Subscribe { // where lists are asked for, a new process has been told nothing yet
-		word = d.Spoken()
+		firstList = d.FirstList()
 	}
-	return source{lists: d, begin: func() { d.Tell(cfg.Known, balance.ListCached) }, run: d.Run, word: word,
+	return source{lists: d, begin: func() { d.Tell(cfg.Known, balance.ListCached) }, run: d.Run, firstList: firstList,
 		follow: func(hup <-chan os.Signal) { follow(ctx, hup, cfg.path, rereadFirst, d.Move, log) }}
 }
 
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -56,7 +56,7 @@
 	crossing time.Duration // once idle connections have been closed, for which it does
 	answerBy time.Duration // after a stop, by which all has been answered
 
-	firstWord time.Duration // after a start, for which discovery is waited for before the first client is taken
+	firstListWait time.Duration // after a start, for which discovery is waited for before the first client is taken
 }
 
 // ReadConfig reads and checks the file at path.
@@ -144,7 +144,7 @@
 	}
 	cfg.stay, cfg.linger, cfg.answerBy = planStop(&cfg.Settings)
 	cfg.crossing = planCrossing(cfg.stay, cfg.answerBy)
-	cfg.firstWord = firstWord
+	cfg.firstListWait = firstListWait
 	return cfg, nil
 }
 
--- a/internal/agent/configuration.go
+++ b/internal/agent/configuration.go
@@ -196,7 +196,7 @@
 }
 
 // configurationPart follows the control machines. It does nothing where settings are those of the start.
-func configurationPart(cfg *Config, l *core.Loop, server *front.Server, home *household, log *slog.Logger) (*part, error) {
+func configurationPart(cfg *Config, l *core.Loop, server *front.Server, processes *processGroup, log *slog.Logger) (*part, error) {
 	if cfg.configuration == nil {
 		return &part{name: "configuration"}, nil
 	}
@@ -212,7 +212,7 @@
 			t.Go(w.Run)
 		},
 		drain: func() {
-			if !home.heir() { // a successor is the same agent to control
+			if !processes.successorServes() { // a successor is the same agent to control
 				w.Leave()
 			}
 		},
--- a/internal/agent/configuration_test.go
+++ b/internal/agent/configuration_test.go
@@ -125,18 +125,18 @@
 			t.Fatal(err)
 		}
 	}
-	ln, desk := listen(t), listen(t)
+	ln, controlListener := listen(t), listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended, finished := make(chan error, 1), make(chan struct{})
 	go func() {
-		ended <- serve(ctx, cfg, bal, ln, desk, nil, nil, log)
+		ended <- serve(ctx, cfg, bal, ln, controlListener, nil, nil, log)
 		close(finished)
 	}()
 	t.Cleanup(func() {
 		cancel()
 		await(t, finished)
 	})
-	return changing{"http://" + ln.Addr().String(), "http://" + desk.Addr().String(), cancel, ended}
+	return changing{"http://" + ln.Addr().String(), "http://" + controlListener.Addr().String(), cancel, ended}
 }
 
 func (c changing) state(t *testing.T) configurationState {
--- a/internal/agent/door.go
+++ b/internal/agent/controlapi.go
@@ -15,22 +15,22 @@
 	"lemonrail/internal/takeover"
 )
 
-// staff is what the operators' door opens on.
-type staff struct {
-	loop    *core.Loop
-	figures *figures.Figures
-	ready   func() bool
-	stops   atomic.Bool
-	home    *household  // nil: this process is the only one of its agent
-	told    atomic.Bool // the others know that this one serves
-	gauges  []figures.Gauge
-	routes  []control.Route // of the other parts
+// controlAPI is what operators call at the control listener.
+type controlAPI struct {
+	loop      *core.Loop
+	figures   *figures.Figures
+	ready     func() bool
+	stops     atomic.Bool
+	processes *processGroup // nil: this process is the only one of its agent
+	told      atomic.Bool   // the others know that this one serves
+	gauges    []figures.Gauge
+	routes    []control.Route // of the other parts
 }
 
-// part answers at the door, where there is one.
-func (s *staff) part(desk net.Listener, log *slog.Logger) *part {
-	if desk == nil {
-		return &part{name: "door"}
+// part answers at the control listener, where there is one.
+func (s *controlAPI) part(controlListener net.Listener, log *slog.Logger) *part {
+	if controlListener == nil {
+		return &part{name: "control"}
 	}
 	own := []control.Route{
 		control.Ready("GET /api/ready", s.Ready),
@@ -38,8 +38,10 @@
 		control.Change("exclude", s.Exclude, log),
 		control.Change("include", s.Include, log),
 	}
-	return &part{name: "door", start: func(t *tasks) {
-		t.Go(func(ctx context.Context) error { return control.Serve(ctx, desk, append(own, s.routes...), log) })
+	return &part{name: "control", start: func(t *tasks) {
+		t.Go(func(ctx context.Context) error {
+			return control.Serve(ctx, controlListener, append(own, s.routes...), log)
+		})
 	}}
 }
 
@@ -47,7 +49,7 @@
 const countLimit = 100 * time.Millisecond
 
 // telemetry is the figures. Guards against old ones of the list: a loop that has nothing to do counts nothing.
-func (s *staff) telemetry(ctx context.Context) ([]byte, error) {
+func (s *controlAPI) telemetry(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, countLimit)
 	defer cancel()
 	s.ask(ctx, func() error {
@@ -59,7 +61,7 @@
 
 // Ready reports whether this process serves. Its yes ends the process before it, so that one that waits for
 // this has to know it first.
-func (s *staff) Ready() bool {
+func (s *controlAPI) Ready() bool {
 	if !s.ready() || s.stops.Load() {
 		return false
 	}
@@ -68,9 +70,9 @@
 		return false
 	default:
 	}
-	if s.home != nil && !s.told.Load() {
-		if err := s.home.claim.Ready(); err != nil {
-			s.home.log.Error("the process before this one is not told", "err", err)
+	if s.processes != nil && !s.told.Load() {
+		if err := s.processes.claim.Ready(); err != nil {
+			s.processes.log.Error("the process before this one is not told", "err", err)
 		}
 		s.told.Store(true)
 	}
@@ -78,8 +80,8 @@
 }
 
 // change has the loop note what staff did; where several processes are one agent, by way of what they share.
-func (s *staff) change(ctx context.Context, backend string, alone func(string) error, shared func(*takeover.State) error) error {
-	if s.home == nil {
+func (s *controlAPI) change(ctx context.Context, backend string, alone func(string) error, shared func(*takeover.State) error) error {
+	if s.processes == nil {
 		return s.ask(ctx, func() error { return alone(backend) })
 	}
 	known := func() error {
@@ -91,18 +93,18 @@
 	if err := s.ask(ctx, known); err != nil {
 		return err
 	}
-	state, err := s.home.claim.Change(shared)
+	state, err := s.processes.claim.Change(shared)
 	if err != nil {
 		return err
 	}
 	return s.ask(ctx, func() error {
-		s.home.adopt(state)
+		s.processes.adopt(state)
 		return nil
 	})
 }
 
 // ask has the loop do something, and waits for it while ctx lasts.
-func (s *staff) ask(ctx context.Context, do func() error) error {
+func (s *controlAPI) ask(ctx context.Context, do func() error) error {
 	done := make(chan error, 1)
 	go s.loop.Post(func() { // Post waits where the loop is behind
 		err := do()
@@ -118,25 +120,25 @@
 	}
 }
 
-func (s *staff) Exclude(ctx context.Context, backend string) error {
+func (s *controlAPI) Exclude(ctx context.Context, backend string) error {
 	return s.change(ctx, backend, s.loop.Exclude, func(t *takeover.State) error { return t.Exclude(backend) })
 }
 
-func (s *staff) Include(ctx context.Context, backend string) error {
+func (s *controlAPI) Include(ctx context.Context, backend string) error {
 	return s.change(ctx, backend, s.loop.Include, func(t *takeover.State) error {
 		t.Include(backend, time.Now())
 		return nil
 	})
 }
 
-// openDoor listens where staff call; nil where they don't.
-func openDoor(cfg *Config) (net.Listener, error) {
+// listenControl listens where staff call; nil where they don't.
+func listenControl(cfg *Config) (net.Listener, error) {
 	if !cfg.Control.IsValid() {
 		return nil, nil
 	}
 	ln, err := net.Listen("tcp", cfg.Control.String())
 	if err != nil {
-		return nil, fmt.Errorf("operators' door: %w", err)
+		return nil, fmt.Errorf("control listener: %w", err)
 	}
 	return ln, nil
 }
--- a/internal/agent/door_test.go
+++ b/internal/agent/controlapi_test.go
@@ -14,30 +14,30 @@
 	"lemonrail/internal/scripted"
 )
 
-// withDoor runs an agent with a door and returns where its clients and its staff call.
-func withDoor(t *testing.T, bal *decider, backends ...string) (clients, staff string) {
+// withControl runs an agent with a control listener and returns where its clients and its staff call.
+func withControl(t *testing.T, bal *decider, backends ...string) (clients, staff string) {
 	t.Helper()
 	cfg := testConfig(t, backends...)
-	desk := listen(t)
-	cfg.Control = netip.MustParseAddrPort(desk.Addr().String())
+	controlListener := listen(t)
+	cfg.Control = netip.MustParseAddrPort(controlListener.Addr().String())
 	ln := listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
 		if bal != nil {
-			serve(ctx, cfg, bal, ln, desk, nil, nil, quiet)
+			serve(ctx, cfg, bal, ln, controlListener, nil, nil, quiet)
 			return
 		}
 		real, _ := balance.New(cfg.Settings, cfg.Seed)
-		serve(ctx, cfg, real, ln, desk, nil, nil, quiet)
+		serve(ctx, cfg, real, ln, controlListener, nil, nil, quiet)
 	}()
 	t.Cleanup(func() {
 		cancel()
 		await(t, finished)
-		desk.Close()
+		controlListener.Close()
 	})
-	return "http://" + ln.Addr().String(), "http://" + desk.Addr().String()
+	return "http://" + ln.Addr().String(), "http://" + controlListener.Addr().String()
 }
 
 func call(t *testing.T, method, url string) (int, string) {
@@ -72,7 +72,7 @@
 // brought back by anything but the call back; then it counts as started anew.
 func TestDoorExcludesAndIncludes(t *testing.T) {
 	bal := newScripted(func(balance.Event) []balance.Action { return nil })
-	_, staff := withDoor(t, bal, deadAddr(t))
+	_, staff := withControl(t, bal, deadAddr(t))
 	if l := next[balance.List](t, bal); l.Kind != balance.ListCached {
 		t.Fatal(l)
 	}
@@ -112,7 +112,7 @@
 
 // What is no call gets a no.
 func TestDoorNonsense(t *testing.T) {
-	_, staff := withDoor(t, nil, deadAddr(t))
+	_, staff := withControl(t, nil, deadAddr(t))
 	untilReady(t, staff)
 	for call, want := range map[string]string{
 		"PUT /api/exclude/h0 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}": "400",
@@ -132,7 +132,7 @@
 
 // The figures tell what clients got, and come though callers hold connections and say nothing.
 func TestDoorFigures(t *testing.T) {
-	clients, staff := withDoor(t, nil, backend(t, scripted.Always(scripted.Hello)))
+	clients, staff := withControl(t, nil, backend(t, scripted.Always(scripted.Hello)))
 	for range 40 {
 		nc, err := net.Dial("tcp", strings.TrimPrefix(staff, "http://"))
 		if err != nil {
--- a/internal/agent/crossing_test.go
+++ b/internal/agent/crossing_test.go
@@ -85,7 +85,7 @@
 	for range 10 {
 		service, bal := newLists(t), newScripted(sendAll)
 		cfg := testConfig(t, backend(t, always(hello)))
-		cfg.Discovery, cfg.firstWord = addrPort(t, service.addr), time.Hour
+		cfg.Discovery, cfg.firstListWait = addrPort(t, service.addr), time.Hour
 		base, _, _ := running(t, cfg, bal)
 		c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
 		if err != nil {
@@ -118,7 +118,7 @@
 		wait    time.Duration
 	}{{deadAddr(t), time.Hour}, {silent, time.Millisecond}} {
 		cfg := testConfig(t, backend(t, always(hello)))
-		cfg.Discovery, cfg.firstWord = addrPort(t, c.service), c.wait
+		cfg.Discovery, cfg.firstListWait = addrPort(t, c.service), c.wait
 		base, _, _ := running(t, cfg, nil)
 		if resp, _, err := ask(newClient(t), base, "first"); err != nil || resp.StatusCode != http.StatusOK {
 			t.Errorf("%v: %v, %v", c, resp, err)
--- a/internal/agent/figures_day_test.go
+++ b/internal/agent/figures_day_test.go
@@ -50,7 +50,7 @@
 			}
 		}
 	})
-	clients, staff := withDoor(t, nil, rough, rough)
+	clients, staff := withControl(t, nil, rough, rough)
 	untilReady(t, staff)
 	var got [2][3]atomic.Int64 // by class: served, refused, failed
 	var all sync.WaitGroup
--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -11,7 +11,7 @@
 
 // part is one of those that an agent is made of: made from the configuration, started, asked whether it is ready,
 // and stopped, with the others in a stated order. serve goes through the list; what a part has no use for is nil.
-// Calls for the operators' door and figures are a part's own.
+// Calls at the control listener and figures are a part's own.
 type part struct {
 	name string
 
--- a/internal/agent/process_test.go
+++ b/internal/agent/process_test.go
@@ -210,7 +210,7 @@
 	return len(open)
 }
 
-// call asks the process's door; "" where it does not answer with a yes.
+// call asks the process's control listener; "" where it does not answer with a yes.
 func (p *agentProcess) call(path string) string {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get(p.staff() + path)
--- a/internal/agent/heirs.go
+++ b/internal/agent/processgroup.go
@@ -60,8 +60,8 @@
 	return c, s
 }
 
-// household keeps a process in step with the others of its agent.
-type household struct {
+// processGroup keeps a process in step with the others of its agent.
+type processGroup struct {
 	claim   *takeover.Claim
 	shared  takeover.State // as it was when this process took its place
 	loop    *core.Loop
@@ -79,17 +79,17 @@
 	mine    float64 // of the agent's budget, as told last
 }
 
-// newHousehold takes this process's place among those of the agent; nil where it is the only one there can be.
-func newHousehold(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, door *clientDoor, members *link.Link,
-	log *slog.Logger) *household {
+// newProcessGroup takes this process's place among those of the agent; nil where it is the only one there can be.
+func newProcessGroup(cfg *Config, l *core.Loop, up *upstream.Upstream, socks *upstream.Sockets, listener *clientListener, members *link.Link,
+	log *slog.Logger) *processGroup {
 	place, shared := claim(cfg, log)
 	if place == nil {
 		return nil
 	}
-	return &household{claim: place, shared: shared, loop: l, peers: l.Peers, members: members, inHand: func() int { return int(l.Figures.Active.Load()) },
+	return &processGroup{claim: place, shared: shared, loop: l, peers: l.Peers, members: members, inHand: func() int { return int(l.Figures.Active.Load()) },
 		memory: cfg.MemoryMB << 20, log: log, most: int(socks.Limit), open: func() int { return int(socks.Open.Load()) },
 		room: func(connections int, memory int64) {
-			if err := door.Resize(admission.DefaultConfig(connections, memory)); err != nil {
+			if err := listener.Resize(admission.DefaultConfig(connections, memory)); err != nil {
 				log.Error("bounds stay as they were", "err", err)
 			}
 			up.Room(connections)
@@ -97,11 +97,11 @@
 }
 
 // part is ahead of the list's: what staff did comes before what is known.
-func (h *household) part() *part {
+func (h *processGroup) part() *part {
 	if h == nil {
-		return &part{name: "household"}
+		return &part{name: "processes"}
 	}
-	return &part{name: "household",
+	return &part{name: "processes",
 		start: func(t *tasks) {
 			if h.claim.View().Plan().Mute {
 				h.loop.Post(func() { h.speak(false) })
@@ -110,7 +110,7 @@
 			t.Go(func(ctx context.Context) error { h.look(ctx); return nil })
 		},
 		leave: func(time.Time) {
-			if h.heir() {
+			if h.successorServes() {
 				h.loop.Post(h.leave)
 			}
 		},
@@ -118,7 +118,7 @@
 }
 
 // adopt takes a state over, unless a later one has been. It belongs to the loop.
-func (h *household) adopt(s takeover.State) {
+func (h *processGroup) adopt(s takeover.State) {
 	if s.Version > h.version {
 		h.version = s.Version
 		h.loop.Adopt(s.Out, s.Back, s.Zones)
@@ -126,7 +126,7 @@
 }
 
 // look reads what other processes have written, until ctx ends.
-func (h *household) look(ctx context.Context) {
+func (h *processGroup) look(ctx context.Context) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	alone, broken := true, false
@@ -176,7 +176,7 @@
 
 // speak lets this process speak to peers, or not: others would hear two voices under one number. It belongs to
 // the loop.
-func (h *household) speak(may bool) {
+func (h *processGroup) speak(may bool) {
 	if may && !h.leaves {
 		h.loop.Peers = h.peers
 	} else {
@@ -185,20 +185,20 @@
 }
 
 // leave is called at a stop once a successor serves. It belongs to the loop.
-func (h *household) leave() {
+func (h *processGroup) leave() {
 	h.leaves = true
 	h.speak(false)
 }
 
 // limit divides the memory among the processes that live.
-func (h *household) limit(alone bool) {
+func (h *processGroup) limit(alone bool) {
 	if h.memory > 0 {
 		debug.SetMemoryLimit(CollectAt(h.share(alone)))
 	}
 }
 
 // share is the memory that this process may use.
-func (h *household) share(alone bool) int64 {
+func (h *processGroup) share(alone bool) int64 {
 	if alone {
 		return h.memory
 	}
@@ -206,7 +206,7 @@
 }
 
 // places is how many connections this process may hold. Another has descriptors of its own besides.
-func (h *household) places(v takeover.View) int {
+func (h *processGroup) places(v takeover.View) int {
 	if h.most == 0 || v.Plan().Alone {
 		return h.most
 	}
@@ -216,14 +216,14 @@
 // CollectAt is the memory above which the collector works harder; the rest is for what it does not count.
 func CollectAt(memory int64) int64 { return memory * 3 / 4 }
 
-// heir reports whether a successor serves.
-func (h *household) heir() bool { return h != nil && h.claim.View().Plan().Heir }
+// successorServes reports whether a successor serves.
+func (h *processGroup) successorServes() bool { return h != nil && h.claim.View().Plan().Successor }
 
 const holdStep = 5 * time.Millisecond
 
 // hold waits, where a process of an earlier generation serves, until this one is ready to. Guards against clients
 // that are taken by a process that ends before it has ever served.
-func (h *household) hold(ctx context.Context, ready func() bool) {
+func (h *processGroup) hold(ctx context.Context, ready func() bool) {
 	if h == nil || !h.claim.View().Earlier {
 		return
 	}
--- a/internal/agent/heirs_test.go
+++ b/internal/agent/processgroup_test.go
@@ -33,19 +33,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	desk := listen(t)
-	cfg.Control = netip.MustParseAddrPort(desk.Addr().String())
+	controlListener := listen(t)
+	cfg.Control = netip.MustParseAddrPort(controlListener.Addr().String())
 	bal, err := balance.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{staff: "http://" + desk.Addr().String(), stop: cancel, done: make(chan struct{})}
+	p := &process{staff: "http://" + controlListener.Addr().String(), stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(p.done)
-		defer desk.Close()
+		defer controlListener.Close()
 		defer ln.Close()
-		if err := serve(ctx, cfg, bal, ln, desk, nil, nil, quiet); err != nil {
+		if err := serve(ctx, cfg, bal, ln, controlListener, nil, nil, quiet); err != nil {
 			t.Error(err)
 		}
 	}()
--- a/internal/agent/sites.go
+++ b/internal/agent/sites.go
@@ -57,7 +57,7 @@
 }
 
 // sitesPart makes the driver, which watches the loop.
-func sitesPart(cfg *Config, l *core.Loop, members *link.Link, staffed *staff, log *slog.Logger) (*part, *driver.Driver, error) {
+func sitesPart(cfg *Config, l *core.Loop, members *link.Link, operators *controlAPI, log *slog.Logger) (*part, *driver.Driver, error) {
 	if cfg.sites == nil {
 		return &part{name: "sites"}, nil, nil
 	}
@@ -69,7 +69,7 @@
 	if own >= len(cfg.Names.Zones) {
 		own = -1
 	}
-	o := driver.Options{Controller: config, Own: own, Seed: cfg.Seed, Log: log, Hand: staffed.excludeZone}
+	o := driver.Options{Controller: config, Own: own, Seed: cfg.Seed, Log: log, Hand: operators.excludeZone}
 	if members != nil {
 		o.Members = members
 	}
@@ -83,14 +83,14 @@
 }
 
 // excludeZone takes a whole zone out, or puts it back.
-func (s *staff) excludeZone(ctx context.Context, zone int, out bool) error {
-	if s.home == nil {
+func (s *controlAPI) excludeZone(ctx context.Context, zone int, out bool) error {
+	if s.processes == nil {
 		return s.ask(ctx, func() error {
 			s.loop.ExcludeZone(zone, out)
 			return nil
 		})
 	}
-	state, err := s.home.claim.Change(func(t *takeover.State) error {
+	state, err := s.processes.claim.Change(func(t *takeover.State) error {
 		t.ExcludeZone(zone, out)
 		return nil
 	})
@@ -98,7 +98,7 @@
 		return err
 	}
 	return s.ask(ctx, func() error {
-		s.home.adopt(state)
+		s.processes.adopt(state)
 		return nil
 	})
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -71,11 +71,11 @@
 
 // Agent is one agent: at most one process at a time.
 type Agent struct {
-	Name   string
-	Zone   string
-	Listen netip.AddrPort // where clients connect
-	Door   string         // where staff call
-	Log    string         // file
+	Name    string
+	Zone    string
+	Listen  netip.AddrPort // where clients connect
+	Control string         // where staff call
+	Log     string         // file
 
 	c      *Cluster
 	number int
@@ -155,7 +155,7 @@
 		}
 		a.fds, places[k] = append(a.fds, fd), at
 	}
-	a.Listen, a.Door = netip.MustParseAddrPort(places[0]), places[1]
+	a.Listen, a.Control = netip.MustParseAddrPort(places[0]), places[1]
 	return a, nil
 }
 
@@ -232,7 +232,7 @@
 	defer log.Close()
 	program, args := a.limited(a.c.o.Program, args)
 	cmd := exec.Command(program, args...)
-	cmd.Env = []string{"LB_CONFIG=" + a.config, "LB_NAME=" + a.Name, "LB_CONTROL=" + a.Door, "TMPDIR=" + a.dir, "GOMAXPROCS=2"}
+	cmd.Env = []string{"LB_CONFIG=" + a.config, "LB_NAME=" + a.Name, "LB_CONTROL=" + a.Control, "TMPDIR=" + a.dir, "GOMAXPROCS=2"}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := a.c.refuse(a.number, false); err != nil {
 		return err
@@ -386,14 +386,14 @@
 	})
 }
 
-// Ask asks the agent's door.
+// Ask asks the agent's control listener.
 func (a *Agent) Ask(method, path string) (status int, body []byte, err error) {
-	return call(a.Door, method, path)
+	return call(a.Control, method, path)
 }
 
-func call(door, method, path string) (status int, body []byte, err error) {
+func call(address, method, path string) (status int, body []byte, err error) {
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(method, "http://"+door+path, nil)
+	req, err := http.NewRequest(method, "http://"+address+path, nil)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -407,33 +407,33 @@
 }
 
 // Duties is how the agent's duties stand.
-func (a *Agent) Duties() (*seat.Report, error) { return told[seat.Report](a.Door, "/api/duties") }
+func (a *Agent) Duties() (*seat.Report, error) { return told[seat.Report](a.Control, "/api/duties") }
 
 // Members is the agent's view of the fleet.
-func (a *Agent) Members() (*link.Report, error) { return view(a.Door) }
+func (a *Agent) Members() (*link.Report, error) { return view(a.Control) }
 
 // Sites is what the agent holds the sites for.
-func (a *Agent) Sites() (*driver.Report, error) { return told[driver.Report](a.Door, "/api/sites") }
+func (a *Agent) Sites() (*driver.Report, error) { return told[driver.Report](a.Control, "/api/sites") }
 
-func view(door string) (*link.Report, error) { return told[link.Report](door, "/api/members") }
+func view(address string) (*link.Report, error) { return told[link.Report](address, "/api/members") }
 
-// told is what a door says as JSON.
-func told[T any](door, path string) (*T, error) {
-	status, body, err := call(door, http.MethodGet, path)
+// told is what a control listener says as JSON.
+func told[T any](address, path string) (*T, error) {
+	status, body, err := call(address, http.MethodGet, path)
 	if err != nil {
 		return nil, err
 	}
 	if status != http.StatusOK {
-		return nil, fmt.Errorf("%s: %d: %s", door, status, bytes.TrimSpace(body))
+		return nil, fmt.Errorf("%s: %d: %s", address, status, bytes.TrimSpace(body))
 	}
 	r := new(T)
 	return r, json.Unmarshal(body, r)
 }
 
-// Ask asks a door for its view until it is as wanted, for so long at the most.
-func Ask(door string, patience time.Duration, so func(*link.Report) error) error {
+// Ask asks a control listener for its view until it is as wanted, for so long at the most.
+func Ask(address string, patience time.Duration, so func(*link.Report) error) error {
 	return until(patience, nil, func() error {
-		r, err := view(door)
+		r, err := view(address)
 		if err != nil {
 			return err
 		}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -99,7 +99,7 @@
 	srv.SetKeepAlivesEnabled(false)
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
 	if err := srv.Serve(&crowded{Listener: ln}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("operators' door: %w", err)
+		return fmt.Errorf("control listener: %w", err)
 	}
 	return nil
 }
--- a/internal/member/link/link.go
+++ b/internal/member/link/link.go
@@ -330,7 +330,7 @@
 	return l.post(func() { l.m.Say(l.now(), note) })
 }
 
-// Routes are the calls at the operators' door.
+// Routes are the calls at the control listener.
 func (l *Link) Routes() []control.Route {
 	return []control.Route{control.Text("GET /api/members", "application/json", func(ctx context.Context) ([]byte, error) {
 		r, err := l.Report(ctx)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -121,8 +121,8 @@
 	missing atomic.Bool // a watch fell silent, and no list has come since
 	hung    atomic.Bool // the last call did not begin in time, and the one before had not hung
 
-	spoken chan struct{} // closed once a list has been told, or the first call for one has failed
-	speak  sync.Once
+	firstList chan struct{} // closed once a list has been told, or the first call for one has failed
+	firstOnce sync.Once
 
 	stop context.CancelFunc // ends the watch that was asked for; nil: none; the loop's own
 }
@@ -141,7 +141,7 @@
 	if c.Ask { // a call may wait there
 		begin = silence
 	}
-	d := &Client{base: listURL(c.Service), spoken: make(chan struct{}), wake: make(chan struct{}, 1), ask: c.Ask,
+	d := &Client{base: listURL(c.Service), firstList: make(chan struct{}), wake: make(chan struct{}, 1), ask: c.Ask,
 		names: c.Names, told: told, log: log, ctx: ctx, seq: c.Seq, silence: silence, opening: begin, after: time.After}
 	d.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dial}}
 	return d
@@ -175,10 +175,10 @@
 	}
 }
 
-// Spoken is closed once the first list has been told, or the first call has come to nothing.
-func (d *Client) Spoken() <-chan struct{} { return d.spoken }
+// FirstList is closed once the first list has been told, or the first call has come to nothing.
+func (d *Client) FirstList() <-chan struct{} { return d.firstList }
 
-func (d *Client) spoke() { d.speak.Do(func() { close(d.spoken) }) }
+func (d *Client) firstListDone() { d.firstOnce.Do(func() { close(d.firstList) }) }
 
 // source is the service that a call goes to: a list of one that has been replaced counts no more.
 type source struct {
@@ -212,7 +212,7 @@
 		return // the agent stops
 	}
 	d.log.Warn("discovery", "err", err)
-	defer d.spoke()
+	defer d.firstListDone()
 	if d.ask {
 		soon := within
 		if !d.missing.Load() {
@@ -230,8 +230,8 @@
 	wait := reopenFirst
 	for d.ctx.Err() == nil {
 		began := time.Now()
-		spoke, heard, err := d.follow(d.ctx)
-		if spoke {
+		received, heard, err := d.follow(d.ctx)
+		if received {
 			wait = reopenFirst
 		}
 		d.failed(err, heard)
@@ -257,7 +257,7 @@
 
 // follow watches the list until the connection ends or falls silent, or the service moves. It reports whether anything came,
 // and when the last list or heartbeat was whole, or, if none was, when the call began.
-func (d *Client) follow(ctx context.Context) (spoke bool, heard time.Time, err error) {
+func (d *Client) follow(ctx context.Context) (received bool, heard time.Time, err error) {
 	heard = time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -291,7 +291,7 @@
 	watchdog.Reset(d.silence)
 	var in *objects
 	in = newObjects(body, d.silence, func() {
-		spoke = true
+		received = true
 		if in.apart {
 			heard = time.Now()
 		}
@@ -301,15 +301,15 @@
 	for {
 		l, err := in.next()
 		if errors.Is(err, io.EOF) {
-			return spoke, heard, errors.New("watch ended")
+			return received, heard, errors.New("watch ended")
 		}
 		if err != nil {
-			return spoke, heard, fmt.Errorf("watch: %w", err)
+			return received, heard, fmt.Errorf("watch: %w", err)
 		}
 		heard = time.Now()
 		watchdog.Reset(in.left())
 		if err := d.take(l, from, true); err != nil {
-			return spoke, heard, err
+			return received, heard, err
 		}
 	}
 }
@@ -349,7 +349,7 @@
 	}
 	d.missing.Store(false)
 	d.Tell(l, kind)
-	d.spoke()
+	d.firstListDone()
 	return nil
 }
 
--- a/internal/site/driver/routes.go
+++ b/internal/site/driver/routes.go
@@ -101,7 +101,7 @@
 	return r
 }
 
-// Routes are the calls at the operators' door.
+// Routes are the calls at the control listener.
 func (p *Driver) Routes() []control.Route {
 	return []control.Route{
 		control.Text("GET /api/sites", "application/json", func(ctx context.Context) ([]byte, error) {
--- a/internal/takeover/state.go
+++ b/internal/takeover/state.go
@@ -146,14 +146,14 @@
 
 // Plan is what follows for it.
 type Plan struct {
-	Alone bool // no other lives: memory is its own
-	Heir  bool // a successor serves: a stop leaves new connections to it
-	Mute  bool // the one before it speaks for the agent
+	Alone     bool // no other lives: memory is its own
+	Successor bool // a successor serves: a stop leaves new connections to it
+	Mute      bool // the one before it speaks for the agent
 }
 
 // Plan says how this process is to act.
 func (v View) Plan() Plan {
-	return Plan{Alone: !v.Earlier && !v.Later, Heir: v.Later && v.Ready > v.Generation,
+	return Plan{Alone: !v.Earlier && !v.Later, Successor: v.Later && v.Ready > v.Generation,
 		Mute: v.Earlier}
 }
 
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -24,13 +24,13 @@
 	}{
 		{View{Generation: 1}, Plan{Alone: true}},
 		{View{Generation: 1, Ready: 1}, Plan{Alone: true}},
-		{View{Generation: 1, Later: true, Ready: 1}, Plan{}},                                      // it has only started
-		{View{Generation: 1, Later: true, Ready: 2}, Plan{Heir: true}},                            // it serves
-		{View{Generation: 1, Ready: 2}, Plan{Alone: true}},                                        // it served, and has ended
-		{View{Generation: 2, Earlier: true, Ready: 2}, Plan{Mute: true}},                          // the one before is still there
-		{View{Generation: 2, Earlier: true, Ready: 1}, Plan{Mute: true}},                          // and serves alone
-		{View{Generation: 3, Later: true, Ready: 2}, Plan{}},                                      // neither serves yet
-		{View{Generation: 2, Earlier: true, Later: true, Ready: 3}, Plan{Heir: true, Mute: true}}, // two upgrades at once
+		{View{Generation: 1, Later: true, Ready: 1}, Plan{}},                                           // it has only started
+		{View{Generation: 1, Later: true, Ready: 2}, Plan{Successor: true}},                            // it serves
+		{View{Generation: 1, Ready: 2}, Plan{Alone: true}},                                             // it served, and has ended
+		{View{Generation: 2, Earlier: true, Ready: 2}, Plan{Mute: true}},                               // the one before is still there
+		{View{Generation: 2, Earlier: true, Ready: 1}, Plan{Mute: true}},                               // and serves alone
+		{View{Generation: 3, Later: true, Ready: 2}, Plan{}},                                           // neither serves yet
+		{View{Generation: 2, Earlier: true, Later: true, Ready: 3}, Plan{Successor: true, Mute: true}}, // two upgrades at once
 	} {
 		if got := c.v.Plan(); got != c.want {
 			t.Errorf("%+v: %+v", c.v, got)
@@ -190,7 +190,7 @@
 	check(first, Plan{})
 	check(second, Plan{Mute: true})
 	second.Ready()
-	check(first, Plan{Heir: true})
+	check(first, Plan{Successor: true})
 	first.Tell(30, 70)
 	second.Tell(9, 20)
 	if a, b := first.View().Part(30), second.View().Part(9); a != 0.5 || b != 0.5 {
