Scale: one measure of usage for each step, raft's tick as shipped

Need: the run of hollow configuration repeated its samples before and after each step (duplicates), and ran raft at 50 ms where deploy/control.toml has 100. lemonctl config machines printed how a voting machine had begun ('all seats are empty') under why; seen when tried by hand with the shipped files. Result: internal/scale and cmd/lemonctl pass.

--- a/cmd/lemonctl/config.go
+++ b/cmd/lemonctl/config.go
@@ -335,7 +335,7 @@
 
 func printMachines(w io.Writer, answers []machineAnswer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "machine\tregion\twatches\tgroup\tvotes\tleader\tterm\tapplied\tscopes\twhy")
+	fmt.Fprintln(table, "machine\tregion\twatches\tgroup\tvotes\tleader\tterm\tapplied\tscopes\twhy not")
 	for _, answer := range answers {
 		if answer.Status == nil {
 			fmt.Fprintf(table, "%s\t\t\t\t\t\t\t\t\t%s\n", answer.Address, answer.Error)
@@ -347,8 +347,12 @@
 			if leader == "" {
 				leader = "none known"
 			}
+			why := ""
+			if !g.Votes {
+				why = oneLine(g.Why)
+			}
 			fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%t\t%s\t%d\t%d\t%d\t%s\n", m.Name, m.Region, m.Watches, g.Group, g.Votes, leader, g.Term, g.Applied,
-				len(g.Scopes), oneLine(g.Why))
+				len(g.Scopes), why)
 		}
 	}
 	return table.Flush()
--- a/internal/scale/hollowconfiguration.go
+++ b/internal/scale/hollowconfiguration.go
@@ -27,7 +27,10 @@
 	Say     func(format string, args ...any)
 }
 
-const burstGap = 100 * time.Millisecond
+const (
+	burstGap      = 100 * time.Millisecond
+	shippedTickMs = 100 // of raft, as in deploy/control.toml
+)
 
 // configurationRun is one size while it runs.
 type configurationRun struct {
@@ -57,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	machines, err := rig.Start(ctx, rig.Options{Program: o.Program, Folder: dir, Regions: rig.FourMachines(), TickMs: 50})
+	machines, err := rig.Start(ctx, rig.Options{Program: o.Program, Folder: dir, Regions: rig.FourMachines(), TickMs: shippedTickMs})
 	if err != nil {
 		return err
 	}
@@ -122,38 +125,53 @@
 	return nil
 }
 
-// allAtOnce starts all agents together, as after a power cut.
-func (r *configurationRun) allAtOnce(ctx context.Context) error {
-	heapBefore := heapBytes()
+// fleetUsage is what the agents and the machines used while something was done.
+type fleetUsage struct {
+	spent
+	busiest  time.Duration   // processor time of the machine that used most
+	machines []cluster.Usage // since their starts
+}
+
+// during measures what is used while something is done.
+func (r *configurationRun) during(do func() error) (fleetUsage, error) {
 	used := startSpan(&r.fleet.traffic)
-	machinesBefore, err := r.machinesUsage()
+	before, err := r.machinesUsage()
 	if err != nil {
-		return err
+		return fleetUsage{}, err
 	}
-	arrived := r.fleet.expect(mark{configuration.LevelFleet, r.value}, len(r.fleet.agents))
-	if err := r.fleet.startAll(ctx); err != nil {
-		return err
-	}
-	took, err := arrived.wait(ctx)
-	if err != nil {
-		return err
-	}
-	if err := r.everywhere(ctx, "all start at once: in force everywhere, as control says", configuration.Fleet, r.bases[configuration.Fleet], arrived.began); err != nil {
-		return err
+	if err := do(); err != nil {
+		return fleetUsage{}, err
 	}
 	spent, err := used.end()
 	if err != nil {
-		return err
+		return fleetUsage{}, err
 	}
-	machinesAfter, err := r.machinesUsage()
+	after, err := r.machinesUsage()
+	return fleetUsage{spent: spent, busiest: busiest(before, after), machines: after}, err
+}
+
+// allAtOnce starts all agents together, as after a power cut.
+func (r *configurationRun) allAtOnce(ctx context.Context) error {
+	heapBefore := heapBytes()
+	arrived := r.fleet.expect(mark{configuration.LevelFleet, r.value}, len(r.fleet.agents))
+	var took spread
+	usage, err := r.during(func() (err error) {
+		if err := r.fleet.startAll(ctx); err != nil {
+			return err
+		}
+		if took, err = arrived.wait(ctx); err != nil {
+			return err
+		}
+		return r.everywhere(ctx, "all start at once: in force everywhere, as control says", configuration.Fleet, r.bases[configuration.Fleet], arrived.began)
+	})
 	if err != nil {
 		return err
 	}
 	r.set.spread("all start at once: settings in force", r.x, took)
-	r.set.add("all start at once: bytes to an agent", "B", r.x, float64(spent.received)/r.x)
-	r.set.add("all start at once: bytes from an agent", "B", r.x, float64(spent.sent)/r.x)
-	r.set.add("all start at once: processor time an agent", "ms", r.x, milliseconds(spent.cpu)/r.x)
-	r.set.add("all start at once: processor time of the busiest machine", "ms", r.x, milliseconds(busiest(machinesBefore, machinesAfter)))
+	r.set.add("all start at once: bytes to an agent", "B", r.x, float64(usage.received)/r.x)
+	r.set.add("all start at once: bytes from an agent", "B", r.x, float64(usage.sent)/r.x)
+	r.set.add("all start at once: processor time an agent", "ms", r.x, milliseconds(usage.cpu)/r.x)
+	r.set.add("all start at once: processor time of the busiest machine", "ms", r.x, milliseconds(usage.busiest))
 	r.set.add("memory an agent", "KB", r.x, heapGrowthKB(heapBefore)/r.x)
 	return nil
 }
@@ -172,29 +190,17 @@
 }
 
 func (r *configurationRun) rest(ctx context.Context) error {
-	used := startSpan(&r.fleet.traffic)
-	before, err := r.machinesUsage()
+	usage, err := r.during(func() error { return pause(ctx, r.Rest) })
 	if err != nil {
 		return err
 	}
-	if err := pause(ctx, r.Rest); err != nil {
-		return err
-	}
-	spent, err := used.end()
-	if err != nil {
-		return err
-	}
-	after, err := r.machinesUsage()
-	if err != nil {
-		return err
-	}
-	seconds := spent.took.Seconds()
-	r.set.add("at rest, bytes to an agent a second", "B/s", r.x, float64(spent.received)/r.x/seconds)
-	r.set.add("at rest, bytes from an agent a second", "B/s", r.x, float64(spent.sent)/r.x/seconds)
-	r.set.add("at rest, share of a core an agent", "%", r.x, 100*spent.cpu.Seconds()/r.x/seconds)
-	r.set.add("at rest, share of a core of the busiest machine", "%", r.x, 100*busiest(before, after).Seconds()/seconds)
+	seconds := usage.took.Seconds()
+	r.set.add("at rest, bytes to an agent a second", "B/s", r.x, float64(usage.received)/r.x/seconds)
+	r.set.add("at rest, bytes from an agent a second", "B/s", r.x, float64(usage.sent)/r.x/seconds)
+	r.set.add("at rest, share of a core an agent", "%", r.x, 100*usage.cpu.Seconds()/r.x/seconds)
+	r.set.add("at rest, share of a core of the busiest machine", "%", r.x, 100*usage.busiest.Seconds()/seconds)
 	largest, descriptors := int64(0), 0
-	for _, u := range after {
+	for _, u := range usage.machines {
 		largest, descriptors = max(largest, u.ResidentKB), max(descriptors, u.Descriptors)
 	}
 	r.set.add("resident memory of the largest machine", "MB", r.x, float64(largest)/1024)
@@ -204,34 +210,27 @@
 
 // changes measures changes of the fleet's document, each once the one before is in force everywhere.
 func (r *configurationRun) changes(ctx context.Context) error {
-	used := startSpan(&r.fleet.traffic)
-	before, err := r.machinesUsage()
-	if err != nil {
-		return err
-	}
 	var all, known []time.Duration
-	for range r.Changes {
-		took, everywhere, err := r.change(ctx)
-		if err != nil {
-			return err
+	usage, err := r.during(func() error {
+		for range r.Changes {
+			took, everywhere, err := r.change(ctx)
+			if err != nil {
+				return err
+			}
+			all = append(all, took...)
+			known = append(known, everywhere)
 		}
-		all = append(all, took...)
-		known = append(known, everywhere)
-	}
-	spent, err := used.end()
-	if err != nil {
-		return err
-	}
-	after, err := r.machinesUsage()
+		return nil
+	})
 	if err != nil {
 		return err
 	}
 	n := float64(max(1, r.Changes))
 	r.set.spread("a change, from the call to in force", r.x, spreadOf(all))
 	r.set.spread("a change, until control says everywhere", r.x, spreadOf(known))
-	r.set.add("a change, bytes to and from an agent", "B", r.x, float64(spent.received+spent.sent)/r.x/n)
-	r.set.add("a change, processor time an agent", "ms", r.x, milliseconds(spent.cpu)/r.x/n)
-	r.set.add("a change, processor time of the busiest machine", "ms", r.x, milliseconds(busiest(before, after))/n)
+	r.set.add("a change, bytes to and from an agent", "B", r.x, float64(usage.received+usage.sent)/r.x/n)
+	r.set.add("a change, processor time an agent", "ms", r.x, milliseconds(usage.cpu)/r.x/n)
+	r.set.add("a change, processor time of the busiest machine", "ms", r.x, milliseconds(usage.busiest)/n)
 	return nil
 }
 
