Control machines: raft's tick is shipped at 50 ms

Ruled out: the agents' waits (the seconds are the group's election and the operators' tries). settings_test names the shipped value and changes with it. Result: server and lemoncontrol pass.

--- a/internal/configuration/server/settings_test.go
+++ b/internal/configuration/server/settings_test.go
@@ -30,7 +30,7 @@
 func TestFileErrorsNameLineAndKey(t *testing.T) {
 	for _, tt := range []struct{ name, old, new, want string }{
 		{"an unknown key", "tick_ms", "tock_ms", "control.toml: line 8: unknown key tock_ms"},
-		{"a tick that is too short", "tick_ms = 100", "tick_ms = 1", "control.toml: line 8: tick_ms"},
+		{"a tick that is too short", "tick_ms = 50", "tick_ms = 1", "control.toml: line 8: tick_ms"},
 		{"a machine that isn't there", `name = "a1"   `, `name = "a9"   `, "control.toml: line 4: name"},
 		{"another region", `region = "a"`, `region = "b"`, "control.toml: line 5: region"},
 		{"no folder", `"/var/lib/lemonrail/control"`, `""`, "control.toml: line 7: folder"},
--- a/internal/scale/hollowconfiguration.go
+++ b/internal/scale/hollowconfiguration.go
@@ -29,7 +29,7 @@
 
 const (
 	burstGap      = 100 * time.Millisecond
-	shippedTickMs = 100 // of raft, as in deploy/control.toml
+	shippedTickMs = 50 // of raft, as in deploy/control.toml
 )
 
 // configurationRun is one size while it runs.
