--- a/cmd/lemonctl/scale.go
+++ b/cmd/lemonctl/scale.go
@@ -90,6 +90,16 @@
 	return nil
 }
 
+// inFolder runs an experiment that needs a folder of its own, and removes the folder.
+func inFolder(run func(dir string) ([]*scale.Series, error)) (series []*scale.Series, err error) {
+	dir, err := os.MkdirTemp("", "lemonctl-scale-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
+	return run(dir)
+}
+
 type scaleProcessesCmd struct {
 	scaleOutput
 	Agent      string        `default:"bin/lemonrail" help:"The agent's program."`
@@ -100,17 +110,14 @@
 	Gap        time.Duration `default:"100ms" help:"Between two changes."`
 }
 
-func (c *scaleProcessesCmd) experiment(ctx context.Context, say func(string, ...any)) (series []*scale.Series, err error) {
+func (c *scaleProcessesCmd) experiment(ctx context.Context, say func(string, ...any)) ([]*scale.Series, error) {
 	if err := errors.Join(sizes("--agents", c.Agents, cluster.Most), sizes("--list-agents", []int{c.ListAgents}, cluster.Most), sizes("--listed", c.Listed, 10000)); err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "lemonctl-scale-")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	return scale.ProcessRun{Program: c.Agent, Dir: dir, Members: shippedMembers, Agents: c.Agents, Listed: c.Listed, ListAgents: c.ListAgents,
-		Rest: c.Rest, Gap: c.Gap, Say: say}.Run(ctx)
+	return inFolder(func(dir string) ([]*scale.Series, error) {
+		return scale.ProcessRun{Program: c.Agent, Dir: dir, Members: shippedMembers, Agents: c.Agents, Listed: c.Listed, ListAgents: c.ListAgents,
+			Rest: c.Rest, Gap: c.Gap, Say: say}.Run(ctx)
+	})
 }
 
 func (c *scaleProcessesCmd) Run(ctx context.Context, s streams) error {
@@ -155,13 +162,10 @@
 	return scale.HollowMembers{Agents: c.Agents, Rest: c.Rest, Leaves: 5, Seed: c.Seed, Say: say}.Run(ctx)
 }
 
-func (c *scaleHollowCmd) duties(ctx context.Context, say func(string, ...any)) (series []*scale.Series, err error) {
-	dir, err := os.MkdirTemp("", "lemonctl-scale-")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	return scale.HollowDuties{Agents: c.Agents, Rest: c.Rest, Releases: 3, Dir: dir, Seed: c.Seed, Say: say}.Run(ctx)
+func (c *scaleHollowCmd) duties(ctx context.Context, say func(string, ...any)) ([]*scale.Series, error) {
+	return inFolder(func(dir string) ([]*scale.Series, error) {
+		return scale.HollowDuties{Agents: c.Agents, Rest: c.Rest, Releases: 3, Dir: dir, Seed: c.Seed, Say: say}.Run(ctx)
+	})
 }
 
 func (c *scaleHollowCmd) Run(ctx context.Context, s streams) error {
@@ -182,17 +186,14 @@
 	Faults  bool          `default:"true" negatable:"" help:"Also a mass restart, lost connections, a lost machine, regions apart."`
 }
 
-func (c *scaleConfigurationCmd) experiment(ctx context.Context, say func(string, ...any)) (series []*scale.Series, err error) {
+func (c *scaleConfigurationCmd) experiment(ctx context.Context, say func(string, ...any)) ([]*scale.Series, error) {
 	if err := sizes("--agents", c.Agents, mostHollow); err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "lemonctl-scale-")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	return scale.HollowConfiguration{Program: c.Control, Agents: c.Agents, Rest: c.Rest, Changes: c.Changes, Burst: c.Burst, Faults: c.Faults,
-		Dir: dir, Seed: c.Seed, Say: say}.Run(ctx)
+	return inFolder(func(dir string) ([]*scale.Series, error) {
+		return scale.HollowConfiguration{Program: c.Control, Agents: c.Agents, Rest: c.Rest, Changes: c.Changes, Burst: c.Burst, Faults: c.Faults,
+			Dir: dir, Seed: c.Seed, Say: say}.Run(ctx)
+	})
 }
 
 func (c *scaleConfigurationCmd) Run(ctx context.Context, s streams) error {
--- a/internal/scale/hollowconfiguration.go
+++ b/internal/scale/hollowconfiguration.go
@@ -99,6 +99,13 @@
 	return accepted, err
 }
 
+// nextMark is that of the next document of the fleet's, and its arrivals at all agents.
+func (r *configurationRun) nextMark() (mark, *arrivals) {
+	r.value++
+	m := mark{configuration.LevelFleet, r.value}
+	return m, r.fleet.expect(m, len(r.fleet.agents))
+}
+
 // documents gives each scope but the agents' a document, before any agent runs.
 func (r *configurationRun) documents(ctx context.Context) error {
 	for _, group := range []string{configuration.FleetGroup, configuration.RegionGroup("a"), configuration.RegionGroup("b")} {
@@ -236,9 +243,7 @@
 
 // change makes one of the fleet's document and waits until it is in force everywhere.
 func (r *configurationRun) change(ctx context.Context) (took []time.Duration, everywhere time.Duration, err error) {
-	r.value++
-	m := mark{configuration.LevelFleet, r.value}
-	arrived := r.fleet.expect(m, len(r.fleet.agents))
+	m, arrived := r.nextMark()
 	if _, err := r.put(ctx, configuration.Fleet, m); err != nil {
 		return nil, 0, fmt.Errorf("put: %w", err)
 	}
@@ -262,9 +267,8 @@
 	}
 	var last *arrivals
 	for range r.Burst {
-		r.value++
-		m := mark{configuration.LevelFleet, r.value}
-		last = r.fleet.expect(m, len(r.fleet.agents))
+		var m mark
+		m, last = r.nextMark()
 		if _, err := r.put(ctx, configuration.Fleet, m); err != nil {
 			return fmt.Errorf("put: %w", err)
 		}
--- a/internal/scale/hollowconfigurationfaults.go
+++ b/internal/scale/hollowconfigurationfaults.go
@@ -13,9 +13,7 @@
 func (r *configurationRun) massRestart(ctx context.Context) error {
 	restarted := r.fleet.agents[:len(r.fleet.agents)*9/10]
 	r.fleet.stop(restarted)
-	r.value++
-	m := mark{configuration.LevelFleet, r.value}
-	arrived := r.fleet.expect(m, len(r.fleet.agents))
+	m, arrived := r.nextMark()
 	for _, a := range restarted {
 		if err := r.fleet.start(ctx, a); err != nil {
 			return err
@@ -31,9 +29,7 @@
 func (r *configurationRun) lostConnections(ctx context.Context) error {
 	r.fleet.setLossy(true)
 	defer r.fleet.setLossy(false)
-	r.value++
-	m := mark{configuration.LevelFleet, r.value}
-	arrived := r.fleet.expect(m, len(r.fleet.agents))
+	m, arrived := r.nextMark()
 	if _, err := r.put(ctx, configuration.Fleet, m); err != nil {
 		return fmt.Errorf("put with lost connections: %w", err)
 	}
@@ -46,9 +42,7 @@
 	if err != nil {
 		return err
 	}
-	r.value++
-	m := mark{configuration.LevelFleet, r.value}
-	arrived := r.fleet.expect(m, len(r.fleet.agents))
+	m, arrived := r.nextMark()
 	leader.Kill()
 	if err := r.putUntilAccepted(ctx, configuration.Fleet, m); err != nil {
 		return fmt.Errorf("put with a machine lost: %w", err)
@@ -94,9 +88,7 @@
 	if _, err := r.put(ctx, configuration.Fleet, mark{configuration.LevelFleet, r.value}); !isNoQuorum(err) {
 		return fmt.Errorf("regions apart: a change of the fleet's settings came to %v, not to %s", err, configuration.ErrorNoQuorum)
 	}
-	r.value++
-	m := mark{configuration.LevelFleet, r.value}
-	arrived := r.fleet.expect(m, len(r.fleet.agents))
+	m, arrived := r.nextMark()
 	r.fleet.rig.HealAll()
 	if err := r.putUntilAccepted(ctx, configuration.Fleet, m); err != nil {
 		return fmt.Errorf("put after regions met: %w", err)
