--- a/review/lab/diameter.go
+++ b/review/lab/diameter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -202,3 +203,53 @@
 	}
 	p.conns = nil
 }
+
+// SetKey sets a key of the class with a name in the text of a file like deploy/diameter.toml.
+func SetKey(text, class, key string, value int64) string {
+	before, after, found := strings.Cut(text, fmt.Sprintf("name = %q", class))
+	at := strings.Index(after, key+" = ")
+	if !found || at < 0 {
+		panic("no " + key + " of " + class)
+	}
+	end := at + strings.IndexByte(after[at:], '\n')
+	return before + fmt.Sprintf("name = %q", class) + after[:at] + fmt.Sprintf("%s = %d", key, value) + after[end:]
+}
+
+// Capabilities exchanges capabilities on a client's connection.
+func Capabilities(nc net.Conn, identity string, application uint32) error {
+	m := &diameter.Message{Flags: diameter.FlagRequest, Command: diameter.CapabilitiesExchange, HopByHop: 1, EndToEnd: 1,
+		AVPs: []diameter.AVP{diameter.Str(diameter.CodeOriginHost, identity), diameter.Str(diameter.CodeOriginRealm, Realm),
+			diameter.U32(diameter.CodeAuthApplication, application)}}
+	raw, err := m.Append(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := nc.Write(raw); err != nil {
+		return err
+	}
+	nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	defer nc.SetReadDeadline(time.Time{})
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(nc, head); err != nil { // byte by byte: what follows the answer is left for the caller
+		return err
+	}
+	rest := make([]byte, int(head[1])<<16|int(head[2])<<8|int(head[3])-4)
+	if _, err := io.ReadFull(nc, rest); err != nil {
+		return err
+	}
+	a, err := diameter.Decode(append(head, rest...), diameter.DefaultLimits())
+	if err == nil && a.Result() != diameter.Success {
+		err = fmt.Errorf("capabilities exchange: %d", a.Result())
+	}
+	return err
+}
+
+// AnswerBase answers a request of the base protocol with success.
+func AnswerBase(nc net.Conn, m *diameter.Message, identity string) {
+	a := m.Answer()
+	a.AVPs = []diameter.AVP{diameter.U32(diameter.CodeResultCode, diameter.Success), diameter.Str(diameter.CodeOriginHost, identity),
+		diameter.Str(diameter.CodeOriginRealm, Realm)}
+	if raw, err := a.Append(nil); err == nil {
+		nc.Write(raw)
+	}
+}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -146,9 +147,25 @@
 	return "", errors.New("deploy/balancer.toml has no line run")
 }
 
-// StartAgent starts an agent by the deploy file's line run, with flags after it, a configuration and a private $TMPDIR.
-// Its log goes to the record when it ends.
+// Extra is what the platform gives a process beside its configuration.
+type Extra struct {
+	TempDir  string   // $TMPDIR; empty: a private folder
+	Listener *os.File // of the clients, inherited as descriptor 3; nil: the process listens itself
+	Control  string   // address for operators; empty: the one of the configuration
+}
+
+// StartAgent starts an agent by the deploy file's line run, with flags after it, and waits until it is up. Its log goes to
+// the record when it ends.
 func (l *Lab) StartAgent(config *Config, flags string) (*Process, error) {
+	p, err := l.StartProcess(config.Name, config, flags, Extra{})
+	if err != nil {
+		return nil, err
+	}
+	return p, p.awaitUp(config.Listen)
+}
+
+// StartProcess is StartAgent for one of several processes of an agent, called name in the record. It does not wait.
+func (l *Lab) StartProcess(name string, config *Config, flags string, extra Extra) (*Process, error) {
 	run, err := runLine()
 	if err != nil {
 		return nil, err
@@ -161,22 +178,31 @@
 	if err != nil {
 		return nil, err
 	}
-	tmp, err := os.MkdirTemp(l.Dir, "tmp")
-	if err != nil {
-		return nil, err
+	tmp := extra.TempDir
+	if tmp == "" {
+		if tmp, err = os.MkdirTemp(l.Dir, "tmp"); err != nil {
+			return nil, err
+		}
 	}
-	log, err := os.Create(filepath.Join(l.Dir, fmt.Sprintf("log%d", len(l.procs))))
+	log, err := os.CreateTemp(l.Dir, "log")
 	if err != nil {
 		return nil, err
 	}
 	cmd := exec.Command("/bin/sh", "-c", run+" "+flags)
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_NAME="+config.Name, "LB_LISTEN="+config.Listen, "LB_DISCOVERY="+config.Discovery,
 		"TMPDIR="+tmp)
+	if extra.Control != "" {
+		cmd.Env = append(cmd.Env, "LB_CONTROL="+extra.Control)
+	}
+	if extra.Listener != nil {
+		cmd.Env = append(cmd.Env, "LB_FD=3")
+		cmd.ExtraFiles = []*os.File{extra.Listener}
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	p := &Process{Name: config.Name, lab: l, cmd: cmd, done: make(chan struct{})}
+	p := &Process{Name: name, lab: l, cmd: cmd, done: make(chan struct{})}
 	l.mu.Lock()
 	l.procs = append(l.procs, p)
 	l.mu.Unlock()
@@ -191,7 +217,7 @@
 		l.Record("%s: ended: %v; its log:\n%s", p.Name, err, text)
 		close(p.done)
 	}()
-	return p, p.awaitUp(config.Listen)
+	return p, nil
 }
 
 // awaitUp waits until GET /up is answered with 200.
@@ -249,14 +275,16 @@
 
 // Config is an agent's configuration, in the form of the users' page on the deployment.
 type Config struct {
-	Name      string          `json:"name"`
-	Listen    string          `json:"listen"`
-	Discovery string          `json:"discovery"`
-	Control   string          `json:"control,omitempty"`
-	Seed      string          `json:"seed"`
-	Limits    Limits          `json:"limits"`
-	Known     List            `json:"known"`
-	Settings  json.RawMessage `json:"settings"`
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Control    string          `json:"control,omitempty"`
+	PeerListen string          `json:"peer_listen,omitempty"`
+	Peers      []string        `json:"peers,omitempty"`
+	Seed       string          `json:"seed"`
+	Limits     Limits          `json:"limits"`
+	Known      List            `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
 }
 
 // Limits are the limits of an agent.
@@ -406,3 +434,42 @@
 		}
 	}
 }
+
+// WithPeers lets the agent with a number send datagrams to the others. peers has the address of each agent.
+func (c *Config) WithPeers(number int, peers []string) {
+	text := strings.Replace(string(c.Settings), `"Balancers": 2, "Me": 0`, fmt.Sprintf(`"Balancers": %d, "Me": %d`, len(peers), number), 1)
+	c.Settings = json.RawMessage(strings.Replace(text, `"TryLimit": 5`, `"TryLimit": 5, "Peers": true`, 1))
+	c.PeerListen, c.Peers = peers[number], peers
+}
+
+// FreePorts returns loopback addresses for datagrams whose ports were free a moment ago.
+func FreePorts(n int) (all []string, err error) {
+	for range n {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer c.Close()
+		all = append(all, c.LocalAddr().String())
+	}
+	return all, nil
+}
+
+// Call makes an operator's call to an agent's control listener and returns the body of the answer.
+func Call(method, control, path string) (string, error) {
+	req, err := http.NewRequest(method, "http://"+control+path, nil)
+	if err != nil {
+		return "", err
+	}
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode/100 != 2 {
+		err = fmt.Errorf("%s: %s", resp.Status, body)
+	}
+	return string(body), err
+}
