--- a/review/2/main.go
+++ b/review/2/main.go
@@ -2,156 +2,145 @@
 package main
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
 
-	"lemonrail/internal/diameter"
 	"lemonrail/review/lab"
 )
 
 const (
-	perSecond   = 200              // requests of the client
-	answerBytes = 40 << 10         // of an answer
-	pauseAt     = 2 * time.Second  // the client stops reading
-	pause       = 3 * time.Second  // for this long
-	sendFor     = 8 * time.Second  // the client sends requests
-	deadline    = 5 * time.Second  // of a request, with half a second of grace
-	watchFor    = 15 * time.Second // from the first request on
+	bodyBytes = 9 << 19 // 4.5 MiB
+	requests  = 40
+	gap       = 150 * time.Millisecond // between two requests
+	deadline  = 1500 * time.Millisecond
+	grace     = 500*time.Millisecond + 50*time.Millisecond // up to half a second after its time an answer only earns nothing
+	watch     = 30 * time.Second                           // how long a client waits for an answer here, to see whether one comes at all
 )
 
 func main() { lab.Run("review/2", run) }
 
-func run(l *lab.Lab) (violations []string, err error) {
-	data := string(make([]byte, answerBytes))
-	servers, err := l.NewServers([]string{"s1.example.net", "s2.example.net", "s3.example.net"},
-		func(int, *diameter.Message) time.Duration { return 10 * time.Millisecond },
-		func(*diameter.Message) []diameter.AVP {
-			return []diameter.AVP{diameter.WithoutMandatory(diameter.Str(702, data))} // User-Data
-		})
+// result is what became of a request.
+type result struct {
+	id      string
+	written time.Duration // from the first to the last byte; 0: not all was written
+	after   time.Duration // from the last byte to the answer's last byte; 0: no answer
+	status  string
+}
+
+// send sends a request with a long body on a connection of its own.
+func send(l *lab.Lab, listen, id string) (r result, err error) {
+	r.id = id
+	nc, err := net.Dial("tcp4", listen)
 	if err != nil {
-		return nil, err
+		return r, err
 	}
-	d, err := l.NewDiscovery(lab.NewHost("s1", servers.Nodes[0].Addr(), "gandhinagar"), lab.NewHost("s2", servers.Nodes[1].Addr(), "gandhinagar"),
-		lab.NewHost("s3", servers.Nodes[2].Addr(), "vadodara"))
-	if err != nil {
-		return nil, err
+	defer nc.Close()
+	began := time.Now()
+	written := make(chan time.Time, 1)
+	go func() {
+		defer close(written)
+		_, err := fmt.Fprintf(nc, "POST /alert-sub?key=%s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Time-Left: %dm\r\nIdempotency-Key: %s%s\r\nContent-Length: %d\r\n\r\n",
+			id, id, deadline.Milliseconds(), id, id, bodyBytes)
+		part := make([]byte, 64<<10)
+		for n := 0; err == nil && n < bodyBytes; n += len(part) {
+			_, err = nc.Write(part)
+		}
+		if err == nil {
+			l.Record("%s: last byte written", id)
+			written <- time.Now()
+		}
+	}()
+	nc.SetReadDeadline(began.Add(watch))
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
 	}
-	config, err := lab.NewConfig("n0", d)
+	answered := time.Now()
 	if err != nil {
-		return nil, err
+		r.status = err.Error()
+		nc.Close()
+	} else if r.status = resp.Status; resp.StatusCode == 200 && !strings.Contains(string(body), id) {
+		r.status = "200 with a foreign body"
 	}
-	relay, err := lab.FreeAddress()
-	if err != nil {
-		return nil, err
+	if at, ok := <-written; ok {
+		r.written = at.Sub(began)
+		if err == nil {
+			r.after = max(answered.Sub(at), 1)
+		}
 	}
-	file, err := l.DiameterFile(relay, 1, func(text string) string { return lab.SetKey(text, "user-data", "deadline_ms", deadline.Milliseconds()) })
-	if err != nil {
-		return nil, err
+	l.Record("%s: %s, %v after its last byte", id, r.status, answered.Sub(began)-r.written)
+	return r, nil
+}
+
+func run(l *lab.Lab) (violations []string, err error) {
+	var hosts []lab.Host
+	var backends []*lab.Backend
+	for i := range 4 {
+		b, err := l.NewBackend(fmt.Sprintf("s%d", i+1), 50*time.Millisecond)
+		if err != nil {
+			return nil, err
+		}
+		backends, hosts = append(backends, b), append(hosts, lab.NewHost(b.Name, b.Address(), []string{"gandhinagar", "vadodara"}[i%2]))
 	}
-	if _, err := l.StartAgent(config, "-diameter "+file); err != nil {
+	d, err := l.NewDiscovery(hosts...)
+	if err != nil {
 		return nil, err
 	}
-
-	nc, err := net.Dial("tcp4", relay)
+	config, err := lab.NewConfig("n0", d)
 	if err != nil {
 		return nil, err
 	}
-	defer nc.Close()
-	if err := lab.Capabilities(nc, lab.ClientName(1), lab.AppSh); err != nil {
+	if _, err := l.StartAgent(config, ""); err != nil {
 		return nil, err
 	}
 	var mu sync.Mutex
-	sent, results := map[uint32]time.Time{}, map[uint32]int{}
-	answered, twice := map[uint32]time.Time{}, 0
-	ended := "" // how the connection ended
-	began := time.Now()
-	stopSending := make(chan struct{})
+	var all []result
+	var failure error
 	var tasks sync.WaitGroup
-	tasks.Go(func() { // sends
-		tick := time.NewTicker(time.Second / perSecond)
-		defer tick.Stop()
-		for id := uint32(1); time.Since(began) < sendFor; id++ {
-			select {
-			case <-tick.C:
-			case <-stopSending:
-				return
-			}
-			raw, err := lab.Request(diameter.UserData, lab.AppSh, lab.ClientName(1), fmt.Sprintf("read-%d", id), id).Append(nil)
-			if err == nil {
-				_, err = nc.Write(raw)
-			}
-			if err != nil {
-				l.Record("client can't send: %v", err)
-				return
-			}
-			mu.Lock()
-			sent[id] = time.Now() // its last byte is written
-			mu.Unlock()
+	for n := range requests {
+		if n == requests/4 && l.Trouble {
+			backends[0].Hang()
 		}
-	})
-	tasks.Go(func() { // reads, and pauses once
-		defer close(stopSending)
-		messages := diameter.NewReader(nc, diameter.DefaultLimits())
-		paused := !l.Trouble
-		for {
-			if !paused && time.Since(began) > pauseAt {
-				l.Record("client pauses")
-				time.Sleep(pause)
-				l.Record("client reads again")
-				paused = true
-			}
-			nc.SetReadDeadline(began.Add(watchFor))
-			raw, err := messages.Next()
-			if err != nil {
-				ended = err.Error()
-				l.Record("client's connection: %v", err)
-				return
-			}
-			m, err := diameter.Decode(raw, diameter.DefaultLimits())
-			if err != nil {
-				ended = err.Error()
-				return
-			}
-			if m.Request() {
-				lab.AnswerBase(nc, m, lab.ClientName(1))
-				continue
-			}
+		tasks.Go(func() {
+			r, err := send(l, config.Listen, fmt.Sprintf("9b1f03aa5c7e%04x", n))
 			mu.Lock()
-			if _, before := answered[m.EndToEnd]; before {
-				twice++
-			}
-			answered[m.EndToEnd] = time.Now()
-			results[m.Result()]++
-			full := len(answered) == len(sent) && time.Since(began) > sendFor+time.Second
-			mu.Unlock()
-			if full {
-				return
-			}
-		}
-	})
+			defer mu.Unlock()
+			all = append(all, r)
+			failure = errors.Join(failure, err)
+		})
+		time.Sleep(gap)
+	}
 	tasks.Wait()
-	lost, late := 0, 0
-	for id, at := range sent {
-		end, ok := answered[id]
+	if failure != nil {
+		return nil, failure
+	}
+	served := 0
+	for _, r := range all {
 		switch {
-		case !ok:
-			lost++
-			l.Record("no answer to read-%d, written after %v", id, at.Sub(began).Round(time.Millisecond))
-		case end.Sub(at) > deadline+500*time.Millisecond:
-			late++
+		case r.status == "200 OK":
+			served++
+		case strings.HasPrefix(r.status, "200"):
+			violations = append(violations, r.id+": "+r.status)
+		}
+		if r.written > 0 && (r.after == 0 || r.after > deadline+grace) {
+			what := fmt.Sprintf("an answer only after %v (%s)", r.after, r.status)
+			if r.after == 0 {
+				what = fmt.Sprintf("no answer within %v (%s)", watch, r.status)
+			}
+			violations = append(violations, fmt.Sprintf("%s: the agent had its last byte after %v, the client waits %v: %s", r.id, r.written.Round(time.Millisecond), deadline, what))
 		}
 	}
-	l.Record("sent %d, answered %d by Result-Code %v, twice %d, late %d, lost %d", len(sent), len(answered), results, twice, late, lost)
-	if len(answered) == 0 {
-		return nil, fmt.Errorf("no answer at all: %s", ended)
-	}
-	if lost > 0 {
-		violations = append(violations, fmt.Sprintf("of %d requests that the agent had taken, %d never got an answer: it ended their connection (%s)", len(sent), lost, ended))
-	}
-	if twice > 0 {
-		violations = append(violations, fmt.Sprintf("%d requests got two answers", twice))
+	if served < requests/2 {
+		return nil, fmt.Errorf("only %d of %d requests were served", served, requests)
 	}
 	return violations, nil
 }
--- a/review/lab/http.go
+++ b/review/lab/http.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 	ln   net.Listener
 	mu   sync.Mutex
 	runs map[string]int // by id of the request
+	hung atomic.Bool
 }
 
 // NewBackend starts a backend that takes runTime for a request.
@@ -26,7 +28,7 @@
 		return nil, err
 	}
 	b := &Backend{Name: name, lab: l, ln: ln, runs: map[string]int{}}
-	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	go http.Serve(hangingListener{ln, b}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("X-Correlation-Id")
 		if id == "" {
 			http.NotFound(w, r)
@@ -75,3 +77,40 @@
 
 // Freight replaces the settings by those of the users' second deployment.
 func (c *Config) Freight() { c.Settings = json.RawMessage(freight) }
+
+// Hang makes the backend hang: it reads and answers nothing more, on open and on new connections.
+func (b *Backend) Hang() {
+	b.lab.Record("%s hangs", b.Name)
+	b.hung.Store(true)
+}
+
+// hangingListener accepts connections of a backend.
+type hangingListener struct {
+	net.Listener
+	backend *Backend
+}
+
+func (l hangingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return hangingConn{c, l.backend}, err
+}
+
+// hangingConn is a connection of a backend. Once the backend hangs, nothing is read from it or written to it.
+type hangingConn struct {
+	net.Conn
+	backend *Backend
+}
+
+func (c hangingConn) Read(p []byte) (int, error) {
+	if c.backend.hung.Load() {
+		select {} // until the case ends
+	}
+	return c.Conn.Read(p)
+}
+
+func (c hangingConn) Write(p []byte) (int, error) {
+	if c.backend.hung.Load() {
+		select {}
+	}
+	return c.Conn.Write(p)
+}
