--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -307,13 +308,13 @@
   {"AimMs": 750, "DeadlineMs": 1500, "Group": "zone", "LateValue": 0.25, "Name": "alert-sub", "Semantics": "by_key", "WindowMs": 1000, "Worth": 10}],
  "Report": {"Fields": [], "Source": "off"}, "TickMs": 0}`
 
-// NewConfig returns a configuration with a free port for clients and the discovery service d.
+// NewConfig returns a configuration with a free port for clients, the discovery service d and a new seed.
 func NewConfig(name string, d *Discovery) (*Config, error) {
 	listen, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	return &Config{Name: name, Listen: listen, Discovery: d.Address(), Seed: "651bdba231d8b69b", Known: d.List(), Settings: json.RawMessage(settings),
+	return &Config{Name: name, Listen: listen, Discovery: d.Address(), Seed: fmt.Sprintf("%016x", rand.Uint64()), Known: d.List(), Settings: json.RawMessage(settings),
 		Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}, nil
 }
 
