Review: the records name each request that was sent, run and answered

Cause: the record of case 1 had counts only, and that of case 3 no count of the other client's reads.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	served := 0
+	served, asked := 0, 0
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		for m := range reader.Received {
@@ -84,6 +84,7 @@
 		for i := uint32(1); ; i++ {
 			select {
 			case <-tick.C:
+				asked++
 				reader.Send(lab.Request(diameter.UserData, lab.AppSh, lab.ClientName(2), fmt.Sprintf("read-%d", i), i))
 			case <-stop:
 				reader.Close()
@@ -139,7 +140,7 @@
 	client.Close()
 	close(stop)
 	<-ended
-	l.Record("reads served: %d", served)
+	l.Record("reads of the other client: %d sent, %d served, %d requests run in all", asked, served, servers.Count())
 	if served == 0 {
 		return nil, fmt.Errorf("no read was served")
 	}
--- a/review/lab/http.go
+++ b/review/lab/http.go
@@ -41,6 +41,7 @@
 		b.mu.Lock()
 		b.runs[id]++
 		b.mu.Unlock()
+		l.Record("%s runs %s, %d bytes", name, id, n)
 		time.Sleep(runTime)
 		fmt.Fprintf(w, "%s ran %s with %d bytes\n", name, id, n)
 	}))
