--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -24,7 +23,6 @@
 	refusalLingerTime  = 100 * time.Millisecond // instead of lingerTime, for a refused connection
 	refusalLingerBytes = 64 << 10               // instead of lingerBytes, for a refused connection
 	descriptorPause    = 50 * time.Millisecond  // pause after an accept that found no free descriptor
-	bodyChunk          = 16 << 10               // bytes of a body that are read under one deadline
 
 	backlogIdleTime = 10 * time.Millisecond  // a listener closes after this long without a connection in its backlog
 	maxBacklogDrain = 100 * time.Millisecond // limit on accepting the whole backlog before closing
@@ -570,24 +568,6 @@
 	return err
 }
 
-// Reserve reserves memory for that many bytes of a body; if it returns false the request must be refused.
-func (c *Conn) Reserve(bytes int) (ok bool) {
-	c.withGovernor(func(g *Governor, e *Entry, _ time.Duration) { ok = g.Reserve(e, bytes) })
-	return ok
-}
-
-// ReserveExtra reserves memory beyond Reserve, to hold a body whole; if it returns false the rest of the body has to be
-// streamed instead.
-func (c *Conn) ReserveExtra(bytes int) (ok bool) {
-	c.withGovernor(func(g *Governor, e *Entry, _ time.Duration) { ok = g.ReserveExtra(e, bytes) })
-	return ok
-}
-
-// ShrinkReservation reduces the memory reserved for a body to bytes, its actual size.
-func (c *Conn) ShrinkReservation(bytes int) {
-	c.withGovernor(func(g *Governor, e *Entry, _ time.Duration) { g.ShrinkReservation(e, bytes) })
-}
-
 // RequestRead records that a whole request has been read.
 func (c *Conn) RequestRead() {
 	c.resumeHeadCapture()
@@ -602,20 +582,6 @@
 	return keep
 }
 
-// ReadBody reads part of a request's body until a deadline, or a shorter one if the client stalls (see
-// Governor.BodyReadTimeout).
-func (c *Conn) ReadBody(body io.Reader, buf []byte, until time.Time) (int, error) {
-	var stall time.Duration
-	c.withGovernor(func(g *Governor, _ *Entry, _ time.Duration) { stall = g.BodyReadTimeout() })
-	if next := time.Now().Add(stall); next.Before(until) {
-		until = next
-	}
-	if err := c.SetReadDeadline(until); err != nil {
-		return 0, err
-	}
-	return body.Read(buf[:min(len(buf), bodyChunk)])
-}
-
 const maxKeptHead = 20 << 10 // bytes of a request's head that are kept as received, for TakeHead
 
 // captureHead appends p to the raw bytes of the next head.
