A streamed request whose backend hangs is answered within its client's time

Cause: the deadline of a call with a streamed body, of its attempt's context and of the core's timer for an answer was the time left plus the time for the upload (about 100 s here), and the client's own time began when the agent had written the last byte to the backend. While the backend takes nothing the write blocks, the rest of the body stays in the client's socket, and that time never begins.

Evidence: TestStreamedBodyToHungBackendIsAnswered fails on the code before ("got <nil>, read tcp ...: i/o timeout" after 20 s) and passes now.

It bounds the writing (uploadLimit), the dial, the wait for the answer, the time told to the backend, and the core's own answer (Call.MovingDeadline). Same cause on related paths: an attempt whose first byte came late told and gave its backend more than the client had left; a dial could outlast the client.

--- a/internal/admission/body.go
+++ b/internal/admission/body.go
@@ -2,13 +2,25 @@
 
 import (
 	"io"
+	"net"
+	"sync"
 	"time"
+
+	"lemonrail/internal/connstate"
 )
 
 // This file reads the bodies of requests and accounts for their memory.
 
 const bodyChunk = 16 << 10 // bytes of a body that are read under one deadline
 
+// bodyWait records when reads of a body waited for the client to send more.
+type bodyWait struct {
+	mu      sync.Mutex
+	reading bool      // a body is being read
+	waiting bool      // the read waits for the client now
+	last    time.Time // when the last read that had to wait ended; zero: none had to
+}
+
 // Reserve reserves memory for that many bytes of a body; if it returns false the request must be refused.
 func (c *Conn) Reserve(bytes int) (ok bool) {
 	c.withGovernor(func(g *Governor, e *Entry, _ time.Duration) { ok = g.Reserve(e, bytes) })
@@ -38,5 +50,48 @@
 	if err := c.SetReadDeadline(until); err != nil {
 		return 0, err
 	}
+	c.bodyWait.setReading(true)
+	defer c.bodyWait.setReading(false)
 	return body.Read(buf[:min(len(buf), bodyChunk)])
 }
+
+func (w *bodyWait) setReading(reading bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reading = reading
+}
+
+// begin records that a read is about to begin on a socket, and reports whether it is of a body and has to wait.
+func (w *bodyWait) begin(nc net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting = w.reading && connstate.Inspect(nc) == connstate.Idle
+	return w.waiting
+}
+
+// end records that the read has ended.
+func (w *bodyWait) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting, w.last = false, time.Now()
+}
+
+// readSocket reads from the socket.
+func (c *Conn) readSocket(p []byte) (int, error) {
+	if c.bodyWait.begin(c.Conn) {
+		defer c.bodyWait.end()
+	}
+	return c.Conn.Read(p)
+}
+
+// LastBodyWait returns when a read of a body last waited for the client to send more, and whether one waits now. The
+// client can't have sent the whole body before that time. Without such a wait the time is zero.
+func (c *Conn) LastBodyWait() (last time.Time, waiting bool) {
+	c.bodyWait.mu.Lock()
+	defer c.bodyWait.mu.Unlock()
+	return c.bodyWait.last, c.bodyWait.waiting
+}
+
+// UnreadBytes returns the number of received bytes that have not been read yet; known is false if the system can't
+// tell.
+func (c *Conn) UnreadBytes() (n int, known bool) { return connstate.UnreadBytes(c.Conn) }
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -366,6 +366,7 @@
 	buffered    []byte        // bytes that readAhead has received
 	bufferedErr error         // the error with which the client's side ended during readAhead
 	clientGone  chan struct{} // closed when readAhead sees the client's side end
+	bodyWait    bodyWait      // how long reads of a body have waited for the client
 
 	receivedBytes atomic.Bool // part of a request has been received
 	wroteAnswer   atomic.Bool // part of its answer has been written
@@ -450,7 +451,7 @@
 	for {
 		n, fromBuffer, err := c.readBuffered(p)
 		if !fromBuffer {
-			n, err = c.Conn.Read(p)
+			n, err = c.readSocket(p)
 		}
 		if n > 0 {
 			c.captureHead(p[:n])
--- a/internal/agent/bodies_test.go
+++ b/internal/agent/bodies_test.go
@@ -177,21 +177,67 @@
 	}
 }
 
-// The time that a client waits counts from the last byte of its body, so a body that comes slowly uses none of it.
-func TestTimeCountsFromLastByte(t *testing.T) {
-	addr, seen := recordingBackend(t)
-	bal := newDecider(sendAll)
-	base, _, _ := startAgent(t, testConfig(t, addr), bal)
+// Guards against a streamed request without an answer: its backend hangs and takes no more of the body, while the rest waits
+// in the agent's socket, so that the client has sent its last byte and waits. Nothing of it ran, so the client may send it again.
+func TestStreamedBodyToHungBackendIsAnswered(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	hung := backend(t, func(c net.Conn, _ *bufio.Reader) {
+		c.(*net.TCPConn).SetReadBuffer(64 << 10) // the backend's socket must not take the whole body
+		<-release
+	})
+	bal := newDecider(func(e balance.Event) []balance.Action {
+		switch e := e.(type) {
+		case balance.Request:
+			return []balance.Action{balance.Send{Request: e.ID, Backend: "h0"}}
+		case balance.Outcome:
+			if !e.Result.NeverRan() {
+				t.Errorf("outcome %v", e.Result)
+			}
+			return []balance.Action{balance.Refuse{Request: e.Request}}
+		}
+		return nil
+	})
+	base, _, _ := startAgent(t, testConfig(t, hung), bal)
 	c := dial(t, base)
-	first, last := "hel", "lo"
-	fmt.Fprintf(c, "POST /sub HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nX-Correlation-Id: d1\r\nX-Time-Left: 400m\r\nContent-Length: 5\r\n\r\n%s", first)
-	time.Sleep(500 * time.Millisecond) // longer than the client waits
-	io.WriteString(c, last)
-	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatal(resp, err)
+	const length = 8 << 20
+	go func() {
+		fmt.Fprintf(c, "POST /sub HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nX-Correlation-Id: d1\r\nX-Time-Left: 300m\r\nContent-Length: %d\r\n\r\n", length)
+		io.WriteString(c, strings.Repeat("x", length))
+	}()
+	c.SetReadDeadline(time.Now().Add(timeout))
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("got %v, %v", resp, err)
 	}
-	if e := nextEvent[balance.Request](t, bal); e.TimeLeft <= 0 {
-		t.Errorf("left %v", e.TimeLeft)
+}
+
+// The time that a client waits counts from the last byte of its body, so a body that comes slowly uses none of it, whether
+// it is held whole or streamed.
+func TestTimeCountsFromLastByte(t *testing.T) {
+	const streamedLength = 6 << 20
+	for _, tt := range []struct {
+		name        string
+		first, last string // parts of the body, the last one sent after a pause
+	}{
+		{"held", "hel", "lo"},
+		{"streamed", strings.Repeat("x", streamedLength-5), "hello"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			addr, seen := recordingBackend(t)
+			bal := newDecider(sendAll)
+			base, _, _ := startAgent(t, testConfig(t, addr), bal)
+			c := dial(t, base)
+			fmt.Fprintf(c, "POST /sub HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nX-Correlation-Id: d1\r\nX-Time-Left: 400m\r\nContent-Length: %d\r\n\r\n%s",
+				len(tt.first)+len(tt.last), tt.first)
+			time.Sleep(500 * time.Millisecond) // longer than the client waits
+			io.WriteString(c, tt.last)
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatal(resp, err)
+			}
+			if e := nextEvent[balance.Request](t, bal); e.TimeLeft <= 0 {
+				t.Errorf("left %v", e.TimeLeft)
+			}
+			await(t, seen)
+		})
 	}
-	await(t, seen)
 }
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -42,7 +42,7 @@
 	buf := make([]byte, 0, len(out.Head)+len(out.Rest)+len(http1.HeaderTimeLeft)+24+maxJoinedBody)
 	buf = append(buf, out.Head...)
 	if out.Stream != nil {
-		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.HeaderTimeLeft, out.Stream.TimeLeft.Microseconds())
+		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.HeaderTimeLeft, max(0, time.Until(out.Stream.Deadline()).Microseconds()))
 	} else if deadline, ok := ctx.Deadline(); ok {
 		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.HeaderTimeLeft, max(0, time.Until(deadline).Microseconds()))
 	}
@@ -54,7 +54,10 @@
 	if !p.BeginWrite(func() { c.SetDeadline(pastDeadline) }) {
 		return core.Response{Result: balance.DroppedUnsent}, true
 	}
-	if err := c.send(buf, out); err != nil {
+	limit := newUploadLimit(out.Stream, func() { c.SetDeadline(pastDeadline) })
+	err := c.send(buf, out, limit)
+	expired := limit.stop()
+	if err != nil {
 		if p.Revoked() {
 			return core.Response{Result: balance.DroppedUnsent}, false
 		}
@@ -64,17 +67,18 @@
 		if errors.Is(err, http1.ErrBodyTaken) || errors.Is(err, http1.ErrBodyIncomplete) {
 			return core.Response{Result: balance.NotSent}, false
 		}
-		return core.Response{Result: balance.ConnectFailed}, false
+		// A connection that was given up had not broken: the backend is alive, but hangs.
+		return core.Response{Result: balance.ConnectFailed, OtherConnectionsOpen: expired}, false
 	}
-	if p.EndWrite() { // the permit was revoked too late: the whole request is written and may run, so read its answer
+	if revoked := p.EndWrite(); revoked || expired { // too late: the whole request is written and may run, so read its answer
 		c.SetDeadline(time.Time{})
 		c.applyCancellation(ctx)
 	}
 	var sent time.Time
-	if out.Stream != nil { // its time left counts from here
+	if out.Stream != nil {
 		sent = time.Now()
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, out.Stream.TimeLeft)
+		ctx, cancel = context.WithDeadline(ctx, out.Stream.Deadline())
 		defer cancel()
 		stop := context.AfterFunc(ctx, func() { c.SetDeadline(pastDeadline) })
 		defer func() {
@@ -113,8 +117,14 @@
 
 const maxJoinedBody = 16 << 10 // bytes of a body that are written together with its head
 
-// send writes a request: buf, which holds the request's head, then out's body and the rest of its stream.
-func (c *conn) send(buf []byte, out *http1.Request) error {
+// send writes a request: buf, which holds the request's head, then out's body and the rest of its stream within limit.
+func (c *conn) send(buf []byte, out *http1.Request, limit *uploadLimit) error {
+	write := func(p []byte) error {
+		limit.beginWrite()
+		defer limit.endWrite()
+		_, err := c.Write(p)
+		return err
+	}
 	chunked := out.Stream != nil && out.Stream.Length < 0
 	if chunked && len(out.Body) > 0 {
 		buf = fmt.Appendf(buf, "%x\r\n", len(out.Body))
@@ -123,11 +133,11 @@
 	if len(body) <= maxJoinedBody {
 		buf, body = append(buf, body...), nil
 	}
-	if _, err := c.Write(buf); err != nil {
+	if err := write(buf); err != nil {
 		return err
 	}
 	if len(body) > 0 {
-		if _, err := c.Write(body); err != nil {
+		if err := write(body); err != nil {
 			return err
 		}
 	}
@@ -145,11 +155,10 @@
 			framed := fmt.Appendf(make([]byte, 0, len(p)+16), "%s%x\r\n", tail, len(p))
 			p, tail = append(framed, p...), "\r\n"
 		}
-		_, err := c.Write(p)
-		return err
+		return write(p)
 	})
 	if err == nil && chunked {
-		_, err = io.WriteString(c, tail+"0\r\n\r\n")
+		err = write([]byte(tail + "0\r\n\r\n"))
 	}
 	return err
 }
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -81,7 +81,7 @@
 func (u *Upstream) Exchange(ctx context.Context, p *core.Permit, to core.Target, request any) core.Response {
 	out := request.(*http1.Request)
 	r, connected := u.attempt(ctx, p, to, out)
-	if connected && (r.Result == balance.Reset || r.Result == balance.ConnectFailed) {
+	if broke := r.Result == balance.Reset || r.Result == balance.ConnectFailed; connected && broke && !r.OtherConnectionsOpen {
 		r.OtherConnectionsOpen = u.otherConnectionsAlive(ctx, to)
 	}
 	return r
@@ -93,7 +93,7 @@
 	if c := u.takeIdle(to); c != nil {
 		// A reused connection may have gone stale: if the request could not be written whole, it doesn't count
 		// as an attempt, and a new connection is tried without blaming the backend.
-		if r := u.attemptOn(ctx, p, c, to, out); r.Result != balance.ConnectFailed {
+		if r := u.attemptOn(ctx, p, c, to, out); r.Result != balance.ConnectFailed || r.OtherConnectionsOpen {
 			return r, true
 		}
 	}
@@ -105,6 +105,10 @@
 		wait, stop = context.WithDeadline(wait, writeBy)
 		defer stop()
 	}
+	if out.Stream != nil { // ctx ends later, since the body may still arrive
+		wait, stop = context.WithDeadline(wait, out.Stream.Deadline())
+		defer stop()
+	}
 	if !p.BeginWait(stop) {
 		return core.Response{Result: balance.DroppedUnsent, Load: balance.NoLoad()}, false
 	}
--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -82,3 +82,21 @@
 	}
 	return n
 }
+
+// UnreadBytes returns the number of received bytes that have not been read yet; known is false if the system can't
+// tell.
+func UnreadBytes(nc net.Conn) (n int, known bool) {
+	sys, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	failed := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	if failed != nil || err != nil {
+		return 0, Inspect(nc) == Idle
+	}
+	return n, true
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,18 +100,34 @@
 
 // Call is a client's open request. The loop owns the fields below Reply.
 type Call struct {
-	Event           balance.Request // TimeLeft is filled in by the loop
-	Request         any             // the request as the Backend takes it
-	Deadline        time.Time       // when the client stops waiting
-	UploadAllowance time.Duration   // part of the time until Deadline that is reserved for receiving the rest of the body
-	Reply           chan Answer     // buffered, with room for the one final answer
-	HasClientLeft   func() bool     // reports whether the client has left, called from any goroutine; nil: only Loop.Left reports it
+	Event           balance.Request  // TimeLeft is filled in by the loop
+	Request         any              // the request as the Backend takes it
+	Deadline        time.Time        // when the client stops waiting; of a body that still arrives, the earliest such time
+	MovingDeadline  func() time.Time // returns Deadline as it is now, which moves on while the body arrives; must not block; nil: Deadline is final
+	UploadAllowance time.Duration    // how far Deadline may move on
+	Reply           chan Answer      // buffered, with room for the one final answer
+	HasClientLeft   func() bool      // reports whether the client has left, called from any goroutine; nil: only Loop.Left reports it
 
 	attempts []*attempt // in the order of their Sends
 	pending  int        // number of attempts that have not ended
 	answered bool       // has its final answer, or the client left and needs none
 }
 
+// currentDeadline returns when the client stops waiting, as far as is known now.
+func (c *Call) currentDeadline() time.Time {
+	if c.MovingDeadline == nil {
+		return c.Deadline
+	}
+	moved, latest := c.MovingDeadline(), c.latestDeadline()
+	if moved.After(latest) {
+		return latest
+	}
+	return moved
+}
+
+// latestDeadline returns the time after which the client certainly no longer waits.
+func (c *Call) latestDeadline() time.Time { return c.Deadline.Add(c.UploadAllowance) }
+
 // attempt is the execution of one balance.Send.
 type attempt struct {
 	backend    string             // ID
@@ -272,7 +288,7 @@
 		l.Observer.Arrived(c.Event.Class, c.Event.Repeat)
 	}
 	e := c.Event
-	e.TimeLeft = time.Until(c.Deadline) - c.UploadAllowance
+	e.TimeLeft = time.Until(c.Deadline)
 	l.Event(e)
 	// Guarantees an answer: if the decision module still owes one when half of the grace (AnswerGrace) is over,
 	// the call fails here and the module gets Abandoned.
@@ -281,7 +297,7 @@
 
 // answerDeadline returns the time at which the loop fails a call that has no answer from the decision module yet.
 func (l *Loop) answerDeadline(c *Call) time.Time {
-	at := c.Deadline.Add(l.settings.AnswerGrace / 2)
+	at := c.currentDeadline().Add(l.settings.AnswerGrace / 2)
 	if !l.stopDeadline.IsZero() && l.stopDeadline.Before(at) {
 		return l.stopDeadline
 	}
@@ -533,21 +549,31 @@
 func (l *Loop) fireTimers(now time.Time) {
 	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
 		t := heap.Pop(&l.timers).(timer)
-		if t.call == nil {
+		switch {
+		case t.call == nil:
 			l.Event(balance.TimerFired{Token: t.token})
-		} else if !t.call.answered {
-			id, kind := t.call.Event.ID, Failed
-			if l.stopDeadline.IsZero() {
-				l.log.Error("no final answer in time", "request", id, "attempts", len(t.call.attempts))
-			} else if t.call.dropAttempts() {
-				kind = Refused // nothing was sent, so that a retry is safe
-			}
-			l.answer(t.call, Answer{Kind: kind})
-			l.Event(balance.Abandoned{Request: id})
+		case !t.call.answered:
+			l.checkAnswerDeadline(t.call, now)
 		}
 	}
 }
 
+// checkAnswerDeadline answers a call whose answer deadline has passed, or sets its timer again if the deadline has moved on.
+func (l *Loop) checkAnswerDeadline(c *Call, now time.Time) {
+	if at := l.answerDeadline(c); at.After(now) {
+		l.timers.add(timer{at: at, call: c})
+		return
+	}
+	id, kind := c.Event.ID, Failed
+	if l.stopDeadline.IsZero() {
+		l.log.Error("no final answer in time", "request", id, "attempts", len(c.attempts))
+	} else if c.dropAttempts() {
+		kind = Refused // nothing was sent, so that a retry is safe
+	}
+	l.answer(c, Answer{Kind: kind})
+	l.Event(balance.Abandoned{Request: id})
+}
+
 // execute executes one action of the decision module.
 func (l *Loop) execute(a balance.Action) {
 	switch a := a.(type) {
@@ -598,7 +624,7 @@
 		return
 	}
 	now := time.Now()
-	until := c.Deadline
+	until := c.latestDeadline()
 	if s.Timeout > 0 && now.Add(s.Timeout).Before(until) {
 		until = now.Add(s.Timeout)
 	}
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"lemonrail/internal/admission"
@@ -59,7 +60,7 @@
 	if !conn.Reserve(int(firstSize)) {
 		return nil, nil, http.StatusServiceUnavailable, errors.New("too many bodies in hand")
 	}
-	reader := &bodyReader{conn: conn, body: r.Body, started: time.Now()}
+	reader := newBodyReader(conn, r)
 	size := firstSize
 	if length > firstSize && length <= s.heldBodyLimit() && conn.ReserveExtra(int(length-firstSize)) {
 		size = length
@@ -90,21 +91,66 @@
 	}
 }
 
-// bodyReader reads a body that must arrive at minUploadRate and must not exceed MaxBodyBytes.
+// maxSenderBuffer is the most that a client's kernel holds of a body that its program has written: Linux's default limit
+// (tcp_wmem).
+const maxSenderBuffer = 4 << 20
+
+// bodyReader reads a body that must arrive at minUploadRate and must not exceed MaxBodyBytes. It is an http1.Upload.
 type bodyReader struct {
 	conn    *admission.Conn
 	body    io.Reader
+	length  int64 // of the whole body; -1: unknown
 	started time.Time
-	read    int64 // bytes read so far
+
+	mu             sync.Mutex
+	read           int64     // bytes read so far
+	complete       bool      // the body was read to its end
+	lastIncomplete time.Time // see LastIncomplete
+}
+
+func newBodyReader(conn *admission.Conn, r *http.Request) *bodyReader {
+	now := time.Now()
+	return &bodyReader{conn: conn, body: r.Body, length: r.ContentLength, started: now, lastIncomplete: now}
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
+	b.LastIncomplete() // the following read takes bytes that show now whether more must come
 	n, err := b.conn.ReadBody(b.body, p, b.started.Add(bodyTime(b.read)))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if waited, _ := b.conn.LastBodyWait(); waited.After(b.lastIncomplete) {
+		b.lastIncomplete = waited
+	}
 	if b.read += int64(n); b.read > MaxBodyBytes {
 		return n, fmt.Errorf("body over %d bytes", MaxBodyBytes)
 	}
 	if errors.Is(err, io.EOF) {
+		b.complete = true
 		b.conn.SetReadDeadline(time.Time{})
 	}
 	return n, err
 }
+
+// LastIncomplete returns the last time at which the client certainly had not sent the whole body.
+func (b *bodyReader) LastIncomplete() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.complete && b.incomplete() {
+		b.lastIncomplete = time.Now()
+	}
+	return b.lastIncomplete
+}
+
+// incomplete reports whether the client certainly has not sent the whole body yet: a read waits for more, or more is
+// missing than the sockets at both ends hold. The caller holds b.mu.
+func (b *bodyReader) incomplete() bool {
+	if _, waiting := b.conn.LastBodyWait(); waiting {
+		return true
+	}
+	missing := b.length - b.read
+	unread, known := b.conn.UnreadBytes()
+	if b.length < 0 || missing <= 0 || !known {
+		return false
+	}
+	return unread == 0 || missing > int64(unread)+maxSenderBuffer
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -282,18 +282,19 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
-	var upload time.Duration
-	if stream != nil {
-		upload = uploadTime(stream.Length, len(body))
-	}
-	return &core.Call{
+	call := &core.Call{
 		Event: balance.Request{ID: id, Class: class, Tenant: tenant, Key: query.Get("key"),
 			Work: work, Repeat: r.Header.Get(http1.HeaderRepeat) == "1"},
-		Request:         rendered,
-		Deadline:        time.Now().Add(upload + timeLeft), // the time left counts from the body's last byte
-		UploadAllowance: upload,
-		Reply:           make(chan core.Answer, 1),
-	}, 0, nil
+		Request:  rendered,
+		Deadline: time.Now().Add(timeLeft),
+		Reply:    make(chan core.Answer, 1),
+	}
+	if stream != nil {
+		call.Deadline = stream.Deadline()
+		call.MovingDeadline = stream.Deadline
+		call.UploadAllowance = uploadTime(stream.Length, len(body))
+	}
+	return call, 0, nil
 }
 
 // renderRequest renders a request for a backend, without the time left. A request that can't be rendered is
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -7,13 +7,21 @@
 	"time"
 )
 
+// Upload is the rest of a body that a client sends.
+type Upload interface {
+	io.Reader
+	// LastIncomplete returns the last time at which the client certainly had not sent the whole body. It may be called
+	// from any goroutine.
+	LastIncomplete() time.Time
+}
+
 // Stream is the part of a request's body that is not buffered. It can be read once, by one attempt. The front
 // that reads the body from its client creates it, and calls Finish before it answers the client.
 type Stream struct {
 	Length   int64         // of the whole body; -1: unknown
 	TimeLeft time.Duration // how long the client waits, counted from the body's last byte
 
-	body  io.Reader
+	body  Upload
 	abort func() // unblocks a pending Read of body
 
 	mu         sync.Mutex
@@ -38,10 +46,15 @@
 )
 
 // NewStream returns a Stream that reads from body. abort must unblock a pending Read of body.
-func NewStream(body io.Reader, length int64, left time.Duration, abort func()) *Stream {
+func NewStream(body Upload, length int64, left time.Duration, abort func()) *Stream {
 	return &Stream{Length: length, TimeLeft: left, body: body, abort: abort, readerDone: make(chan struct{})}
 }
 
+// Deadline returns the earliest time at which the client may stop waiting. It moves on while the client still sends the
+// body. A client's last bytes may wait in a socket until an attempt reads them, so the time can't be counted from the read
+// of the last byte.
+func (s *Stream) Deadline() time.Time { return s.body.LastIncomplete().Add(s.TimeLeft) }
+
 // Copy passes the body to one attempt's write, in parts of up to len(buf) bytes. It returns ErrBodyTaken if
 // another attempt has begun to read the body, ErrBodyIncomplete if reading from the client failed, and otherwise the
 // error of write.
