A Diameter request that must not run twice is recognised without its kept answer

Cause: all clients and classes shared one queue of kept answers (4 MiB). The oldest answer was dropped first, of whatever class, and the identity of its request with it; 150 answers of 32 KiB a second to safe reads fill the queue in 0.9 s. A resend that was not found counted as new, whatever its T flag and class said.

Change: answers to safe requests make room first; other requests stay recorded without their answer (16,384, 208 bytes each as measured on the heap) and get 5012; an unsafe request with the T flag that isn't recorded gets 5012, also when too many are pending, where it got 3004, a refusal. Answers are kept for the longest deadline if that is over 30 s.

--- a/internal/diameter/relay/relay.go
+++ b/internal/diameter/relay/relay.go
@@ -3,8 +3,8 @@
 // server's connection belongs to (Window). It does no I/O, has no clock and must be used by one goroutine at
 // a time; the decision module still picks servers, retries and refuses.
 //
-// Bounds: a Table holds at most MaxPending requests with MaxWaiters connections each, and MaxKept answers of
-// MaxKeptBytes in total; a Window holds a fixed number of attempts.
+// Bounds: a Table holds at most MaxPending requests with MaxWaiters connections each, MaxKept answers of
+// MaxKeptBytes in total, and MaxRecorded answered requests that must not run again; a Window holds a fixed number of attempts.
 package relay
 
 import (
@@ -218,6 +218,16 @@
 // balancer's list.
 func (r *Rules) Address(host, listed string) string { return cmp.Or(r.addressByHost[host], listed) }
 
+// TableLimits returns the limits of a Table for these rules: answered requests are recorded for at least as long as their
+// clients may wait, and so resend them.
+func (r *Rules) TableLimits() Limits {
+	limits := DefaultLimits()
+	for _, c := range r.Classes {
+		limits.KeepFor = max(limits.KeepFor, c.Deadline)
+	}
+	return limits
+}
+
 // HostByIdentity returns the ID of the backend for which the file gives a Diameter identity.
 func (r *Rules) HostByIdentity(identity string) (host string, ok bool) {
 	host, ok = r.hostByIdentity[strings.ToLower(identity)]
--- a/internal/diameter/relay/relay_test.go
+++ b/internal/diameter/relay/relay_test.go
@@ -157,11 +157,11 @@
 // A resend joins the pending request or gets the kept answer; only a request that is neither pending nor kept
 // is new.
 func TestTableResends(t *testing.T) {
-	table := NewTable(Limits{MaxPending: 2, MaxKept: 2, MaxKeptBytes: 100, KeepFor: time.Minute})
+	table := NewTable(Limits{MaxPending: 2, MaxKept: 2, MaxKeptBytes: 100, MaxRecorded: 2, KeepFor: time.Minute})
 	o := RequestKey{"c", 1}
 	arrive := func(o RequestKey, w Waiter, now time.Duration, want Verdict) []byte {
 		t.Helper()
-		v, raw := table.Arrive(o, w, now)
+		v, raw := table.Arrive(Arrival{Key: o, From: w, Effect: balance.Unsafe}, now)
 		if v != want {
 			t.Errorf("verdict %d, want %d", v, want)
 		}
@@ -189,37 +189,155 @@
 	arrive(RequestKey{"d", 1}, Waiter{5, 1}, 61*time.Second, New) // the refusal was not kept: a new request
 }
 
-// For any sequence of calls: each waiter gets at most one final answer, all bounds are kept, and a request is
-// New only if it is not pending and has no kept answer.
+// Guards against a second run of a request whose answer was pushed out by those to other requests: safe requests make room
+// first, and a request that must not run again stays recorded without its answer.
+func TestDroppedAnswersDontMakeRequestsNew(t *testing.T) {
+	const size = 10
+	table := NewTable(Limits{MaxPending: 10, MaxKept: 3, MaxKeptBytes: 3 * size, MaxRecorded: 4, KeepFor: time.Minute})
+	arrive := func(host string, effect balance.Effect) Verdict {
+		v, _ := table.Arrive(Arrival{Key: RequestKey{host, 1}, Effect: effect}, 0)
+		return v
+	}
+	answer := func(host string, effect balance.Effect) {
+		t.Helper()
+		if v := arrive(host, effect); v != New {
+			t.Fatalf("%s: verdict %d", host, v)
+		}
+		table.Complete(RequestKey{host, 1}, make([]byte, size), true, 0)
+	}
+	expect := func(host string, effect balance.Effect, want Verdict) {
+		t.Helper()
+		if v := arrive(host, effect); v != want {
+			t.Errorf("%s: verdict %d, want %d", host, v, want)
+		}
+	}
+	answer("unsafe", balance.Unsafe)
+	answer("keyed", balance.Keyed)
+	answer("safe1", balance.Safe)
+	answer("safe2", balance.Safe)
+	answer("safe3", balance.Safe)
+	expect("unsafe", balance.Unsafe, Answered)
+	expect("keyed", balance.Keyed, Answered)
+	expect("safe3", balance.Safe, Answered)
+	expect("safe1", balance.Safe, New)
+	answer("unsafe2", balance.Unsafe) // takes the room of the last safe one
+	expect("unsafe", balance.Unsafe, Answered)
+	answer("unsafe3", balance.Unsafe)
+	expect("unsafe", balance.Unsafe, MayHaveRun)
+	expect("keyed", balance.Keyed, Answered)
+	answer("unsafe4", balance.Unsafe) // a fifth: the first one is no longer recorded
+	expect("keyed", balance.Keyed, MayHaveRun)
+	expect("unsafe", balance.Unsafe, New)
+}
+
+// An answer that is too long to be kept leaves its request recorded, unless the request may run again.
+func TestTooLongAnswers(t *testing.T) {
+	for effect, want := range map[balance.Effect]Verdict{balance.Safe: New, balance.Keyed: MayHaveRun, balance.Unsafe: MayHaveRun} {
+		table := NewTable(Limits{MaxPending: 1, MaxKept: 1, MaxKeptBytes: 10, MaxRecorded: 1, KeepFor: time.Minute})
+		arrival := Arrival{Key: RequestKey{"c", 1}, Effect: effect}
+		table.Arrive(arrival, 0)
+		table.Complete(arrival.Key, make([]byte, 11), true, 0)
+		if got, _ := table.Arrive(arrival, 0); got != want {
+			t.Errorf("effect %d: verdict %d, want %d", effect, got, want)
+		}
+	}
+}
+
+// Guards against a second run of an unsafe request, and against a refusal of it, when its resend finds nothing: it may have
+// been sent before to another agent. A keyed one goes on to the servers, which recognise it.
+func TestUnknownResends(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		for effect, want := range map[balance.Effect]Verdict{balance.Safe: New, balance.Keyed: New, balance.Unsafe: MayHaveRun} {
+			table := NewTable(Limits{MaxPending: 1, MaxKept: 1, MaxKeptBytes: 10, MaxRecorded: 1, KeepFor: time.Minute})
+			if full {
+				table.Arrive(Arrival{Key: RequestKey{"d", 1}}, 0)
+				if want == New {
+					want = Busy
+				}
+			}
+			if got, _ := table.Arrive(Arrival{Key: RequestKey{"c", 1}, Resent: true, Effect: effect}, 0); got != want {
+				t.Errorf("full %v, effect %d: verdict %d, want %d", full, effect, got, want)
+			}
+		}
+	}
+}
+
+// Answered requests are recorded for as long as their clients may wait, also where a class has a long deadline.
+func TestTableLimitsCoverDeadlines(t *testing.T) {
+	if got, want := rules(t).TableLimits(), DefaultLimits(); got != want {
+		t.Errorf("shipped file: %+v, want %+v", got, want)
+	}
+	const long = time.Hour
+	r := &Rules{Classes: []balance.Class{{Deadline: long}, {Deadline: time.Second}}}
+	if got := r.TableLimits().KeepFor; got != long {
+		t.Errorf("got %v, want %v", got, long)
+	}
+}
+
+// For any sequence of calls: each waiter gets at most one final answer, all bounds are kept, a request is New only if it is
+// not pending and has no kept answer, and one that may have run and must not run again isn't New while it is recorded.
 func TestTableProperties(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		l := Limits{MaxPending: rapid.IntRange(1, 5).Draw(rt, "in hand"), MaxKept: rapid.IntRange(0, 3).Draw(rt, "kept"), MaxKeptBytes: 40, KeepFor: 10}
+		l := Limits{MaxPending: rapid.IntRange(1, 5).Draw(rt, "in hand"), MaxKept: rapid.IntRange(0, 3).Draw(rt, "kept"), MaxKeptBytes: 40,
+			MaxRecorded: rapid.IntRange(0, 6).Draw(rt, "recorded"), KeepFor: 10}
 		table, now := NewTable(l), time.Duration(0)
 		pending := map[RequestKey]bool{}
+		type run struct {
+			at     time.Duration
+			number int // of the runs that must not be repeated
+		}
+		ran, runs := map[RequestKey]run{}, 0
+		effectOf := func(o RequestKey) balance.Effect {
+			return []balance.Effect{balance.Safe, balance.Keyed, balance.Unsafe}[o.EndToEnd%3]
+		}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now += time.Duration(rapid.IntRange(0, 4).Draw(rt, "gap"))
-			o := RequestKey{"c", uint32(rapid.IntRange(0, 6).Draw(rt, "request"))}
+			o := RequestKey{"c", uint32(rapid.IntRange(0, 8).Draw(rt, "request"))}
+			effect := effectOf(o)
 			switch rapid.IntRange(0, 3).Draw(rt, "what") {
 			case 0, 1:
-				v, raw := table.Arrive(o, Waiter{uint64(rapid.IntRange(0, 8).Draw(rt, "connection")), 1}, now)
+				resent := rapid.Bool().Draw(rt, "resent")
+				v, raw := table.Arrive(Arrival{Key: o, From: Waiter{uint64(rapid.IntRange(0, 8).Draw(rt, "connection")), 1}, Resent: resent, Effect: effect}, now)
 				if pending[o] && v != Joined || v == New && pending[o] || (v == Answered) != (raw != nil) {
 					rt.Fatalf("verdict %d, pending: %v", v, pending[o])
 				}
+				last, hasRun := ran[o]
+				recorded := hasRun && now-last.at < l.KeepFor && runs-last.number < l.MaxRecorded
+				if recorded && !pending[o] && v != Answered && v != MayHaveRun {
+					rt.Fatalf("verdict %d for a request that must not run again", v)
+				}
+				if resent && effect == balance.Unsafe && (v == New || v == Busy) {
+					rt.Fatalf("verdict %d for an unsafe resend", v)
+				}
+				if effect == balance.Safe && v == MayHaveRun {
+					rt.Fatal("a safe request is barred from running again")
+				}
 				if v == New {
 					pending[o] = true
 				}
 			case 2:
 				was := pending[o]
-				got := table.Complete(o, make([]byte, rapid.IntRange(0, 50).Draw(rt, "size")), rapid.Bool().Draw(rt, "ran"), now)
+				mayHaveRun := rapid.Bool().Draw(rt, "ran")
+				got := table.Complete(o, make([]byte, rapid.IntRange(0, 50).Draw(rt, "size")), mayHaveRun, now)
 				if !was && got != nil || len(got) > MaxWaiters {
 					rt.Fatalf("%d answers, pending: %v", len(got), was)
 				}
+				if was && mayHaveRun && effect != balance.Safe {
+					runs++
+					ran[o] = run{now, runs}
+				}
 				delete(pending, o)
 			case 3:
 				table.RemoveConn(uint64(rapid.IntRange(0, 8).Draw(rt, "gone")))
 			}
-			if table.Pending() != len(pending) || len(pending) > l.MaxPending || len(table.keptOrder) > l.MaxKept || len(table.kept) != len(table.keptOrder) || table.keptBytes > l.MaxKeptBytes {
-				rt.Fatalf("%d pending, %d kept, %d bytes", table.Pending(), len(table.keptOrder), table.keptBytes)
+			kept, bytes := table.safe.kept()+table.others.kept(), 0
+			for _, e := range table.answered {
+				bytes += len(e.answer)
+			}
+			recorded := len(table.safe.entries) + len(table.others.entries)
+			if table.Pending() != len(pending) || len(pending) > l.MaxPending || kept > l.MaxKept || len(table.others.entries) > l.MaxRecorded ||
+				len(table.answered) != recorded || table.keptBytes != bytes || bytes > l.MaxKeptBytes {
+				rt.Fatalf("%d pending, %d kept, %d recorded, %d bytes", table.Pending(), kept, recorded, bytes)
 			}
 		}
 	})
--- a/internal/diameter/relay/table.go
+++ b/internal/diameter/relay/table.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lemonrail/balance"
 )
 
 // RequestKey identifies a request for several minutes, whichever client connection it is resent on (RFC 6733, 3
@@ -19,14 +21,23 @@
 	HopByHop uint32 // of the request on that connection
 }
 
+// Arrival is a request that has arrived from a client.
+type Arrival struct {
+	Key    RequestKey
+	From   Waiter
+	Resent bool           // it has the T bit: the client may have sent it before, to this agent or to another one
+	Effect balance.Effect // of its class
+}
+
 // Verdict is how a request that has arrived is to be treated.
 type Verdict uint8
 
 const (
-	New      Verdict = iota // pass it to the decision module
-	Joined                  // the same request is pending: its answer will go to this waiter as well
-	Answered                // the same request has been answered: send that answer again
-	Busy                    // too many requests are pending: refuse it; it has not reached any server
+	New        Verdict = iota // pass it to the decision module
+	Joined                    // the same request is pending: its answer will go to this waiter as well
+	Answered                  // the same request has been answered: send that answer again
+	MayHaveRun                // it may have run before, and its answer is not known: fail it, without passing it on or refusing it
+	Busy                      // too many requests are pending: refuse it; it has not reached any server
 )
 
 // Limits bounds a Table.
@@ -34,12 +45,13 @@
 	MaxPending   int           // number of pending requests
 	MaxKept      int           // number of kept answers
 	MaxKeptBytes int           // total size of the kept answers in bytes
-	KeepFor      time.Duration // how long an answer is kept
+	MaxRecorded  int           // number of answered requests that must not run again, with or without a kept answer
+	KeepFor      time.Duration // how long an answer is kept, and an answered request is recorded
 }
 
 // DefaultLimits keeps answers for the duration of a client's time-out and one resend.
 func DefaultLimits() Limits {
-	return Limits{MaxPending: 4096, MaxKept: 4096, MaxKeptBytes: 4 << 20, KeepFor: 30 * time.Second}
+	return Limits{MaxPending: 4096, MaxKept: 4096, MaxKeptBytes: 4 << 20, MaxRecorded: 16384, KeepFor: 30 * time.Second}
 }
 
 // MaxWaiters is the number of connections that may wait for one request. A further one replaces the oldest.
@@ -48,74 +60,115 @@
 // Table holds the pending requests and the recently answered ones. A request that is resent, with or without
 // the T bit, on the same connection or another, is treated as the same request. This prevents a second
 // attempt that its class does not allow, and a second final answer.
+//
+// All clients share the room for kept answers. If it is short, answers to safe requests are dropped first: these may run
+// again. Of other requests only the answer is dropped, and the request stays recorded.
 type Table struct {
 	limits    Limits
 	pending   map[RequestKey]*entry // by identity of the request
-	kept      map[RequestKey]*entry // answered requests with their answers, by identity of the request
-	keptOrder []*entry              // the entries of kept, oldest first
+	answered  map[RequestKey]*entry // answered requests, by identity of the request
+	safe      answerQueue           // those that may run again
+	others    answerQueue           // those that may not
 	keptBytes int                   // total size of the kept answers in bytes
 }
 
 // entry is a pending request with its waiters, or an answered one with its answer.
 type entry struct {
 	origin     RequestKey
+	effect     balance.Effect
 	waiters    []Waiter      // where the answer is to be sent
-	answer     []byte        // encoded; nil while the request is pending
+	answer     []byte        // encoded; nil while the request is pending, and once the answer has been dropped
 	answeredAt time.Duration // on the caller's clock
 }
 
 // NewTable returns a table without pending or answered requests.
 func NewTable(l Limits) *Table {
-	return &Table{limits: l, pending: map[RequestKey]*entry{}, kept: map[RequestKey]*entry{}}
+	return &Table{limits: l, pending: map[RequestKey]*entry{}, answered: map[RequestKey]*entry{}}
 }
 
-// Arrive records a request that arrived from w, and returns how it is to be treated. For Answered it also
-// returns the kept answer, in which the caller sets w's Hop-by-Hop identifier.
-func (t *Table) Arrive(o RequestKey, w Waiter, now time.Duration) (Verdict, []byte) {
+// Arrive records a request that has arrived, and returns how it is to be treated. For Answered it also returns the kept
+// answer, in which the caller sets the waiter's Hop-by-Hop identifier.
+func (t *Table) Arrive(a Arrival, now time.Duration) (Verdict, []byte) {
 	t.expire(now)
-	if e := t.kept[o]; e != nil {
+	if e := t.answered[a.Key]; e != nil {
+		if e.answer == nil {
+			return MayHaveRun, nil
+		}
 		return Answered, e.answer
 	}
-	if e := t.pending[o]; e != nil {
-		// A resend on the same connection replaces the earlier one, for which the client may no longer wait.
-		e.waiters = slices.DeleteFunc(e.waiters, func(x Waiter) bool { return x.Conn == w.Conn })
-		if len(e.waiters) >= MaxWaiters {
-			e.waiters = slices.Delete(e.waiters, 0, 1)
-		}
-		e.waiters = append(e.waiters, w)
+	if e := t.pending[a.Key]; e != nil {
+		e.addWaiter(a.From)
 		return Joined, nil
 	}
+	// Another agent, or this one before a restart, may have passed it on, or it may no longer be recorded. Servers recognise
+	// keyed requests that they have run.
+	if a.Resent && a.Effect == balance.Unsafe {
+		return MayHaveRun, nil
+	}
 	if len(t.pending) >= t.limits.MaxPending {
 		return Busy, nil
 	}
-	t.pending[o] = &entry{origin: o, waiters: []Waiter{w}}
+	t.pending[a.Key] = &entry{origin: a.Key, effect: a.Effect, waiters: []Waiter{a.From}}
 	return New, nil
 }
 
+// addWaiter adds a waiter to a pending request. A resend on the same connection replaces the earlier one, for which the
+// client may no longer wait.
+func (e *entry) addWaiter(w Waiter) {
+	e.waiters = slices.DeleteFunc(e.waiters, func(x Waiter) bool { return x.Conn == w.Conn })
+	if len(e.waiters) >= MaxWaiters {
+		e.waiters = slices.Delete(e.waiters, 0, 1)
+	}
+	e.waiters = append(e.waiters, w)
+}
+
 // Complete ends a pending request and returns its waiters: none if their connections have closed or the
-// request is not pending, as for a second answer. keep: the request may have run, so the answer is kept for
+// request is not pending, as for a second answer. mayHaveRun: the request may have run, so the answer is kept for
 // resends. After an answer that reports that nothing ran, a resend is a new request.
-func (t *Table) Complete(o RequestKey, raw []byte, keep bool, now time.Duration) []Waiter {
+func (t *Table) Complete(o RequestKey, raw []byte, mayHaveRun bool, now time.Duration) []Waiter {
 	e := t.pending[o]
 	if e == nil {
 		return nil
 	}
 	delete(t.pending, o)
 	t.expire(now)
-	if keep && len(raw) <= t.limits.MaxKeptBytes && t.limits.MaxKept > 0 {
-		e.answer, e.answeredAt = raw, now
-		t.kept[o] = e
-		t.keptOrder = append(t.keptOrder, e)
-		t.keptBytes += len(raw)
-		for len(t.keptOrder) > t.limits.MaxKept || t.keptBytes > t.limits.MaxKeptBytes {
-			t.dropOldest()
-		}
+	if mayHaveRun {
+		t.record(e, raw, now)
 	}
 	waiters := e.waiters
 	e.waiters = nil
 	return waiters
 }
 
+// record records an answered request with its answer, and drops what exceeds the limits.
+func (t *Table) record(e *entry, raw []byte, now time.Duration) {
+	tooLong := len(raw) > t.limits.MaxKeptBytes
+	if tooLong && e.effect == balance.Safe {
+		return
+	}
+	e.answeredAt = now
+	if !tooLong {
+		e.answer = raw
+		t.keptBytes += len(raw)
+	}
+	t.answered[e.origin] = e
+	if e.effect == balance.Safe {
+		t.safe.add(e)
+	} else {
+		t.others.add(e)
+	}
+	for t.safe.kept()+t.others.kept() > t.limits.MaxKept || t.keptBytes > t.limits.MaxKeptBytes {
+		if t.safe.kept() > 0 {
+			t.forget(&t.safe)
+		} else {
+			t.keptBytes -= t.others.dropAnswer()
+		}
+	}
+	for len(t.others.entries) > t.limits.MaxRecorded {
+		t.forget(&t.others)
+	}
+}
+
 // RemoveConn drops the waiters of a closed connection. Their requests remain pending, since servers may be
 // running them.
 func (t *Table) RemoveConn(conn uint64) {
@@ -127,69 +180,47 @@
 // Pending returns the number of pending requests.
 func (t *Table) Pending() int { return len(t.pending) }
 
-// expire drops the answers that were kept for Limits.KeepFor.
+// expire drops what was answered Limits.KeepFor ago or earlier.
 func (t *Table) expire(now time.Duration) {
-	for len(t.keptOrder) > 0 && now-t.keptOrder[0].answeredAt >= t.limits.KeepFor {
-		t.dropOldest()
+	for _, q := range []*answerQueue{&t.safe, &t.others} {
+		for len(q.entries) > 0 && now-q.entries[0].answeredAt >= t.limits.KeepFor {
+			t.forget(q)
+		}
 	}
 }
 
-// dropOldest drops the answer that was kept for the longest time.
-func (t *Table) dropOldest() {
-	e := t.keptOrder[0]
-	t.keptOrder[0] = nil
-	t.keptOrder = t.keptOrder[1:]
+// forget drops the request that was answered first of a queue, with its answer.
+func (t *Table) forget(q *answerQueue) {
+	e := q.removeFirst()
 	t.keptBytes -= len(e.answer)
-	delete(t.kept, e.origin)
+	delete(t.answered, e.origin)
 }
 
-// Window assigns Hop-by-Hop identifiers to a bounded number of pending attempts on one server's connection.
-// Identifiers wrap around; those in use are skipped.
-type Window struct {
-	size     int               // maximum number of pending attempts
-	next     uint32            // the identifier to try next
-	attempts map[uint32]uint64 // numbers of the pending attempts, by Hop-by-Hop identifier
+// answerQueue holds answered requests in the order of their answers. The answers are dropped from the first one on.
+type answerQueue struct {
+	entries []*entry
+	dropped int // how many of entries, from the first on, have lost their answers
 }
 
-// NewWindow returns an empty window whose identifiers start at first, which should be random (RFC 6733, 3).
-func NewWindow(size int, first uint32) *Window {
-	return &Window{size: size, next: first, attempts: map[uint32]uint64{}}
-}
+func (q *answerQueue) add(e *entry) { q.entries = append(q.entries, e) }
 
-// Assign assigns a Hop-by-Hop identifier to an attempt; !ok: the window is full and the attempt must not be
-// sent.
-func (w *Window) Assign(attempt uint64) (hop uint32, ok bool) {
-	if len(w.attempts) >= w.size {
-		return 0, false
-	}
-	for {
-		hop = w.next
-		w.next++
-		if _, used := w.attempts[hop]; !used {
-			w.attempts[hop] = attempt
-			return hop, true
-		}
-	}
-}
+// kept returns the number of requests whose answers have not been dropped.
+func (q *answerQueue) kept() int { return len(q.entries) - q.dropped }
 
-// Release frees an identifier and returns its attempt; !ok: the identifier is not in use, because its attempt
-// was answered or abandoned, or because it was never assigned.
-func (w *Window) Release(hop uint32) (attempt uint64, ok bool) {
-	attempt, ok = w.attempts[hop]
-	delete(w.attempts, hop)
-	return attempt, ok
+// dropAnswer drops the first kept answer and returns its size in bytes.
+func (q *answerQueue) dropAnswer() (size int) {
+	e := q.entries[q.dropped]
+	q.dropped++
+	size = len(e.answer)
+	e.answer = nil
+	return size
 }
 
-// Close frees all identifiers when the connection has ended and returns the attempts without an answer, in
-// ascending order. They may have run.
-func (w *Window) Close() (unanswered []uint64) {
-	for _, attempt := range w.attempts {
-		unanswered = append(unanswered, attempt)
-	}
-	clear(w.attempts)
-	slices.Sort(unanswered)
-	return unanswered
+// removeFirst removes the first request and returns it.
+func (q *answerQueue) removeFirst() *entry {
+	e := q.entries[0]
+	q.entries[0] = nil
+	q.entries = q.entries[1:]
+	q.dropped = max(0, q.dropped-1)
+	return e
 }
-
-// InUse returns the number of assigned identifiers: attempts that are neither answered nor abandoned.
-func (w *Window) InUse() int { return len(w.attempts) }
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -463,13 +463,19 @@
 	if f.closed { // Serve closes this connection, so an answer could not be sent
 		return
 	}
-	verdict, kept := f.table.Arrive(origin, relay.Waiter{Conn: c.id, HopByHop: m.HopByHop}, f.now())
+	class := f.cfg.Rules.Classify(m)
+	arrival := relay.Arrival{Key: origin, From: relay.Waiter{Conn: c.id, HopByHop: m.HopByHop},
+		Resent: m.Flags&diameter.FlagRetransmitted != 0, Effect: f.cfg.Rules.Classes[class].Effect}
+	verdict, kept := f.table.Arrive(arrival, f.now())
 	switch verdict {
 	case relay.Answered:
 		c.enqueue(withHopByHop(kept, m.HopByHop))
 		return
 	case relay.Joined:
 		return
+	case relay.MayHaveRun: // 3002 or 3004 would make the client try again
+		c.answer(m, &diameter.Error{Result: diameter.UnableToComply, Text: "it may have run before, and its answer is not known"})
+		return
 	case relay.Busy:
 		f.reporter.Record(true, f.now())
 		if raw, err := f.cfg.Rules.LocalAnswer(m, diameter.TooBusy, "too many requests in hand").Append(nil); err == nil {
@@ -478,7 +484,6 @@
 		return
 	}
 	f.callCount++
-	class := f.cfg.Rules.Classify(m)
 	call := &core.Call{
 		// A new ID for each call: a client may resend a refused request with the same identifiers.
 		Event:    balance.Request{ID: fmt.Sprintf("diameter-%d", f.callCount), Class: f.cfg.ClassOffset + class, OnlyBackend: only},
