The resend of a Diameter request whose server has left gets its kept answer

Callers saw: 3002, which invites a client to try another agent, for a request that has run, when the server that it names (Destination-Host) has left the list since (rule duplicate: a refusal of what may have run).

Cause: relayRequest looked up the named server before it asked the table of resends.

Change: the table is asked first; only a new request gets 3002, and is not left pending. relayRequest is split into functions of one step.

--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -442,52 +442,67 @@
 	}
 }
 
-// relayRequest passes a request to the core, unless it is a resend or is refused here.
+// relayRequest passes a request to the core, unless it is a resend or is refused here. Whether it is a resend is checked
+// first: a request that may have run must not be refused for the server that it names.
 func (c *conn) relayRequest(m *diameter.Message) {
 	f := c.front
-	host := ""
-	if a := diameter.Find(m.AVPs, diameter.CodeOriginHost, 0); a != nil {
-		host, _ = a.Identity()
-	}
-	only := ""
-	if name := f.cfg.Rules.DestinationHost(m); name != "" {
-		known := false
-		if only, known = f.cfg.BackendByIdentity(name); !known {
-			c.answer(m, &diameter.Error{Result: diameter.UnableToDeliver, Text: "no server of that name is known"})
-			return
-		}
-	}
-	origin := relay.RequestKey{Host: strings.ToLower(host), EndToEnd: m.EndToEnd}
+	backendID, known := f.destination(m)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed { // Serve closes this connection, so an answer could not be sent
 		return
 	}
-	class := f.cfg.Rules.Classify(m)
-	arrival := relay.Arrival{Key: origin, From: relay.Waiter{Conn: c.id, HopByHop: m.HopByHop},
+	key, class := requestKey(m), f.cfg.Rules.Classify(m)
+	arrival := relay.Arrival{Key: key, From: relay.Waiter{Conn: c.id, HopByHop: m.HopByHop},
 		Resent: m.Flags&diameter.FlagRetransmitted != 0, Effect: f.cfg.Rules.Classes[class].Effect}
 	verdict, kept := f.table.Arrive(arrival, f.now())
 	switch verdict {
 	case relay.Answered:
 		c.enqueue(withHopByHop(kept, m.HopByHop))
-		return
 	case relay.Joined:
-		return
 	case relay.MayHaveRun: // 3002 or 3004 would make the client try again
 		c.answer(m, &diameter.Error{Result: diameter.UnableToComply, Text: "it may have run before, and its answer is not known"})
-		return
 	case relay.Busy:
 		f.reporter.Record(true, f.now())
 		if raw, err := f.cfg.Rules.LocalAnswer(m, diameter.TooBusy, "too many requests in hand").Append(nil); err == nil {
 			c.enqueue(f.addReport(m, raw))
 		}
-		return
+	case relay.New:
+		if !known {
+			f.table.Complete(key, nil, false, f.now())
+			c.answer(m, &diameter.Error{Result: diameter.UnableToDeliver, Text: "no server of that name is known"})
+			return
+		}
+		f.startCall(m, key, class, backendID, c.name)
+	}
+}
+
+// requestKey returns the identity of a request.
+func requestKey(m *diameter.Message) relay.RequestKey {
+	host := ""
+	if a := diameter.Find(m.AVPs, diameter.CodeOriginHost, 0); a != nil {
+		host, _ = a.Identity()
 	}
+	return relay.RequestKey{Host: strings.ToLower(host), EndToEnd: m.EndToEnd}
+}
+
+// destination returns the ID of the backend that a request is for, empty for any. known is false if it names a server that
+// is not known.
+func (f *Front) destination(m *diameter.Message) (backendID string, known bool) {
+	name := f.cfg.Rules.DestinationHost(m)
+	if name == "" {
+		return "", true
+	}
+	return f.cfg.BackendByIdentity(name)
+}
+
+// startCall passes a new request from a client to the core. The caller holds f.mu.
+func (f *Front) startCall(m *diameter.Message, key relay.RequestKey, class int, backendID, client string) {
 	f.callCount++
 	call := &core.Call{
 		// A new ID for each call: a client may resend a refused request with the same identifiers.
-		Event:    balance.Request{ID: fmt.Sprintf("diameter-%d", f.callCount), Class: f.cfg.ClassOffset + class, OnlyBackend: only},
-		Request:  &backend.Request{Message: m, From: c.name},
+		Event:    balance.Request{ID: fmt.Sprintf("diameter-%d", f.callCount), Class: f.cfg.ClassOffset + class, OnlyBackend: backendID},
+		Request:  &backend.Request{Message: m, From: client},
 		Deadline: time.Now().Add(f.cfg.Rules.Classes[class].Deadline),
 		Reply:    make(chan core.Answer, 1),
 	}
@@ -503,7 +518,7 @@
 				a.Kind = core.Failed
 			}
 		}
-		f.complete(origin, m, a)
+		f.complete(key, m, a)
 	})
 }
 
--- a/internal/front/diameter/resend_test.go
+++ b/internal/front/diameter/resend_test.go
@@ -4,7 +4,9 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"lemonrail/balance"
 	"lemonrail/internal/diameter"
 	"lemonrail/internal/diameter/relay"
 	"lemonrail/internal/scripted"
@@ -108,3 +110,42 @@
 		t.Errorf("without the T bit: got %d, run %d times", got, ran.count(first))
 	}
 }
+
+// Guards against 3002, which invites a client to try another agent, for the resend of a request that has run: its server has
+// left the list since.
+func TestResendNamesAServerThatLeft(t *testing.T) {
+	s := newSite(t, 16, answerSuccess, answerSuccess)
+	c := s.client()
+	send := func(m *diameter.Message) uint32 {
+		t.Helper()
+		c.Send(m)
+		return code(scripted.Await(t, c.Received))
+	}
+	for _, kind := range []uint32{0, 1, 4} { // unsafe, keyed, safe
+		s.list(balance.Up, balance.Up)
+		m := s.newRequest(kind, 2)
+		m.AVPs = append(m.AVPs, diameter.Str(diameter.CodeDestinationHost, "s1.example.net"))
+		for end := time.Now().Add(scripted.WaitTimeout); send(m) != diameter.Success; { // until the server's name is known from its CEA
+			if time.Now().After(end) {
+				t.Fatal("the server gets no requests")
+			}
+			if got := send(s.newRequest(4, 2)); got != diameter.Success {
+				t.Fatalf("without a server's name: got %d", got)
+			}
+			m.EndToEnd += 1 << 10 // a new request
+		}
+		s.list(balance.Up, balance.Gone)
+		for _, marked := range []bool{true, false} {
+			if got := send(resent(m, marked)); got != diameter.Success {
+				t.Errorf("kind %d, T bit %v: got %d", kind, marked, got)
+			}
+		}
+		for range 2 { // the first one is not left pending
+			again := resent(m, false)
+			again.EndToEnd += 1 << 20
+			if got := send(again); got != diameter.UnableToDeliver {
+				t.Errorf("kind %d, a new request for that server: got %d", kind, got)
+			}
+		}
+	}
+}
