A finished call releases its body with its answer, not at its client's deadline

Cause: the timer of a call's answer deadline referred to the call, its request and the body until the deadline, also once the call was answered. The budget for bodies had released them by then.

Change: one timer for a call, removed with its answer; the call releases its request; attempts have it apart from the call. Timers stand in a file of their own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,6 @@
 package core
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"fmt"
@@ -109,6 +108,7 @@
 	HasClientLeft   func() bool      // reports whether the client has left, called from any goroutine; nil: only Loop.Left reports it
 
 	attempts []*attempt // in the order of their Sends
+	timer    *timer     // of the answer deadline
 	pending  int        // number of attempts that have not ended
 	answered bool       // has its final answer, or the client left and needs none
 }
@@ -292,7 +292,8 @@
 	l.Event(e)
 	// Guarantees an answer: if the decision module still owes one when half of the grace (AnswerGrace) is over,
 	// the call fails here and the module gets Abandoned.
-	l.timers.add(timer{at: l.answerDeadline(c), call: c})
+	c.timer = &timer{call: c, index: -1}
+	l.timers.set(c.timer, l.answerDeadline(c))
 }
 
 // answerDeadline returns the time at which the loop fails a call that has no answer from the decision module yet.
@@ -310,7 +311,7 @@
 	l.stopDeadline = by
 	for _, c := range l.calls {
 		if !c.answered {
-			l.timers.add(timer{at: l.answerDeadline(c), call: c})
+			l.timers.set(c.timer, l.answerDeadline(c))
 		}
 	}
 }
@@ -333,8 +334,7 @@
 	default:
 	}
 	if l.calls[c.Event.ID] == c && !c.answered {
-		c.answered = true
-		c.dropAttempts()
+		l.settle(c)
 		l.Event(balance.Abandoned{Request: c.Event.ID})
 		l.forget(c)
 	}
@@ -354,12 +354,20 @@
 		discard(a.Payload)
 		return
 	}
-	c.answered = true
-	c.dropAttempts()
+	l.settle(c)
 	c.Reply <- a
 	l.forget(c)
 }
 
+// settle ends everything that was done for the answer to a call, and releases its request: a call whose attempts are still
+// out must not hold the body until they end, nor any call until its deadline.
+func (l *Loop) settle(c *Call) {
+	c.answered = true
+	c.dropAttempts()
+	l.timers.remove(c.timer)
+	c.timer, c.Request = nil, nil
+}
+
 // dropAttempts revokes the permits of a call's attempts because nobody waits for an answer any more. It
 // reports whether no attempt was or will be executed by a backend.
 func (c *Call) dropAttempts() (unsent bool) {
@@ -547,21 +555,20 @@
 
 // fireTimers turns the timers that have expired into events.
 func (l *Loop) fireTimers(now time.Time) {
-	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
-		t := heap.Pop(&l.timers).(timer)
-		switch {
-		case t.call == nil:
+	for t := l.timers.next(now); t != nil; t = l.timers.next(now) {
+		if t.call == nil {
 			l.Event(balance.TimerFired{Token: t.token})
-		case !t.call.answered:
+		} else {
 			l.checkAnswerDeadline(t.call, now)
 		}
 	}
 }
 
-// checkAnswerDeadline answers a call whose answer deadline has passed, or sets its timer again if the deadline has moved on.
+// checkAnswerDeadline answers an open call whose answer deadline has passed, or sets its timer again if the deadline has
+// moved on.
 func (l *Loop) checkAnswerDeadline(c *Call, now time.Time) {
 	if at := l.answerDeadline(c); at.After(now) {
-		l.timers.add(timer{at: at, call: c})
+		l.timers.set(c.timer, at)
 		return
 	}
 	id, kind := c.Event.ID, Failed
@@ -592,7 +599,7 @@
 			c.attempts[a.Attempt].cancel()
 		}
 	case balance.SetTimer:
-		l.timers.add(timer{at: time.Now().Add(a.After), token: a.Token})
+		l.timers.set(&timer{token: a.Token, index: -1}, time.Now().Add(a.After))
 	case balance.Probe:
 		l.probe(a.Backend)
 	case balance.TellPeer:
@@ -635,16 +642,21 @@
 		writeDeadline = l.clock.time(s.WriteBy)
 	}
 	permit := NewPermit(writeDeadline).RevokeIf(c.HasClientLeft)
-	c.attempts = append(c.attempts, &attempt{backend: s.Backend, addr: addr, sent: now, cancel: cancel, permit: permit})
+	a := &attempt{backend: s.Backend, addr: addr, sent: now, cancel: cancel, permit: permit}
+	c.attempts = append(c.attempts, a)
 	c.pending++
 	if c.answered || addr == "" || !until.After(now) {
 		l.attemptEnded(c, n, s.Backend, Response{Result: balance.NotSent})
 		return
 	}
-	go func() {
-		r := l.Backend.Exchange(ctx, permit, Target{s.Backend, addr}, c.Request)
-		l.Post(func() { l.attemptEnded(c, n, s.Backend, r) })
-	}()
+	go l.exchange(ctx, c, n, a, c.Request)
+}
+
+// exchange makes a, which is attempt n of a call, on a goroutine of its own. It gets the request apart from the call, which
+// may release it before the attempt ends.
+func (l *Loop) exchange(ctx context.Context, c *Call, n int, a *attempt, request any) {
+	r := l.Backend.Exchange(ctx, a.permit, Target{a.backend, a.addr}, request)
+	l.Post(func() { l.attemptEnded(c, n, a.backend, r) })
 }
 
 // probe probes a backend outside of any request, if the settings allow it.
@@ -661,27 +673,3 @@
 		})
 	}()
 }
-
-// timer expires at a given time. It belongs to a SetTimer action or, if call is set, to that call's answer
-// deadline.
-type timer struct {
-	at    time.Time
-	token int64 // of the SetTimer action
-	call  *Call
-}
-
-// timers is a heap with the next timer to expire first.
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	(*t)[len(*t)-1] = timer{}
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
-func (t *timers) add(x timer) { heap.Push(t, x) }
