At a planned stop a queued Diameter answer is written after the client's DPA

Cause: on the DPA the connection was closed at once unless requests were pending; an answer that has left the table but is still queued for the writer was lost.

Evidence: TestQueuedAnswerIsWrittenAfterDPA sets the order of the events and fails each time on the code before: "the client got 0 bytes without the answer".

Change: with nothing pending, the connection is closed once the queue has been written.

--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -178,11 +178,11 @@
 	return !c.closed && !c.dpaReceived
 }
 
-// draining reports whether a planned stop has begun and requests are still pending.
-func (f *Front) draining() bool {
+// stopState reports whether a planned stop has begun, and how many requests are pending.
+func (f *Front) stopState() (stopping bool, pending int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.stopping && f.table.Pending() > 0
+	return f.stopping, f.table.Pending()
 }
 
 // accept starts the goroutines of a new connection, or closes it beyond the bound.
@@ -419,12 +419,12 @@
 			c.sendRequest(diameter.DeviceWatchdog)
 		case diameter.SendDPR:
 			c.sendRequest(diameter.DisconnectPeer, diameter.U32(diameter.CodeDisconnectCause, diameter.Rebooting))
-		case diameter.Disconnect, diameter.Reject:
+		case diameter.Reject:
 			c.dpaReceived = true
-			// During a planned stop the connection stays open until the pending requests have been answered.
-			if act.Kind == diameter.Reject || !c.front.draining() {
-				c.Close()
-			}
+			c.Close()
+		case diameter.Disconnect:
+			c.dpaReceived = true
+			c.disconnect()
 		}
 	}
 	if c.timer != nil {
@@ -442,6 +442,17 @@
 	}
 }
 
+// disconnect closes the connection as the state machine wants it. During a planned stop it stays open until the pending
+// requests have been answered, and then until the answers that are queued have been written.
+func (c *conn) disconnect() {
+	switch stopping, pending := c.front.stopState(); {
+	case !stopping:
+		c.Close()
+	case pending == 0:
+		c.closeAfterWrites()
+	}
+}
+
 // relayRequest passes a request to the core, unless it is a resend or is refused here. Whether it is a resend is checked
 // first: a request that may have run must not be refused for the server that it names.
 func (c *conn) relayRequest(m *diameter.Message) {
