A planned stop serves the connection that was accepted at its very moment

Cause: Listener.Finish counted admitted connections. One that the accept loop had taken and not yet admitted was not waited for; http.Server.Close then waits for the accept loop and closes it with its request unread.

Evidence: TestFinishWaitsForAnAcceptedConnection holds the accept back there and fails on the code before, with a successor and without: "read: connection reset by peer".

Change: Finish waits for the end of the accept loop, within its time. Connections closed with unread bytes and no answer are counted, and logged at a planned stop.

--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -129,6 +129,7 @@
 	Refusing       int             // new connections that are being sent a refusal, which don't count in Held
 
 	Accepted, Refused, Evicted, EndedByAnswer uint64 // totals since the start; EndedByAnswer: closed with an answer
+	ClosedUnread                              uint64 // total of those closed without an answer while bytes of their clients were unread, which resets them
 }
 
 // Governor makes the decisions about client connections. It isn't safe for concurrent use. All times are on one
@@ -478,6 +479,9 @@
 	return g.requestCloseAll(StateIdle, now)
 }
 
+// RecordUnreadClose counts a connection that is closed without an answer while bytes of its client are unread.
+func (g *Governor) RecordUnreadClose() { g.counts.ClosedUnread++ }
+
 // Finish ends a planned stop once nothing is accepted any more: connections that have sent nothing are asked to
 // close as well, except those accepted within DrainGrace. Call it again after wait; 0: not needed.
 func (g *Governor) Finish(now time.Duration) (requested []*Entry, wait time.Duration) {
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -309,6 +309,7 @@
 // ctx ends. It returns the number of connections that are still open.
 func (l *Listener) Finish(ctx context.Context) int {
 	l.Close()
+	l.awaitAcceptEnd(ctx)
 	refused := make(chan struct{})
 	go func() {
 		defer close(refused)
@@ -339,6 +340,18 @@
 	}
 }
 
+// awaitAcceptEnd waits until Accept returns no more connections, or ctx ends. Without this wait a connection that has been
+// accepted, but not admitted yet, would not count as open, and would be reset by the end of the process or of the server.
+func (l *Listener) awaitAcceptEnd(ctx context.Context) {
+	if !l.accepting.Load() {
+		return
+	}
+	select {
+	case <-l.acceptEnded:
+	case <-ctx.Done():
+	}
+}
+
 // wakeAll calls request, which asks the Governor to request the close of connections, and wakes the readers of the
 // connections that request returns.
 func (l *Listener) wakeAll(request func(*Governor, time.Duration) []*Entry) {
@@ -561,8 +574,14 @@
 				linger(c.Conn, lingerTime, lingerBytes)
 			}
 		}
+		unread, _ := c.UnreadBytes()
 		err = c.Conn.Close()
-		c.withGovernor(func(g *Governor, e *Entry, now time.Duration) { g.DescriptorFreed(e, now) })
+		c.withGovernor(func(g *Governor, e *Entry, now time.Duration) {
+			if unread > 0 && !c.wroteAnswer.Load() {
+				g.RecordUnreadClose()
+			}
+			g.DescriptorFreed(e, now)
+		})
 		c.listener.closed()
 		c.listener.signalFreed()
 	})
--- a/internal/admission/listener_test.go
+++ b/internal/admission/listener_test.go
@@ -563,3 +563,101 @@
 		}
 	}
 }
+
+// slowListener holds back its first accepted connection, as when the process is short of processor time.
+type slowListener struct {
+	net.Listener
+	once     sync.Once
+	accepted chan struct{} // closed when the first connection has been accepted
+	release  chan struct{} // the first connection is returned once this is closed
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		l.once.Do(func() {
+			close(l.accepted)
+			<-l.release
+		})
+	}
+	return nc, err
+}
+
+// Guards against a reset at the replacement of a process: a connection has just been accepted when the process stops
+// accepting, and the stop must not end before it is served.
+func TestFinishWaitsForAnAcceptedConnection(t *testing.T) {
+	for name, stopAccepting := range map[string]bool{"with a successor": true, "without one": false} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			slow := &slowListener{Listener: ln, accepted: make(chan struct{}), release: make(chan struct{})}
+			s := newTestServerOn(t, slow, Config{MaxConnections: 2, MaxRefusals: 1, AdmitTimeout: time.Second, DrainGrace: time.Second})
+			nc, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			io.WriteString(nc, "GET / HTTP/1.1\r\nHost: x\r\nX-Id: 1\r\n\r\n")
+			<-slow.accepted
+			if stopAccepting {
+				s.listener.StopAccepting()
+			}
+			finished := make(chan int, 1)
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			go func() {
+				left := s.listener.Finish(ctx)
+				s.srv.Close()
+				finished <- left
+			}()
+			time.Sleep(2 * (maxBacklogDrain + backlogIdleTime)) // until the stop would no longer wait for the backlog
+			close(slow.release)
+			nc.SetReadDeadline(time.Now().Add(testTimeout))
+			if resp, err := http.ReadResponse(bufio.NewReader(nc), nil); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("got %v, %v", resp, err)
+			}
+			if left := <-finished; left != 0 {
+				t.Errorf("%d connections are left", left)
+			}
+		})
+	}
+}
+
+// Connections that end in a reset of what their clients have sent are counted, so that such a loss shows in the log.
+func TestUnreadClosesAreCounted(t *testing.T) {
+	for sent, want := range map[string]uint64{"": 0, "GET / HTTP/1.1\r\n": 1} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := Listen(ln, Config{MaxConnections: 1, MaxRefusals: 1}, 0, Hooks{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		client, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(client, sent)
+		for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+			if n, known := nc.(*Conn).UnreadBytes(); known && n == len(sent) {
+				break
+			}
+			if time.Since(begun) > testTimeout {
+				t.Fatal("the bytes don't arrive")
+			}
+		}
+		nc.Close()
+		if got := l.Counts().ClosedUnread; got != want {
+			t.Errorf("%d bytes unread: %d counted, want %d", len(sent), got, want)
+		}
+		client.Close()
+		ln.Close()
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -275,6 +275,9 @@
 				log.Warn("connections cut off", "count", cutOff)
 			}
 			httpServer.Close()
+			if n := admitted.Counts().ClosedUnread; n > 0 {
+				log.Warn("connections were closed while bytes of their clients were unread", "count", n)
+			}
 		}}, s, listener, nil
 }
 
