A Diameter request gets no further attempt once its client's connection has closed

Cause: the front kept such requests pending for their resends and told the core nothing of the client's end (Call.HasClientLeft). A server's connection dropped a denied message without ending its attempt.

Change: an attempt's permit asks whether anybody waits for the request. One that is out goes on and its answer is kept. If it fails, what may have run is kept as 5012, a safe request is new again. A denied message ends its attempt.

--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -105,7 +105,8 @@
 	raw   []byte // the encoded message
 	state itemState
 
-	permit *core.Permit // nil for messages of the base protocol
+	permit *core.Permit  // nil for messages of the base protocol
+	denied chan struct{} // closed when the permit doesn't allow the writing; nil for messages of the base protocol
 }
 
 // itemState is how far the writing of an item has come.
@@ -168,6 +169,9 @@
 			return got
 		case <-ctx.Done():
 			return s.abandon(ctx, a)
+		case <-a.item.denied: // the client has left, or a revocation came just now
+			s.withdraw(a)
+			return core.Response{Result: balance.DroppedUnsent}
 		case <-revoked:
 			if s.withdraw(a) {
 				return core.Response{Result: balance.DroppedUnsent}
@@ -247,7 +251,7 @@
 		s.window.Release(hop)
 		return nil, balance.NotSent
 	}
-	a.item = &queuedMessage{raw: raw, permit: p}
+	a.item = &queuedMessage{raw: raw, permit: p, denied: make(chan struct{})}
 	select {
 	case s.writes <- a.item:
 	default: // unreachable in practice, since the window bounds the queue; treated as a full window
@@ -436,6 +440,7 @@
 		s.mu.Lock()
 		if it.state == queued && !it.permit.BeginWrite(nil) {
 			it.state = dropped
+			close(it.denied)
 		}
 		skip := it.state == dropped
 		if !skip {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,6 +94,7 @@
 type Answer struct {
 	Kind       AnswerKind
 	RetryAfter time.Duration // with Refused; 0: no advice
+	NeverRan   bool          // with Abandoned: no backend has executed or will execute the request
 	Payload    any           // with Served: the backend's answer, as the Backend returned it
 }
 
@@ -344,7 +345,7 @@
 func (l *Loop) abandon(c *Call) {
 	if !c.answered {
 		l.Event(balance.Abandoned{Request: c.Event.ID})
-		l.answer(c, Answer{Kind: Abandoned})
+		l.answer(c, Answer{Kind: Abandoned, NeverRan: c.dropAttempts()})
 	}
 }
 
--- a/internal/diameter/relay/table.go
+++ b/internal/diameter/relay/table.go
@@ -177,6 +177,14 @@
 	}
 }
 
+// Waiters returns the waiters of a pending request, which the caller must not modify; nil if it isn't pending.
+func (t *Table) Waiters(o RequestKey) []Waiter {
+	if e := t.pending[o]; e != nil {
+		return e.waiters
+	}
+	return nil
+}
+
 // Pending returns the number of pending requests.
 func (t *Table) Pending() int { return len(t.pending) }
 
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -23,6 +23,7 @@
 
 	"lemonrail/balance"
 	backend "lemonrail/internal/backend/diameter"
+	"lemonrail/internal/connstate"
 	"lemonrail/internal/core"
 	"lemonrail/internal/diameter"
 	"lemonrail/internal/diameter/overload"
@@ -516,6 +517,9 @@
 		Request:  &backend.Request{Message: m, From: client},
 		Deadline: time.Now().Add(f.cfg.Rules.Classes[class].Deadline),
 		Reply:    make(chan core.Answer, 1),
+		// Nobody waits for further attempts once the client's connection has closed. One that is out goes on: its
+		// answer is kept for the client's resend.
+		HasClientLeft: func() bool { return f.isAbandoned(key) },
 	}
 	f.wait.Go(func() {
 		f.loop.Post(func() { f.loop.Arrived(call) })
@@ -529,12 +533,36 @@
 				a.Kind = core.Failed
 			}
 		}
-		f.complete(key, m, a)
+		f.complete(key, m, f.cfg.Rules.Classes[class].Effect, a)
 	})
 }
 
+// isAbandoned reports whether nobody waits for the answer to a request any more. It must be called without f.mu.
+func (f *Front) isAbandoned(key relay.RequestKey) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.table.Waiters(key) {
+		// The end of a connection may not have been read yet if the process was short of processor time.
+		if c := f.conns[w.Conn]; c != nil && !connstate.PeerClosed(c.Conn) {
+			return false
+		}
+	}
+	return true
+}
+
+// answersResends reports whether resends of a request get its final answer; otherwise they are new requests.
+func answersResends(a core.Answer, effect balance.Effect) bool {
+	switch a.Kind {
+	case core.Refused: // nothing ran
+		return false
+	case core.Abandoned: // it ended since nobody waited
+		return !a.NeverRan && effect != balance.Safe
+	}
+	return true
+}
+
 // complete sends the final answer of a request to all its waiters.
-func (f *Front) complete(origin relay.RequestKey, m *diameter.Message, a core.Answer) {
+func (f *Front) complete(origin relay.RequestKey, m *diameter.Message, effect balance.Effect, a core.Answer) {
 	var raw []byte
 	switch a.Kind {
 	case core.Served:
@@ -548,7 +576,7 @@
 	defer f.mu.Unlock()
 	f.reporter.Record(a.Kind == core.Refused, f.now())
 	raw = f.addReport(m, raw)
-	for _, w := range f.table.Complete(origin, raw, a.Kind != core.Refused, f.now()) {
+	for _, w := range f.table.Complete(origin, raw, answersResends(a, effect), f.now()) {
 		if c := f.conns[w.Conn]; c != nil {
 			c.enqueue(withHopByHop(raw, w.HopByHop))
 		}
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -31,6 +31,7 @@
 	t         testing.TB
 	addr      string // of the front
 	loop      *core.Loop
+	front     *Front
 	nodes     []*standin.DiameterNode             // the servers
 	list      func(state ...balance.BackendState) // gives the balancer a list of all servers; state i is that of server i, default Up
 	ids       atomic.Uint32                       // last number used by newRequest
@@ -98,6 +99,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	site.front = front
 	var parts sync.WaitGroup
 	parts.Go(func() { loop.Run(inner) })
 	site.stopFront = cancel
