Pending Diameter requests have a budget of bytes by the process's memory

Cause: pending requests were bounded by their number alone, 4,096 of up to 64 KiB each.

Unsafe resends that may have run are never refused. The front counts what it refuses.

--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -66,7 +66,7 @@
 		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
 		OnLeaving: func(id string, leaves bool) { l.Post(func() { l.SetLeaving(id, leaves) }) }})
 	front, err := diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, ClassOffset: cfg.diameterClassOffset,
-		Limits: cfg.diameter.TableLimits(), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections,
+		Limits: cfg.diameter.Limits(cfg.MemoryMB << 20), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections,
 		BackendByIdentity: back.BackendByIdentity, CERTimeout: capabilitiesTimeout, Log: log}, l)
 	if err != nil {
 		back.Close()
--- a/internal/diameter/relay/relay.go
+++ b/internal/diameter/relay/relay.go
@@ -3,7 +3,7 @@
 // server's connection belongs to (Window). It does no I/O, has no clock and must be used by one goroutine at
 // a time; the decision module still picks servers, retries and refuses.
 //
-// Bounds: a Table holds at most MaxPending requests with MaxWaiters connections each, MaxKept answers of
+// Bounds: a Table holds at most MaxPending requests of MaxPendingBytes in total with MaxWaiters connections each, MaxKept answers of
 // MaxKeptBytes in total, and MaxRecorded answered requests that must not run again; a Window holds a fixed number of attempts.
 package relay
 
@@ -218,10 +218,10 @@
 // balancer's list.
 func (r *Rules) Address(host, listed string) string { return cmp.Or(r.addressByHost[host], listed) }
 
-// TableLimits returns the limits of a Table for these rules: answered requests are recorded for at least as long as their
-// clients may wait, and so resend them.
-func (r *Rules) TableLimits() Limits {
-	limits := DefaultLimits()
+// Limits returns the limits for these rules in a process that may use that much memory; 0: unknown. Answered requests are
+// recorded for at least as long as their clients may wait, and so resend them.
+func (r *Rules) Limits(memory int64) Limits {
+	limits := DefaultLimits().WithMemory(memory)
 	for _, c := range r.Classes {
 		limits.KeepFor = max(limits.KeepFor, c.Deadline)
 	}
--- a/internal/diameter/relay/relay_test.go
+++ b/internal/diameter/relay/relay_test.go
@@ -157,7 +157,7 @@
 // A resend joins the pending request or gets the kept answer; only a request that is neither pending nor kept
 // is new.
 func TestTableResends(t *testing.T) {
-	table := NewTable(Limits{MaxPending: 2, MaxKept: 2, MaxKeptBytes: 100, MaxRecorded: 2, KeepFor: time.Minute})
+	table := NewTable(Limits{MaxPendingBytes: 1 << 20, MaxPending: 2, MaxKept: 2, MaxKeptBytes: 100, MaxRecorded: 2, KeepFor: time.Minute})
 	o := RequestKey{"c", 1}
 	arrive := func(o RequestKey, w Waiter, now time.Duration, want Verdict) []byte {
 		t.Helper()
@@ -193,7 +193,7 @@
 // first, and a request that must not run again stays recorded without its answer.
 func TestDroppedAnswersDontMakeRequestsNew(t *testing.T) {
 	const size = 10
-	table := NewTable(Limits{MaxPending: 10, MaxKept: 3, MaxKeptBytes: 3 * size, MaxRecorded: 4, KeepFor: time.Minute})
+	table := NewTable(Limits{MaxPendingBytes: 1 << 20, MaxPending: 10, MaxKept: 3, MaxKeptBytes: 3 * size, MaxRecorded: 4, KeepFor: time.Minute})
 	arrive := func(host string, effect balance.Effect) Verdict {
 		v, _ := table.Arrive(Arrival{Key: RequestKey{host, 1}, Effect: effect}, 0)
 		return v
@@ -233,7 +233,7 @@
 // An answer that is too long to be kept leaves its request recorded, unless the request may run again.
 func TestTooLongAnswers(t *testing.T) {
 	for effect, want := range map[balance.Effect]Verdict{balance.Safe: New, balance.Keyed: MayHaveRun, balance.Unsafe: MayHaveRun} {
-		table := NewTable(Limits{MaxPending: 1, MaxKept: 1, MaxKeptBytes: 10, MaxRecorded: 1, KeepFor: time.Minute})
+		table := NewTable(Limits{MaxPendingBytes: 1 << 20, MaxPending: 1, MaxKept: 1, MaxKeptBytes: 10, MaxRecorded: 1, KeepFor: time.Minute})
 		arrival := Arrival{Key: RequestKey{"c", 1}, Effect: effect}
 		table.Arrive(arrival, 0)
 		table.Complete(arrival.Key, make([]byte, 11), true, 0)
@@ -248,7 +248,7 @@
 func TestUnknownResends(t *testing.T) {
 	for _, full := range []bool{false, true} {
 		for effect, want := range map[balance.Effect]Verdict{balance.Safe: New, balance.Keyed: New, balance.Unsafe: MayHaveRun} {
-			table := NewTable(Limits{MaxPending: 1, MaxKept: 1, MaxKeptBytes: 10, MaxRecorded: 1, KeepFor: time.Minute})
+			table := NewTable(Limits{MaxPendingBytes: 1 << 20, MaxPending: 1, MaxKept: 1, MaxKeptBytes: 10, MaxRecorded: 1, KeepFor: time.Minute})
 			if full {
 				table.Arrive(Arrival{Key: RequestKey{"d", 1}}, 0)
 				if want == New {
@@ -263,13 +263,13 @@
 }
 
 // Answered requests are recorded for as long as their clients may wait, also where a class has a long deadline.
-func TestTableLimitsCoverDeadlines(t *testing.T) {
-	if got, want := rules(t).TableLimits(), DefaultLimits(); got != want {
+func TestLimitsCoverDeadlines(t *testing.T) {
+	if got, want := rules(t).Limits(0), DefaultLimits(); got != want {
 		t.Errorf("shipped file: %+v, want %+v", got, want)
 	}
 	const long = time.Hour
 	r := &Rules{Classes: []balance.Class{{Deadline: long}, {Deadline: time.Second}}}
-	if got := r.TableLimits().KeepFor; got != long {
+	if got := r.Limits(0).KeepFor; got != long {
 		t.Errorf("got %v, want %v", got, long)
 	}
 }
@@ -278,7 +278,7 @@
 // not pending and has no kept answer, and one that may have run and must not run again isn't New while it is recorded.
 func TestTableProperties(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		l := Limits{MaxPending: rapid.IntRange(1, 5).Draw(rt, "in hand"), MaxKept: rapid.IntRange(0, 3).Draw(rt, "kept"), MaxKeptBytes: 40,
+		l := Limits{MaxPendingBytes: 1 << 20, MaxPending: rapid.IntRange(1, 5).Draw(rt, "in hand"), MaxKept: rapid.IntRange(0, 3).Draw(rt, "kept"), MaxKeptBytes: 40,
 			MaxRecorded: rapid.IntRange(0, 6).Draw(rt, "recorded"), KeepFor: 10}
 		table, now := NewTable(l), time.Duration(0)
 		pending := map[RequestKey]bool{}
--- a/internal/diameter/relay/table.go
+++ b/internal/diameter/relay/table.go
@@ -27,6 +27,7 @@
 	From   Waiter
 	Resent bool           // it has the T bit: the client may have sent it before, to this agent or to another one
 	Effect balance.Effect // of its class
+	Bytes  int            // its encoded size
 }
 
 // Verdict is how a request that has arrived is to be treated.
@@ -42,16 +43,19 @@
 
 // Limits bounds a Table.
 type Limits struct {
-	MaxPending   int           // number of pending requests
-	MaxKept      int           // number of kept answers
-	MaxKeptBytes int           // total size of the kept answers in bytes
-	MaxRecorded  int           // number of answered requests that must not run again, with or without a kept answer
-	KeepFor      time.Duration // how long an answer is kept, and an answered request is recorded
+	MaxPending      int           // number of pending requests
+	MaxPendingBytes int           // total size of the pending requests in bytes
+	MaxKept         int           // number of kept answers
+	MaxKeptBytes    int           // total size of the kept answers in bytes
+	MaxQueuedBytes  int           // total size of the answers that wait for clients to read them; see AnswerQueues
+	MaxRecorded     int           // number of answered requests that must not run again, with or without a kept answer
+	KeepFor         time.Duration // how long an answer is kept, and an answered request is recorded
 }
 
 // DefaultLimits keeps answers for the duration of a client's time-out and one resend.
 func DefaultLimits() Limits {
-	return Limits{MaxPending: 4096, MaxKept: 4096, MaxKeptBytes: 4 << 20, MaxRecorded: 16384, KeepFor: 30 * time.Second}
+	return Limits{MaxPending: 4096, MaxPendingBytes: 32 << 20, MaxKept: 4096, MaxKeptBytes: 4 << 20, MaxQueuedBytes: 32 << 20,
+		MaxRecorded: 16384, KeepFor: 30 * time.Second}
 }
 
 // MaxWaiters is the number of connections that may wait for one request. A further one replaces the oldest.
@@ -70,12 +74,15 @@
 	safe      answerQueue           // those that may run again
 	others    answerQueue           // those that may not
 	keptBytes int                   // total size of the kept answers in bytes
+
+	pendingBytes int // total size of the pending requests in bytes
 }
 
 // entry is a pending request with its waiters, or an answered one with its answer.
 type entry struct {
 	origin     RequestKey
 	effect     balance.Effect
+	bytes      int           // encoded size of the request
 	waiters    []Waiter      // where the answer is to be sent
 	answer     []byte        // encoded; nil while the request is pending, and once the answer has been dropped
 	answeredAt time.Duration // on the caller's clock
@@ -105,10 +112,11 @@
 	if a.Resent && a.Effect == balance.Unsafe {
 		return MayHaveRun, nil
 	}
-	if len(t.pending) >= t.limits.MaxPending {
+	if len(t.pending) >= t.limits.MaxPending || t.pendingBytes+a.Bytes > t.limits.MaxPendingBytes {
 		return Busy, nil
 	}
-	t.pending[a.Key] = &entry{origin: a.Key, effect: a.Effect, waiters: []Waiter{a.From}}
+	t.pendingBytes += a.Bytes
+	t.pending[a.Key] = &entry{origin: a.Key, effect: a.Effect, bytes: a.Bytes, waiters: []Waiter{a.From}}
 	return New, nil
 }
 
@@ -131,6 +139,7 @@
 		return nil
 	}
 	delete(t.pending, o)
+	t.pendingBytes -= e.bytes
 	t.expire(now)
 	if mayHaveRun {
 		t.record(e, raw, now)
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -63,6 +63,7 @@
 	conns     map[uint64]*conn   // open connections, by number
 	lastConn  uint64             // number of the last connection
 	callCount uint64             // number of requests passed to the core
+	busyCount uint64             // number of requests refused here with DIAMETER_TOO_BUSY
 	stopping  bool               // a planned stop has begun: a DPR was sent to the clients, pending requests are still answered
 	closed    bool               // no connections or requests are accepted any longer
 }
@@ -136,6 +137,9 @@
 	})
 	defer late.Stop()
 	f.wait.Wait()
+	if f.busyCount > 0 {
+		f.cfg.Log.Info("diameter requests were refused for want of room here", "count", f.busyCount)
+	}
 	return fault
 }
 
@@ -265,7 +269,7 @@
 			c.answer(m, breach)
 			continue
 		}
-		if err != nil || !c.handle(m) {
+		if err != nil || !c.handle(m, len(raw)) {
 			return
 		}
 	}
@@ -298,8 +302,8 @@
 	}
 }
 
-// handle processes a message and reports whether the connection stays open.
-func (c *conn) handle(m *diameter.Message) bool {
+// handle processes a message of that many bytes and reports whether the connection stays open.
+func (c *conn) handle(m *diameter.Message, bytes int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.name == "" {
@@ -332,7 +336,7 @@
 		c.answer(m, err)
 		return true
 	}
-	c.relayRequest(m)
+	c.relayRequest(m, bytes)
 	return true
 }
 
@@ -454,9 +458,9 @@
 	}
 }
 
-// relayRequest passes a request to the core, unless it is a resend or is refused here. Whether it is a resend is checked
+// relayRequest passes a request of that many bytes to the core, unless it is a resend or is refused here. Whether it is a resend is checked
 // first: a request that may have run must not be refused for the server that it names.
-func (c *conn) relayRequest(m *diameter.Message) {
+func (c *conn) relayRequest(m *diameter.Message, bytes int) {
 	f := c.front
 	backendID, known := f.destination(m)
 	f.mu.Lock()
@@ -466,7 +470,7 @@
 	}
 	key, class := requestKey(m), f.cfg.Rules.Classify(m)
 	arrival := relay.Arrival{Key: key, From: relay.Waiter{Conn: c.id, HopByHop: m.HopByHop},
-		Resent: m.Flags&diameter.FlagRetransmitted != 0, Effect: f.cfg.Rules.Classes[class].Effect}
+		Resent: m.Flags&diameter.FlagRetransmitted != 0, Effect: f.cfg.Rules.Classes[class].Effect, Bytes: bytes}
 	verdict, kept := f.table.Arrive(arrival, f.now())
 	switch verdict {
 	case relay.Answered:
@@ -475,6 +479,7 @@
 	case relay.MayHaveRun: // 3002 or 3004 would make the client try again
 		c.answer(m, &diameter.Error{Result: diameter.UnableToComply, Text: "it may have run before, and its answer is not known"})
 	case relay.Busy:
+		f.busyCount++
 		f.reporter.Record(true, f.now())
 		if raw, err := f.cfg.Rules.LocalAnswer(m, diameter.TooBusy, "too many requests in hand").Append(nil); err == nil {
 			c.enqueue(f.addReport(m, raw))
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -42,6 +42,12 @@
 
 // newSite starts a relay with one server for each script; window is the bound of pending requests per server.
 func newSite(t testing.TB, window int, scripts ...func(c *standin.DiameterConn, m *diameter.Message)) *relaySite {
+	t.Helper()
+	return newSiteWithMemory(t, 0, window, scripts...)
+}
+
+// newSiteWithMemory is newSite for a process that may use that much memory; 0: unknown.
+func newSiteWithMemory(t testing.TB, memory int64, window int, scripts ...func(c *standin.DiameterConn, m *diameter.Message)) *relaySite {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	raw, err := os.ReadFile("../../../deploy/diameter.toml")
@@ -93,7 +99,7 @@
 	site.addr = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	inner, stop := context.WithCancel(context.Background())
-	front, err := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: relay.DefaultLimits(),
+	front, err := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: rules.Limits(memory),
 		Overload: overload.Config{Interval: 100 * time.Millisecond, Validity: time.Second, MinAnswers: 8, GrowthFactor: 2, MinReduction: 0.05, MaxReduction: 0.9},
 		Peer:     diameter.DefaultPeerConfig(), BackendByIdentity: b.BackendByIdentity, Connections: 8, CERTimeout: 10 * time.Second, Log: log}, loop)
 	if err != nil {
