A Diameter client that stops reading for some seconds gets all its answers

Cause: the front closed a connection after 1 s without progress of a write, or with 256 messages queued, and dropped the queue.

Change: 10 s for a write; an outbox that drops nothing; unread answers have a sixteenth of the memory over all clients (relay.AnswerQueues): beyond it, a client that leaves more than an equal share unread gets 3004 before a server is asked. From a client with 1,024 messages unread nothing more is read.

--- a/internal/front/diameter/finish_test.go
+++ b/internal/front/diameter/finish_test.go
@@ -43,7 +43,7 @@
 		t.Fatal(err)
 	}
 	here, there := tcpPair(t)
-	c = &conn{Conn: here, front: front, writes: make(chan []byte, writeQueue), ended: make(chan struct{}),
+	c = &conn{Conn: here, front: front, writes: newOutbox(func(int) {}),
 		peer: diameter.NewPeer("relay.example.net", diameter.DefaultPeerConfig(), rand.New(rand.NewPCG(1, 0)))}
 	front.conns[c.id] = c
 	return c, there
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -5,7 +5,7 @@
 // the core's answer. A mutex guards the connections and the table of requests. A request that is resent, on
 // the same connection or another, is treated as the same request: it has one final answer, which is sent to
 // all waiters. Bounded are the number of connections, the time until a client has sent its CER, the messages
-// queued for each client, and, by relay.Limits, the pending requests and the kept answers.
+// queued for each client, and, by relay.Limits, the pending requests, the kept answers and the answers that clients don't read.
 package diameter
 
 import (
@@ -45,10 +45,8 @@
 	Log               *slog.Logger
 }
 
-const (
-	writeQueue   = 256         // queued messages per client; a client whose queue is full is disconnected
-	writeTimeout = time.Second // per message
-)
+// writeTimeout bounds the writing of a message to a client. Clients may pause for seconds.
+const writeTimeout = 10 * time.Second
 
 // Front accepts Diameter clients and passes their requests to the core.
 type Front struct {
@@ -57,6 +55,8 @@
 	startedAt time.Time
 	wait      sync.WaitGroup
 
+	queues clientQueues
+
 	mu        sync.Mutex
 	reporter  *overload.Reporter // counts answers and refusals of all clients
 	table     *relay.Table       // pending and recently answered requests
@@ -74,7 +74,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Front{cfg: cfg, loop: loop, startedAt: time.Now(), reporter: load, table: relay.NewTable(cfg.Limits), conns: map[uint64]*conn{}}, nil
+	return &Front{cfg: cfg, loop: loop, startedAt: time.Now(), reporter: load, table: relay.NewTable(cfg.Limits), conns: map[uint64]*conn{},
+		queues: clientQueues{answers: relay.NewAnswerQueues(cfg.Limits.MaxQueuedBytes)}}, nil
+}
+
+// clientQueues is the account of what waits for all clients. It is safe for concurrent use.
+type clientQueues struct {
+	mu      sync.Mutex
+	answers *relay.AnswerQueues
+}
+
+func (q *clientQueues) add(conn uint64, bytes int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answers.Add(conn, bytes)
+}
+
+// accepts reports whether a further request on a connection is accepted.
+func (q *clientQueues) accepts(conn uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.answers.Accepts(conn)
 }
 
 // now returns the time since the start; it is never 0, which the state machines take for unset.
@@ -84,9 +104,8 @@
 type conn struct {
 	net.Conn
 	front  *Front
-	id     uint64        // number of the connection, as in relay.Waiter
-	writes chan []byte   // encoded messages for the client
-	ended  chan struct{} // closed when the reader has ended
+	id     uint64  // number of the connection, as in relay.Waiter
+	writes *outbox // encoded messages for the client
 
 	mu          sync.Mutex
 	peer        *diameter.Peer // state machine of the client's connection
@@ -201,48 +220,28 @@
 	f.lastConn++
 	cfg := f.cfg.Peer
 	cfg.Persistent = false
-	c := &conn{Conn: nc, front: f, id: f.lastConn, writes: make(chan []byte, writeQueue), ended: make(chan struct{}), lastID: rand.Uint32(),
+	c := &conn{Conn: nc, front: f, id: f.lastConn, lastID: rand.Uint32(),
 		peer: diameter.NewPeer(f.cfg.Identity, cfg, rand.New(rand.NewPCG(rand.Uint64(), 0)))}
+	c.writes = newOutbox(func(bytes int) { f.queues.add(c.id, bytes) })
 	f.conns[c.id] = c
 	f.wait.Go(c.write)
 	f.wait.Go(c.read)
 }
 
-// enqueue passes a message to the writer without blocking. A client that does not read fast enough is
-// disconnected.
-func (c *conn) enqueue(raw []byte) {
-	select {
-	case c.writes <- raw:
-	default:
-		c.Close()
-	}
-}
+// enqueue passes a message to the writer without blocking.
+func (c *conn) enqueue(raw []byte) { c.writes.push(raw) }
 
-// write writes queued messages until the reader has ended and the queue is empty.
+// write writes queued messages until the reader has ended and the queue is empty: what was queued before the end, such as
+// an error answer that explains it, is still written.
 func (c *conn) write() {
-	for {
-		select {
-		case raw := <-c.writes:
-			c.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := c.Write(raw); err != nil {
-				c.Close()
-				return
-			}
-		case <-c.ended:
-			for { // write what was queued before the end, such as an error answer that explains it
-				select {
-				case raw := <-c.writes:
-					c.SetWriteDeadline(time.Now().Add(writeTimeout))
-					if _, err := c.Write(raw); err != nil {
-						c.Close()
-						return
-					}
-				default:
-					c.Close()
-					return
-				}
-			}
+	defer c.writes.close()
+	defer c.Close()
+	for raw, ok := c.writes.first(); ok; raw, ok = c.writes.first() {
+		c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.Write(raw); err != nil {
+			return
 		}
+		c.writes.written()
 	}
 }
 
@@ -253,6 +252,7 @@
 	messages := diameter.NewReader(c, limits)
 	c.SetReadDeadline(time.Now().Add(c.front.cfg.CERTimeout))
 	for {
+		c.writes.awaitRoom()
 		raw, err := messages.Next()
 		var breach *diameter.Error
 		if err != nil {
@@ -287,7 +287,7 @@
 	delete(c.front.conns, c.id)
 	c.front.table.RemoveConn(c.id)
 	c.front.mu.Unlock()
-	close(c.ended)
+	c.writes.end()
 }
 
 // answer sends the relay's own answer to a request that isn't relayed: an error, or success for requests of
@@ -479,18 +479,28 @@
 	case relay.MayHaveRun: // 3002 or 3004 would make the client try again
 		c.answer(m, &diameter.Error{Result: diameter.UnableToComply, Text: "it may have run before, and its answer is not known"})
 	case relay.Busy:
-		f.busyCount++
-		f.reporter.Record(true, f.now())
-		if raw, err := f.cfg.Rules.LocalAnswer(m, diameter.TooBusy, "too many requests in hand").Append(nil); err == nil {
-			c.enqueue(f.addReport(m, raw))
-		}
+		c.refuseBusy(m, "too many requests in hand")
 	case relay.New:
-		if !known {
+		switch {
+		case !known:
 			f.table.Complete(key, nil, false, f.now())
 			c.answer(m, &diameter.Error{Result: diameter.UnableToDeliver, Text: "no server of that name is known"})
-			return
+		case !f.queues.accepts(c.id):
+			f.table.Complete(key, nil, false, f.now())
+			c.refuseBusy(m, "too many answers are unread")
+		default:
+			f.startCall(m, key, class, backendID, c.name)
 		}
-		f.startCall(m, key, class, backendID, c.name)
+	}
+}
+
+// refuseBusy answers a request that has not been passed on with DIAMETER_TOO_BUSY. The caller holds f.mu.
+func (c *conn) refuseBusy(m *diameter.Message, why string) {
+	f := c.front
+	f.busyCount++
+	f.reporter.Record(true, f.now())
+	if raw, err := f.cfg.Rules.LocalAnswer(m, diameter.TooBusy, why).Append(nil); err == nil {
+		c.enqueue(f.addReport(m, raw))
 	}
 }
 
--- /dev/null
+++ b/internal/front/diameter/outbox.go
@@ -0,0 +1,87 @@
+package diameter
+
+import "sync"
+
+// maxUnreadMessages is how many messages may wait for a client before no further ones are read from it.
+const maxUnreadMessages = 1024
+
+// outbox holds the messages that wait for a connection's writer. It never blocks and never drops a message: what a client
+// may have waiting is decided when its requests arrive.
+type outbox struct {
+	resized func(bytes int) // called for each change in the total size of the messages, with that change
+
+	mu       sync.Mutex
+	changed  sync.Cond // signalled when messages or closed changes
+	messages [][]byte
+	closed   bool // the writer has ended
+	ended    bool // no message follows those that wait
+}
+
+func newOutbox(resized func(bytes int)) *outbox {
+	o := &outbox{resized: resized}
+	o.changed.L = &o.mu
+	return o
+}
+
+// push adds a message, unless the writer has ended.
+func (o *outbox) push(raw []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return
+	}
+	o.messages = append(o.messages, raw)
+	o.resized(len(raw))
+	o.changed.Broadcast()
+}
+
+// first waits for a message and returns it, without removing it; !ok: all have been written, and none follows.
+func (o *outbox) first() (raw []byte, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for len(o.messages) == 0 && !o.ended {
+		o.changed.Wait()
+	}
+	if len(o.messages) == 0 {
+		return nil, false
+	}
+	return o.messages[0], true
+}
+
+// written removes the first message.
+func (o *outbox) written() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.resized(-len(o.messages[0]))
+	o.messages[0] = nil
+	o.messages = o.messages[1:]
+	o.changed.Broadcast()
+}
+
+// end says that no message follows those that wait.
+func (o *outbox) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = true
+	o.changed.Broadcast()
+}
+
+// close drops what is left when the writer has ended.
+func (o *outbox) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, raw := range o.messages {
+		o.resized(-len(raw))
+	}
+	o.messages, o.closed = nil, true
+	o.changed.Broadcast()
+}
+
+// awaitRoom waits until less than maxUnreadMessages wait, or the writer has ended.
+func (o *outbox) awaitRoom() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for len(o.messages) >= maxUnreadMessages && !o.closed {
+		o.changed.Wait()
+	}
+}
