--- a/internal/front/diameter/outbox.go
+++ b/internal/front/diameter/outbox.go
@@ -1,6 +1,10 @@
 package diameter
 
-import "sync"
+import (
+	"sync"
+
+	"lemonrail/internal/diameter/relay"
+)
 
 // maxUnreadMessages is how many messages may wait for a client before no further ones are read from it.
 const maxUnreadMessages = 1024
@@ -85,3 +89,22 @@
 		o.changed.Wait()
 	}
 }
+
+// clientQueues is the account of what waits for all clients. It is safe for concurrent use.
+type clientQueues struct {
+	mu      sync.Mutex
+	answers *relay.AnswerQueues
+}
+
+func (q *clientQueues) add(conn uint64, bytes int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answers.Add(conn, bytes)
+}
+
+// accepts reports whether a further request on a connection is accepted.
+func (q *clientQueues) accepts(conn uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.answers.Accepts(conn)
+}
