With Diameter the platform can replace the process: the address passes to the successor

Cause: each process listened for Diameter clients when it was put together; only the HTTP listener is handed on by the platform.

The front serves on what it has until the drain.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -131,20 +131,20 @@
 	l.Metrics = metrics.New(cfg.Names.Classes)
 	up.CountAttempts(&l.Metrics.Attempts)
 
-	diameter, err := diameterPart(cfg, l, up, log)
-	if err != nil {
-		return nil, err
-	}
 	clients, server, listener, err := clientsPart(cfg, l, up, sockets, ln, log)
 	if err != nil {
-		return parts{diameter}, err
+		return nil, err
 	}
 	members, err := newMembers(cfg, peers, l, log)
 	if err != nil {
-		return parts{diameter}, err
+		return nil, err
 	}
 	processes := newProcessGroup(cfg, l, up, sockets, listener, members, log)
 	listener.processes = processes
+	diameter, err := diameterPart(cfg, l, up, processes, log)
+	if err != nil {
+		return parts{processes.part()}, err
+	}
 	operators := &controlAPI{loop: l, figures: l.Metrics, processes: processes}
 	sites, siteDriver, err := sitesPart(cfg, l, members, operators, log)
 	if err != nil {
--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
+	"syscall"
 	"time"
 
 	diameterback "lemonrail/internal/backend/diameter"
@@ -53,13 +53,13 @@
 }
 
 // diameterPart adds Diameter to a loop that serves HTTP/1.1. It does nothing where the agent does not speak Diameter.
-func diameterPart(cfg *Config, l *core.Loop, up *http1back.Upstream, log *slog.Logger) (*part, error) {
+func diameterPart(cfg *Config, l *core.Loop, up *http1back.Upstream, processes *processGroup, log *slog.Logger) (*part, error) {
 	if cfg.diameter == nil {
 		return &part{name: "diameter"}, nil
 	}
 	c := cfg.diameter.Config()
-	ln, err := net.Listen("tcp4", c.Listen)
-	if err != nil {
+	listener := &diameterListener{address: c.Listen}
+	if err := listener.open(); err != nil && !(errors.Is(err, syscall.EADDRINUSE) && processes.predecessorRuns()) {
 		return nil, fmt.Errorf("diameter clients: %w", err)
 	}
 	back := diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
@@ -70,22 +70,34 @@
 		BackendByIdentity: back.BackendByIdentity, CERTimeout: capabilitiesTimeout, Log: log}, l)
 	if err != nil {
 		back.Close()
-		ln.Close()
+		listener.close()
 		return nil, err
 	}
 	l.Backend = &protocolBackend{http1: up, diameter: back}
-	log.Info("serving diameter", "listen", ln.Addr().String())
 	drainCtx, beginDrain := context.WithCancel(context.Background())
 	return &part{name: "diameter",
 		start: func(t *tasks) {
 			t.Go(func(context.Context) error {
+				ln, err := listener.await(drainCtx)
+				switch {
+				case drainCtx.Err() != nil || errors.Is(err, errListenerClosed): // the process stops before its predecessor has
+					return nil
+				case err != nil:
+					return fmt.Errorf("diameter clients: %w", err)
+				}
+				log.Info("serving diameter", "listen", ln.Addr().String())
 				return front.Serve(drainCtx, ln, func() time.Time { return time.Now().Add(cfg.answerTimeout - cfg.drainDelay) })
 			})
 		},
+		beginStop: func(time.Time) {
+			if processes.successorServes() { // which listens from now on
+				listener.close()
+			}
+		},
 		drain: beginDrain,
 		close: func() {
 			beginDrain()
-			ln.Close()
+			listener.close()
 			back.Close() // no attempt begins any more by now
 		}}, nil
 }
--- a/internal/agent/processgroup.go
+++ b/internal/agent/processgroup.go
@@ -223,6 +223,9 @@
 // rest is for memory that the collector doesn't count.
 func SoftMemoryLimit(memory int64) int64 { return memory * 3 / 4 }
 
+// predecessorRuns reports whether an earlier process of this agent is alive.
+func (h *processGroup) predecessorRuns() bool { return h != nil && h.claim.View().EarlierAlive }
+
 // successorServes reports whether a later process of this agent serves clients.
 func (h *processGroup) successorServes() bool {
 	return h != nil && h.claim.View().Plan().SuccessorServes
@@ -233,7 +236,7 @@
 // waitReady waits until this process is ready, if a process of an earlier generation still runs. Otherwise this process
 // could take clients and end before it has ever served.
 func (h *processGroup) waitReady(ctx context.Context, ready func() bool) {
-	if h == nil || !h.claim.View().EarlierAlive {
+	if !h.predecessorRuns() {
 		return
 	}
 	tick := time.NewTicker(readyPollInterval)
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -74,7 +75,8 @@
 func (f *Front) now() time.Duration { return time.Since(f.startedAt) + time.Millisecond }
 
 // Serve accepts connections until ctx ends. It then closes them, once all pending requests have been answered
-// or the time that stopDeadline returns has passed, and waits for its goroutines.
+// or the time that stopDeadline returns has passed, and waits for its goroutines. If ln is closed earlier, no further
+// connections are accepted, and those that are open are served until ctx ends.
 func (f *Front) Serve(ctx context.Context, ln net.Listener, stopDeadline func() time.Time) error {
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
@@ -82,13 +84,16 @@
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 				fault = fmt.Errorf("diameter clients: %w", err)
 			}
 			break
 		}
 		f.accept(nc)
 	}
+	if fault == nil {
+		<-ctx.Done()
+	}
 	clients := f.disconnectClients()
 	deadline := stopDeadline()
 	for ; time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
