The answer to a streamed request isn't held back by a read that begins just then

Callers would see: an answer up to 1.5 s late, if a streamed request is answered before its body was read whole and the client pauses at that moment.

Cause: the front ended the reading by a past deadline on the client's connection; a reader between two reads replaced it with its own and waited for the client, and the answer waits for the reader.

Evidence: TestAbortedBodyIsNotRead, with the deadline alone as before: "a read after the abort: it waits for the client".

Change: Conn.AbortBody marks the body first; ReadBody looks at the mark after it has set its deadline.

--- a/internal/admission/body.go
+++ b/internal/admission/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 // bodyWait records when reads of a body waited for the client to send more.
 type bodyWait struct {
 	mu      sync.Mutex
+	aborted bool      // AbortBody was called for the current request
 	reading bool      // a body is being read
 	waiting bool      // the read waits for the client now
 	last    time.Time // when the last read that had to wait ended; zero: none had to
@@ -50,15 +52,39 @@
 	if err := c.SetReadDeadline(until); err != nil {
 		return 0, err
 	}
-	c.bodyWait.setReading(true)
-	defer c.bodyWait.setReading(false)
+	if !c.bodyWait.beginBody() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	defer c.bodyWait.endBody()
 	return body.Read(buf[:min(len(buf), bodyChunk)])
 }
 
-func (w *bodyWait) setReading(reading bool) {
+// AbortBody ends a pending ReadBody, and those that follow until the request is answered. The mark comes before the deadline,
+// and ReadBody looks at it after it has set its own: otherwise a read that begins at this moment would replace the deadline
+// and wait for the client.
+func (c *Conn) AbortBody() {
+	c.bodyWait.setAborted(true)
+	c.SetReadDeadline(pastDeadline)
+}
+
+func (w *bodyWait) setAborted(aborted bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.aborted = aborted
+}
+
+// beginBody records that a body is being read, and reports whether it may be.
+func (w *bodyWait) beginBody() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reading = !w.aborted
+	return w.reading
+}
+
+func (w *bodyWait) endBody() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reading = reading
+	w.reading = false
 }
 
 // begin records that a read is about to begin on a socket, and reports whether it is of a body and has to wait.
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -598,6 +598,7 @@
 // if not, the answer must carry "Connection: close".
 func (c *Conn) BeginAnswer() (keep bool) {
 	c.resumeHeadCapture()
+	c.bodyWait.setAborted(false)
 	c.withGovernor(func(g *Governor, e *Entry, now time.Duration) { keep = g.BeginAnswer(e, now) })
 	return keep
 }
--- a/internal/admission/listener_test.go
+++ b/internal/admission/listener_test.go
@@ -661,3 +661,65 @@
 		ln.Close()
 	}
 }
+
+// Guards against an answer that is held back: a streamed body is no longer wanted at the moment at which its next part is
+// about to be read, and that read waited for the client until it stalled for too long.
+func TestAbortedBodyIsNotRead(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l, err := Listen(ln, Config{MaxConnections: 1, MaxRefusals: 1, StallTimeout: time.Hour}, 0, Hooks{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	c := nc.(*Conn)
+	read := func() <-chan error {
+		ended := make(chan error, 1)
+		go func() {
+			_, err := c.ReadBody(c.Conn, make([]byte, 10), time.Now().Add(time.Hour))
+			ended <- err
+		}()
+		return ended
+	}
+	expectTimeout := func(what string, ended <-chan error) {
+		t.Helper()
+		select {
+		case err := <-ended:
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%s: %v", what, err)
+			}
+		case <-time.After(testTimeout):
+			t.Fatalf("%s: it waits for the client", what)
+		}
+	}
+	c.AbortBody()
+	expectTimeout("a read after the abort", read())
+	c.BeginAnswer()
+	pending := read()
+	for begun := time.Now(); !c.bodyIsRead(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > testTimeout {
+			t.Fatal("no read begins")
+		}
+	}
+	c.AbortBody()
+	expectTimeout("a pending read", pending)
+}
+
+// bodyIsRead reports whether a ReadBody is under way.
+func (c *Conn) bodyIsRead() bool {
+	c.bodyWait.mu.Lock()
+	defer c.bodyWait.mu.Unlock()
+	return c.bodyWait.reading
+}
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -86,8 +86,7 @@
 			size *= 2
 			continue
 		}
-		abort := func() { conn.SetReadDeadline(time.Unix(1, 0)) }
-		return body, http1.NewStream(reader, length, timeLeft, abort), 0, nil
+		return body, http1.NewStream(reader, length, timeLeft, conn.AbortBody), 0, nil
 	}
 }
 
