While one process replaces another, only the earlier one takes over duties

Cause: voters know an agent by its name. Two processes that both see the table between the naming and the first "ready" both prepare, and both renew the lease.

Change: a process is available for duties once no earlier process of its agent is alive (quorum.ClientOptions.Owns).

No trial with real processes was made. Open: the successor of an agent with a seat ends at once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return parts{diameter}, err
 	}
-	duties, err := dutiesPart(cfg, siteDriver, members, log)
+	duties, err := dutiesPart(cfg, siteDriver, members, processes, log)
 	if err != nil {
 		return parts{diameter}, err
 	}
--- a/internal/agent/duties.go
+++ b/internal/agent/duties.go
@@ -35,7 +35,7 @@
 
 // dutiesPart creates the part that runs the agent's client of the duties, by which it can hold them, and, where it is a
 // voter, its voter.
-func dutiesPart(cfg *Config, sites *driver.Driver, members *link.Link, log *slog.Logger) (*part, error) {
+func dutiesPart(cfg *Config, sites *driver.Driver, members *link.Link, processes *processGroup, log *slog.Logger) (*part, error) {
 	s := cfg.duties
 	if s == nil {
 		return &part{name: "duties"}, nil
@@ -69,7 +69,8 @@
 	if z := cfg.Settings.Zone; z >= 0 && z < len(cfg.Names.Zones) {
 		zone = cfg.Names.Zones[z]
 	}
-	d.client = quorum.NewClient(quorum.ClientOptions{Settings: s, Name: cfg.Name, Zone: zone, Tasks: dutyTasks, Log: log})
+	d.client = quorum.NewClient(quorum.ClientOptions{Settings: s, Name: cfg.Name, Zone: zone, Tasks: dutyTasks, Log: log,
+		Owns: func() bool { return !processes.predecessorRuns() }})
 	return &part{name: "duties",
 		start: func(t *tasks) {
 			if d.seat != nil {
--- a/internal/duty/quorum/client.go
+++ b/internal/duty/quorum/client.go
@@ -38,8 +38,11 @@
 	Name     string          // name of the agent
 	Zone     string          // zone of the agent
 	Tasks    map[string]Task // by duty: what to do while the agent holds it; it is available for these duties only
-	Log      *slog.Logger
-	Now      func() time.Duration // nil: the monotonic clock
+	// Owns reports whether the agent's duties are this process's; false: an earlier process of the agent still runs, and has
+	// them. It is asked until it returns true, and must not block. nil: they are this process's from the start.
+	Owns func() bool
+	Log  *slog.Logger
+	Now  func() time.Duration // nil: the monotonic clock
 	// For delays, command IDs and the choice of the voter to ask; nil: a random source of its own.
 	Rand *rand.Rand
 }
@@ -56,6 +59,7 @@
 	voterNames   []string                     // in the order of the settings
 	leader       string                       // name of the voter that leads, as far as it is known; empty: unknown
 	holders      map[string]*duty.Holder      // by duty
+	owns         bool                         // the agent's duties are this process's; see ClientOptions.Owns
 	states       map[string][]byte            // states of the duties that this agent holds, as last saved
 	lastStep     map[string]time.Duration     // time of the last call of Task.Step, by duty
 	lastPoll     time.Duration                // time of the last request for the table, on the client's clock
@@ -86,12 +90,24 @@
 		}
 		h := duty.NewHolder(duty.HolderConfig{Agent: o.Name, Zone: o.Zone, Spec: spec, Clocks: duty.Clocks{Drift: o.Settings.Drift}, MaxActTime: o.Settings.maxActTime(),
 			RoundTrip: 4 * o.Settings.tickInterval(), Seed: o.Rand.Uint64()}, o.Rand.Uint64()>>2, 0)
-		h.SetWanted(0, true)
 		c.holders[spec.Name] = h
 	}
+	c.checkOwnership(0)
 	return c
 }
 
+// checkOwnership makes the agent available for its duties once they are this process's. Voters know an agent by its name
+// alone: two processes of one agent that both took over would both hold the duty.
+func (c *Client) checkOwnership(now time.Duration) {
+	if c.owns || c.options.Owns != nil && !c.options.Owns() {
+		return
+	}
+	c.owns = true
+	for _, h := range c.holders {
+		h.SetWanted(now, true)
+	}
+}
+
 // now returns the time on the client's clock.
 func (c *Client) now() time.Duration {
 	if c.options.Now != nil {
@@ -140,6 +156,7 @@
 // voter for the table.
 func (c *Client) doDueWork() {
 	now := c.now()
+	c.checkOwnership(now)
 	for _, name := range c.dutyNames() {
 		h := c.holders[name]
 		c.send(h.Tick(now))
--- a/internal/duty/quorum/simulation_test.go
+++ b/internal/duty/quorum/simulation_test.go
@@ -73,6 +73,7 @@
 	seat       *Member           // its voter; nil: none, or the process is down
 	client     *Client           // nil: the process is down
 	startCount int               // number of starts
+	owns       func() bool       // ClientOptions.Owns of its clients
 	acts       uint64            // lower bound of the count that Step continues; never set, since the duty's state carries the count
 }
 
@@ -140,7 +141,7 @@
 func (p *proc) start() {
 	p.up, p.stopped = true, false
 	p.startCount++
-	p.client = NewClient(ClientOptions{Settings: p.sim.settings, Name: p.name, Tasks: map[string]Task{"work": p}, Log: silentLog, Now: p.clock, Rand: p.sim.rng})
+	p.client = NewClient(ClientOptions{Settings: p.sim.settings, Name: p.name, Tasks: map[string]Task{"work": p}, Owns: p.owns, Log: silentLog, Now: p.clock, Rand: p.sim.rng})
 	p.client.startedAt = time.Now()
 	if p.disk != nil {
 		var err error
