Bytes read ahead on a connection are bounded over all its requests

Cause: each request that is processed reads ahead up to 256 KiB to notice that its client leaves. What the server had not read yet at the end of the request moved to Conn.buffered and was no longer counted, so that the next request read ahead another 256 KiB while the server took 4 KiB.

Change: what is held from earlier requests counts towards the connection's bound and the process's bound until the server has read it or the connection is closed.

--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -45,7 +45,7 @@
 	drainDeadline   time.Time      // end of accepting the backlog; set before stopped is closed
 	refusals        sync.WaitGroup // goroutines that refuse connections
 	lingerEnabled   atomic.Bool    // closing waits for clients to read their last answer
-	readAheadBytes  atomic.Int64   // bytes held by all connections in their readAhead
+	readAheadBytes  atomic.Int64   // bytes that all connections have read ahead and the server has not read yet
 	mu              sync.Mutex     // guards governor and each Conn.entry
 	governor        *Governor
 }
@@ -563,6 +563,7 @@
 	var err error
 	c.closeOnce.Do(func() {
 		c.stopReadAhead()
+		c.dropBuffered()
 		var previous State
 		c.withGovernor(func(g *Governor, e *Entry, now time.Duration) { previous = e.state; g.Close(e, now) })
 		if !c.clientEnded.Load() && c.listener.lingerEnabled.Load() {
--- a/internal/admission/readahead.go
+++ b/internal/admission/readahead.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	maxReadAhead       = 256 << 10              // bytes read ahead on one connection
+	maxReadAhead       = 256 << 10              // bytes read ahead on one connection that the server has not read yet
 	readAheadChunk     = 4 << 10                // bytes per read
 	readAheadShare     = 4                      // divisor of Config.MaxBodyBytes: bytes that all connections together may read ahead
 	hangUpPollInterval = 100 * time.Millisecond // how often a client is checked once its bytes are no longer read
@@ -24,6 +24,7 @@
 // deadline.
 type readAhead struct {
 	data  []byte        // bytes read ahead
+	held  int           // bytes of the connection that were read ahead before, during earlier requests
 	err   error         // set when the client's side has ended or failed
 	total *atomic.Int64 // Listener.readAheadBytes
 	stop  chan struct{} // closed to end reading
@@ -34,6 +35,7 @@
 func (c *Conn) startReadAhead() {
 	a := &readAhead{total: &c.listener.readAheadBytes, stop: make(chan struct{}), done: make(chan struct{})}
 	c.mu.Lock()
+	a.held = len(c.buffered)
 	c.readAhead = a
 	c.mu.Unlock()
 	go func() {
@@ -56,7 +58,7 @@
 // read reads ahead from nc until the client's side ends, which sets a.err, or until stopReadAhead ends it. maxTotal is the
 // limit on the bytes of all connections.
 func (a *readAhead) read(nc net.Conn, maxTotal int64) {
-	for len(a.data) < maxReadAhead && (maxTotal == 0 || a.total.Load() < maxTotal) {
+	for a.held+len(a.data) < maxReadAhead && (maxTotal == 0 || a.total.Load() < maxTotal) {
 		n := len(a.data)
 		if cap(a.data)-n < readAheadChunk {
 			a.data = append(make([]byte, 0, max(readAheadChunk, 2*cap(a.data))+readAheadChunk), a.data...)
@@ -118,7 +120,6 @@
 		return
 	}
 	c.readAhead, c.buffered, c.bufferedErr = nil, append(c.buffered, a.data...), a.err
-	a.total.Add(-int64(len(a.data)))
 	c.applyDeadline()
 }
 
@@ -128,15 +129,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.bufferedErr != nil {
-		c.buffered = nil
+		c.takeBuffered(len(c.buffered))
 		return 0, true, c.bufferedErr
 	}
 	if len(c.buffered) == 0 {
 		return 0, false, nil
 	}
 	n = copy(p, c.buffered)
+	c.takeBuffered(n)
+	return n, true, nil
+}
+
+// takeBuffered removes the first n bytes that readAhead has received. The caller holds c.mu.
+func (c *Conn) takeBuffered(n int) {
+	c.listener.readAheadBytes.Add(-int64(n))
 	if c.buffered = c.buffered[n:]; len(c.buffered) == 0 {
 		c.buffered = nil
 	}
-	return n, true, nil
+}
+
+// dropBuffered releases what is left of the bytes that readAhead has received.
+func (c *Conn) dropBuffered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.takeBuffered(len(c.buffered))
 }
--- a/internal/admission/readahead_test.go
+++ b/internal/admission/readahead_test.go
@@ -1,11 +1,15 @@
 package admission
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // tcpPair returns both ends of a TCP connection.
@@ -65,3 +69,53 @@
 		t.Errorf("%v, %v, %d and %d bytes", a.err, err, len(a.data), len(rest))
 	}
 }
+
+// Guards against memory that grows while one client sends many small requests without waiting for their answers.
+func TestReadAheadOverManyRequestsIsBounded(t *testing.T) {
+	const requests = 20000
+	var longest, mostCounted atomic.Int64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := Listen(ln, DefaultConfig(0, 0), 0, Hooks{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnContext: ConnContext, ConnState: StateChanged, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		c := ConnFromContext(r.Context())
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		longest.Store(max(longest.Load(), int64(len(c.buffered))))
+		mostCounted.Store(max(mostCounted.Load(), l.readAheadBytes.Load()))
+	})}
+	go server.Serve(l)
+	defer server.Close()
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	go io.Copy(nc, strings.NewReader(strings.Repeat("GET /read HTTP/1.1\r\nHost: x\r\nX-Fill: "+strings.Repeat("f", 100)+"\r\n\r\n", requests)))
+	answers := bufio.NewReader(nc)
+	for range requests {
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	nc.Close()
+	if got := longest.Load(); got > maxReadAhead+readAheadChunk {
+		t.Errorf("%d bytes were held, at most %d are allowed", got, maxReadAhead)
+	}
+	if mostCounted.Load() < longest.Load() {
+		t.Errorf("%d bytes were held, %d counted", longest.Load(), mostCounted.Load())
+	}
+	for deadline := time.Now().Add(testTimeout); l.Counts().Held > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if left := l.readAheadBytes.Load(); left != 0 {
+		t.Errorf("%d bytes are counted after the end", left)
+	}
+}
