Answers that need no backend are given at a bounded rate

Cause: the handlers of /up and of repeated ids never wait, so that each of the flooding connections keeps the processor for a whole time slice of the Go scheduler (10 ms, six of them) at every hop of a request (reader, loop, attempt, poller).

Excluded: the loop's inbox, which /up never reaches.

Change: token buckets in the Governor for the answers that need no backend (/up, rejected requests, ids in use): 100 a second on a connection beyond a burst of 32, 1,000 a second in all beyond 256, chosen, not measured. Such an answer waits, the connection's next request behind it; answers to valid requests and refusals never wait, and nothing waits during a planned stop.

--- a/cmd/lemonrail/upgrade_test.go
+++ b/cmd/lemonrail/upgrade_test.go
@@ -29,6 +29,7 @@
 	config       string   // path of the processes' configuration file
 	listenerFile *os.File // the clients' listener, which the processes inherit
 	url          string   // URL at which the clients' listener is reached
+	env          []string // added to the environment of all processes
 }
 
 func newPlatform(t *testing.T, backends ...string) *platform {
@@ -78,7 +79,7 @@
 	p.t.Helper()
 	controlListener := scripted.Listen(p.t)
 	i := &instance{p: p, cmd: exec.Command(p.bin, args...), controlURL: "http://" + controlListener.Addr().String(), done: make(chan struct{})}
-	i.cmd.Env = []string{"LB_CONFIG=" + config, "LB_CONTROL=" + controlListener.Addr().String(), "LB_FD=3", "TMPDIR=" + p.dir}
+	i.cmd.Env = append([]string{"LB_CONFIG=" + config, "LB_CONTROL=" + controlListener.Addr().String(), "LB_FD=3", "TMPDIR=" + p.dir}, p.env...)
 	i.cmd.ExtraFiles = []*os.File{p.listenerFile}
 	i.cmd.Stderr = &i.log
 	controlListener.Close()
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -109,6 +109,7 @@
 	pipelined      bool          // bytes of the next request arrived before the current answer was written
 	served         int           // number of requests answered
 	reservedBytes  int           // bytes reserved for the current request's body
+	localAnswers   answerRate    // of the answers on this connection that needed no backend
 }
 
 // State returns the connection's current state.
@@ -144,6 +145,7 @@
 	everWaited   bool          // lastWaitAt is set
 	draining     bool          // each answer ends its connection
 	keepIdle     bool          // while draining, idle connections are not closed
+	localAnswers answerRate    // of the answers on all connections that needed no backend
 }
 
 // NewGovernor returns a Governor without connections.
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -68,10 +68,7 @@
 		return
 	}
 	if r.URL.Path == "/up" {
-		beginAnswer(conn, w)
-		if !s.Ready.Load() {
-			http.Error(w, "starting", http.StatusServiceUnavailable)
-		}
+		s.answerReadiness(conn, w)
 		return
 	}
 	c, status, err := s.readCall(conn, w, r)
@@ -116,6 +113,9 @@
 	if stream != nil && !stream.Finish() {
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
+	if a.Kind == core.Duplicate {
+		conn.PaceLocalAnswer()
+	}
 	beginAnswer(conn, w)
 	outcome := metricResults[a.Kind]
 	if err := writeAnswer(conn, w, a); err != nil && a.Kind == core.Served {
@@ -127,6 +127,16 @@
 	}
 }
 
+// answerReadiness answers a readiness check.
+func (s *Server) answerReadiness(conn *admission.Conn, w http.ResponseWriter) {
+	conn.RequestRead()
+	conn.PaceLocalAnswer()
+	beginAnswer(conn, w)
+	if !s.Ready.Load() {
+		http.Error(w, "starting", http.StatusServiceUnavailable)
+	}
+}
+
 // clientLeft cancels the call of a client that has disconnected.
 func (s *Server) clientLeft(conn *admission.Conn, w http.ResponseWriter, c *core.Call, stream *http1.Stream) {
 	s.Loop.Post(func() { s.Loop.Left(c) })
@@ -159,6 +169,9 @@
 // reject answers an invalid request and ends the connection: bytes that follow an invalid request may not be a
 // request of their own.
 func reject(conn *admission.Conn, w http.ResponseWriter, status int, err error) {
+	if status < http.StatusInternalServerError { // others are refusals or failures of valid requests
+		conn.PaceLocalAnswer()
+	}
 	beginAnswer(conn, w)
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
