A long answer that pauses at its beginning is passed on instead of failed

Cause: stallTimeout (100 ms) took an answer for broken that had begun and paused, unless a Content-Length over 64 KiB announced a long one and bytes of its body had come. A chunked answer or one ended by a close may be long as well, a long one may pause right after its head, and a head may come in parts. The reader of chunks could not go on after a time-out. An answer of unknown length that had brought under 64 KiB by its client's time was cut at that time too.

Excluded: the aim, the attempt's time-out and the client, by the constant 0.1 s.

Change: long answers and those of unknown length are streamed at the first pause, and the latter end at their client's time only if they are slower than 16 KiB/s. For heads and short bodies a pause of a quarter of the time left (0.1 to 1 s) gives way to another attempt, if one can be made; a request that can't be repeated waits until its client's time. The end of a streamed answer has a write deadline of its own.

--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -194,3 +195,23 @@
 	})
 	return l
 }
+
+// exchangeText writes a request as it is on a connection of its own, and reads its answer.
+func exchangeText(url, request string) (status int, body string, err error) {
+	nc, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		return 0, "", err
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(timeout))
+	if _, err := io.WriteString(nc, request); err != nil {
+		return 0, "", err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	whole, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(whole), err
+}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -89,7 +89,7 @@
 		defer func() { r.SentAt = sent }()
 	}
 	c.attempts.Add(1)
-	resp, body, complete, err := c.readAnswer(ctx, out.Method)
+	resp, body, complete, err := c.readAnswer(ctx, answerTerms{out.Method, out.Repeatable})
 	switch {
 	case err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -104,7 +104,7 @@
 	a := &http1.Answer{Header: resp.Header, Body: body}
 	if !complete {
 		deadline, _ := ctx.Deadline()
-		a.Length, a.More = resp.ContentLength, &stream{conn: c, body: resp.Body, deadline: deadline, knownLong: resp.ContentLength >= 0, bytesRead: len(body)}
+		a.Length, a.More = resp.ContentLength, &stream{conn: c, body: resp.Body, started: time.Now(), deadline: deadline, knownLong: resp.ContentLength >= 0, bytesRead: len(body)}
 	}
 	r = core.Response{Result: resultOf(resp), Payload: a}
 	if report := resp.Header[http1.HeaderLoad]; len(report) == 1 {
@@ -163,9 +163,16 @@
 	return err
 }
 
+// answerTerms is what the reading of an answer depends on. It doesn't hold the request, whose body is released once it has
+// been written.
+type answerTerms struct {
+	method     string
+	repeatable bool // see http1.Request.Repeatable
+}
+
 // readAnswer reads the final answer, or the first part of a long one. Errors other than errBrokenAnswer mean
 // that the connection broke before the answer began, or that ctx ended.
-func (c *conn) readAnswer(ctx context.Context, method string) (resp *http.Response, body []byte, complete bool, err error) {
+func (c *conn) readAnswer(ctx context.Context, terms answerTerms) (resp *http.Response, body []byte, complete bool, err error) {
 	started := false
 	defer func() {
 		// A failure after the first bytes is a broken answer, unless the connection was reset.
@@ -179,10 +186,10 @@
 			return nil, nil, false, err
 		}
 		started = true
-		if err := c.awaitHead(ctx); err != nil {
+		if err := c.awaitHead(ctx, terms); err != nil {
 			return nil, nil, false, err
 		}
-		resp, err = http.ReadResponse(c.r, &http.Request{Method: method})
+		resp, err = http.ReadResponse(c.r, &http.Request{Method: terms.method})
 		if err != nil {
 			return nil, nil, false, err
 		}
@@ -203,14 +210,14 @@
 	if len(resp.TransferEncoding) > 0 {
 		resp.Body = io.NopCloser(http1.NewChunkReader(c.r))
 	}
-	body, complete, err = c.readBody(ctx, resp)
+	body, complete, err = c.readBody(ctx, terms, resp)
 	return resp, body, complete, err
 }
 
-// readBody reads an answer's body, or the first part of a long one. A slow body that keeps arriving is not
-// broken: if it is long or of unknown length it is streamed when it isn't complete soon. A body without a
-// length ends with its connection; a truncated one ends with a reset or not at all.
-func (c *conn) readBody(ctx context.Context, resp *http.Response) (body []byte, complete bool, err error) {
+// readBody reads an answer's body, or the first part of a long one. A body that is long or of unknown length is streamed when
+// it isn't complete soon, or when its backend pauses, even before its first byte: the backend may still write it. A body
+// without a length ends with its connection; a truncated one ends with a reset or not at all.
+func (c *conn) readBody(ctx context.Context, terms answerTerms, resp *http.Response) (body []byte, complete bool, err error) {
 	long, unknown := resp.ContentLength > maxBufferedBody, resp.ContentLength < 0
 	capacity := int(resp.ContentLength)
 	if unknown || long {
@@ -229,13 +236,17 @@
 			}
 			body = slices.Grow(body, cap(body))
 		}
-		c.setReadTimeout(ctx, stallTimeout)
+		if long || unknown {
+			c.setReadTimeout(ctx, stallTimeout)
+		} else {
+			c.setReadTimeout(ctx, terms.brokenAfter(ctx))
+		}
 		n, err := resp.Body.Read(body[len(body):min(cap(body), maxFirstPart+1)])
 		body = body[:len(body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
 			return body, true, nil
-		case err != nil && long && len(body) > 0 && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
+		case (long || unknown) && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
 			return body, false, nil
 		case err != nil:
 			return body, false, err
@@ -266,7 +277,7 @@
 
 // awaitHead waits for a whole head without consuming it. It detects invalid data, for which ReadResponse would
 // wait until the end of the line, and rejects heads with two lengths or without an end.
-func (c *conn) awaitHead(ctx context.Context) error {
+func (c *conn) awaitHead(ctx context.Context, terms answerTerms) error {
 	const version = "HTTP/1."
 	for n := 1; ; {
 		seen, _ := c.r.Peek(c.r.Buffered())
@@ -284,13 +295,26 @@
 		if n > maxHeadBytes {
 			return errors.New("response head too long")
 		}
-		c.setReadTimeout(ctx, stallTimeout)
+		c.setReadTimeout(ctx, terms.brokenAfter(ctx))
 		if _, err := c.r.Peek(n); err != nil {
 			return err
 		}
 	}
 }
 
+// brokenAfter returns how long a backend may pause within the head or the body of a short answer until another attempt is
+// worth more than the rest; 0: until ctx ends, as no other attempt can be made.
+func (t answerTerms) brokenAfter(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	switch {
+	case !t.repeatable:
+		return 0
+	case !bounded:
+		return maxStallTimeout
+	}
+	return min(max(time.Duration(float64(time.Until(deadline))*stallShare), stallTimeout), maxStallTimeout)
+}
+
 // resultOf returns the result that an attempt has by the status of its answer.
 func resultOf(resp *http.Response) balance.Result {
 	switch resp.StatusCode {
--- a/internal/backend/http1/stream.go
+++ b/internal/backend/http1/stream.go
@@ -13,6 +13,7 @@
 type stream struct {
 	conn      *conn
 	body      io.Reader // the rest of the answer's body
+	started   time.Time // when the first part was passed on
 	deadline  time.Time // until when the client waits for the answer
 	knownLong bool      // long by its Content-Length; others count as long once more than maxBufferedBody has been read
 	bytesRead int       // bytes of the body read so far, with those of the first part
@@ -21,16 +22,20 @@
 	closeOnce sync.Once
 }
 
-// readDeadline returns the deadline for the next read. An answer of unknown length that stalls may be broken:
-// while it is short it must end by its client's deadline, as its last byte counts, while a long one may pause.
+// readDeadline returns the deadline for the next read. An answer of unknown length that stalls may be broken: a short one
+// must end by its client's deadline, as its last byte counts, while a long one may pause. Whether it becomes long isn't
+// known before it is; it is taken for long as long as it has arrived at minLongRate.
 func (s *stream) readDeadline(now time.Time) time.Time {
 	if s.knownLong || s.bytesRead > maxBufferedBody {
 		return now.Add(streamStallTimeout)
 	}
-	if soon := now.Add(stallTimeout); s.deadline.Before(soon) {
-		return soon
+	latest := now.Add(stallTimeout)
+	for _, at := range []time.Time{s.deadline, s.started.Add(time.Duration(s.bytesRead) * time.Second / minLongRate)} {
+		if at.After(latest) {
+			latest = at
+		}
 	}
-	return s.deadline
+	return latest
 }
 
 // Read reads the next part of the answer.
--- a/internal/backend/http1/stream_test.go
+++ b/internal/backend/http1/stream_test.go
@@ -19,10 +19,11 @@
 		s    *stream
 		want time.Duration
 	}{
-		"of unknown length, in time": {&stream{deadline: now.Add(time.Second), bytesRead: 100}, time.Second},
-		"of unknown length, late":    {&stream{deadline: now.Add(-time.Hour), bytesRead: 100}, stallTimeout},
-		"of unknown length, long":    {&stream{deadline: now.Add(time.Second), bytesRead: maxBufferedBody + 1}, streamStallTimeout},
-		"long":                       {&stream{deadline: now.Add(time.Second), knownLong: true}, streamStallTimeout},
+		"of unknown length, in time":                              {&stream{deadline: now.Add(time.Second), bytesRead: 100}, time.Second},
+		"of unknown length, late":                                 {&stream{deadline: now.Add(-time.Hour), bytesRead: 100}, stallTimeout},
+		"of unknown length, long":                                 {&stream{deadline: now.Add(time.Second), bytesRead: maxBufferedBody + 1}, streamStallTimeout},
+		"of unknown length, late, but fast enough to become long": {&stream{deadline: now.Add(-time.Second), started: now.Add(-time.Second), bytesRead: 3 * minLongRate}, 2 * time.Second},
+		"long": {&stream{deadline: now.Add(time.Second), knownLong: true}, streamStallTimeout},
 	} {
 		if got := tt.s.readDeadline(now).Sub(now); got != tt.want {
 			t.Errorf("%s: %v, want %v", name, got, tt.want)
--- a/internal/backend/http1/upstream.go
+++ b/internal/backend/http1/upstream.go
@@ -27,8 +27,12 @@
 	maxHeadBytes     = 8 << 10  // bytes of an answer's head
 	maxInformational = 8        // answers with status 1xx that are skipped before the final one
 
-	// An answer that has begun and stalls for this long is broken.
-	stallTimeout = 100 * time.Millisecond
+	// A long answer, or one of unknown length, that pauses for stallTimeout is streamed. The head or body of a short one that
+	// pauses for this share of its client's remaining time, from stallTimeout to maxStallTimeout, is broken, if another
+	// attempt can be made.
+	stallTimeout    = 100 * time.Millisecond
+	stallShare      = 0.25
+	maxStallTimeout = time.Second
 	// An answer that is longer than maxBufferedBody or of unknown length, and isn't complete this long after its body was
 	// begun, is streamed.
 	firstPartWait   = 10 * time.Millisecond
@@ -36,6 +40,8 @@
 
 	// After the first part of a long answer a backend may pause for this long.
 	streamStallTimeout = 10 * time.Second
+	// An answer of unknown length that has arrived at this rate or faster, in bytes per second, may become long.
+	minLongRate = 16 << 10
 
 	// A connection is not reused until it has been idle for this long: extra bytes that a backend sends after
 	// an answer arrive by then, and could otherwise be taken for the next answer.
@@ -227,6 +233,7 @@
 	if err != nil {
 		return core.Response{Result: balance.NotSent, Load: balance.NoLoad()}
 	}
+	out.Repeatable = true
 	r := u.Exchange(ctx, nil, to, out)
 	if r.Result == balance.OK && u.loadReports && !r.Load.Valid {
 		r.Load, _ = wire.ParseLoad(r.Payload.(*http1.Answer).Body)
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -295,6 +295,7 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
+	rendered.Repeatable = effect != balance.Unsafe && stream == nil
 	call := &core.Call{
 		Event: balance.Request{ID: id, Class: class, Tenant: tenant, Key: query.Get("key"),
 			Work: work, Repeat: r.Header.Get(http1.HeaderRepeat) == "1"},
@@ -419,6 +420,7 @@
 	buf := http1.GetBuffer()
 	defer http1.PutBuffer(buf)
 	for {
+		conn.SetWriteDeadline(time.Now().Add(partWriteTimeout))
 		for len(part) > 0 {
 			n := min(len(part), http1.BufferSize)
 			conn.SetWriteDeadline(time.Now().Add(partWriteTimeout))
@@ -435,6 +437,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
+			conn.SetWriteDeadline(time.Now().Add(partWriteTimeout)) // for the end of the answer, which the server writes
 			return nil
 		}
 		return fmt.Errorf("backend: %w", err)
--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -7,16 +7,20 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 )
 
 // ChunkReader reads a chunked body (RFC 9112, section 7.1). Unlike the standard library's reader it returns
 // the data that has arrived without waiting until the buffer is full, so that a slow body is passed on as it
 // arrives.
 type ChunkReader struct {
-	r           *bufio.Reader
-	remaining   uint64 // bytes left in the current chunk
-	needLineEnd bool   // a chunk's data has been read, but not the line end after it
-	err         error
+	r            *bufio.Reader
+	remaining    uint64 // bytes left in the current chunk
+	needLineEnd  bool   // a chunk's data has been read, but not the line end after it
+	inTrailer    bool   // the last chunk's size has been read
+	trailerLines int    // lines of the trailer that have been read
+	partialLine  []byte // the part of a line that had arrived when a read timed out
+	err          error
 }
 
 const (
@@ -30,27 +34,35 @@
 // trailer.
 func NewChunkReader(r *bufio.Reader) *ChunkReader { return &ChunkReader{r: r} }
 
-// Read returns the data that has arrived. Errors are permanent.
+// Read returns the data that has arrived. Errors are permanent, except that reading may go on after a time-out.
 func (c *ChunkReader) Read(p []byte) (n int, err error) {
 	if c.err != nil || len(p) == 0 {
 		return 0, c.err
 	}
 	if c.remaining == 0 {
-		if c.err = c.next(); c.err != nil {
-			return 0, c.err
+		if err := c.next(); err != nil {
+			return 0, c.keep(err)
 		}
 	}
 	n, err = c.r.Read(p[:min(uint64(len(p)), c.remaining)])
 	c.remaining -= uint64(n)
 	c.needLineEnd = true
-	if c.err = unexpectedEOF(err); c.err != nil {
-		return n, c.err
+	return n, c.keep(unexpectedEOF(err))
+}
+
+// keep makes an error permanent unless it is a time-out, and returns it.
+func (c *ChunkReader) keep(err error) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.err = err
 	}
-	return n, nil
+	return err
 }
 
 // next reads up to the data of the next chunk. It returns io.EOF at the end of the trailer.
 func (c *ChunkReader) next() error {
+	if c.inTrailer {
+		return c.trailer()
+	}
 	if c.needLineEnd {
 		if line, err := c.line(); err != nil || len(line) != 0 {
 			return cmp.Or(err, errChunk)
@@ -68,8 +80,15 @@
 	if c.remaining > 0 {
 		return nil
 	}
-	for range maxTrailerLines {
-		if line, err = c.line(); err != nil {
+	c.inTrailer = true
+	return c.trailer()
+}
+
+// trailer reads the trailer. It returns io.EOF at its end.
+func (c *ChunkReader) trailer() error {
+	for ; c.trailerLines < maxTrailerLines; c.trailerLines++ {
+		line, err := c.line()
+		if err != nil {
 			return err
 		}
 		if len(line) == 0 {
@@ -83,11 +102,16 @@
 func (c *ChunkReader) line() ([]byte, error) {
 	line, err := c.r.ReadSlice('\n')
 	if err != nil {
-		if errors.Is(err, bufio.ErrBufferFull) {
+		if errors.Is(err, bufio.ErrBufferFull) || len(c.partialLine)+len(line) > maxChunkLine {
 			err = errChunk
 		}
+		c.partialLine = append(c.partialLine, line...)
 		return nil, unexpectedEOF(err)
 	}
+	if len(c.partialLine) > 0 {
+		line = append(c.partialLine, line...)
+		c.partialLine = nil
+	}
 	if len(line) > maxChunkLine {
 		return nil, errChunk
 	}
--- a/internal/http1/chunks_test.go
+++ b/internal/http1/chunks_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -35,6 +36,43 @@
 	}
 }
 
+// timeoutReader returns one byte at a time, and a time-out before each.
+type timeoutReader struct {
+	text     string
+	timedOut bool
+}
+
+func (r *timeoutReader) Read(p []byte) (int, error) {
+	if r.timedOut = !r.timedOut; r.timedOut {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if r.text == "" {
+		return 0, io.EOF
+	}
+	p[0], r.text = r.text[0], r.text[1:]
+	return 1, nil
+}
+
+// Guards against a broken body whose sender pauses within a line: reading goes on after a time-out, wherever it comes.
+func TestChunkReaderGoesOnAfterTimeout(t *testing.T) {
+	c := NewChunkReader(bufio.NewReader(&timeoutReader{text: "5;a=b\r\nhello\r\n1\r\n!\r\n0\r\nX-A: 1\r\nX-B: 2\r\n\r\n"}))
+	var got []byte
+	for {
+		part := make([]byte, 16)
+		n, err := c.Read(part)
+		got = append(got, part[:n]...)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+	}
+	if string(got) != "hello!" {
+		t.Errorf("%q", got)
+	}
+}
+
 // Read returns data that has arrived even if the buffer has room for more.
 func TestChunkReaderReturnsPartialData(t *testing.T) {
 	r, w := io.Pipe()
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -45,6 +45,7 @@
 	Body       []byte  // the whole body, or with Stream its first part
 	Stream     *Stream // the rest of the body; nil: Body is complete
 	Method     string
+	Repeatable bool // another attempt may be made after one that may have run
 }
 
 // Render renders a request for forwarding. The header must contain neither the time left nor the body's
