Heads of requests have a share of the memory, counted as they arrive

Cause: the size of a head was bounded, its number of fields was not. net/http keeps each field as an entry of a map, so that a head of 16 KiB with 2,500 short fields takes some 300 KiB, for as long as its request is processed, or for 2.6 s if it never ends; hundreds of connections may do that at once.

Change: Conn counts bytes and lines of a head as they arrive. Once a request is rendered its map of fields is released. What is left of a body while its request is answered is no longer kept as if it were a head.

--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -61,6 +61,7 @@
 	MaxRefusals    int // connections beyond MaxConnections that are being refused at a time; at least 1
 	MaxBodyReads   int // requests whose body is being read at a time; 0: unlimited
 	MaxBodyBytes   int // total bytes reserved for bodies, from the first read to the answer; 0: unlimited
+	MaxHeadBytes   int // total bytes reserved for heads that are not small, from the first read to the answer; 0: unlimited
 
 	NewGrace     time.Duration // a new connection isn't evicted for this long: its request may be in transit
 	StallTimeout time.Duration // a connection in StateHead may be evicted after this long without bytes
@@ -75,7 +76,7 @@
 // long as each request in progress can still get a descriptor for its backend.
 func DefaultConfig(descriptors int, memory int64) Config {
 	maxConnections := descriptors * 3 / 4
-	return Config{MaxConnections: maxConnections, MaxDescriptors: descriptors, MaxRefusals: max(1, min(16, descriptors/32)), MaxBodyReads: (maxConnections + 1) / 2, MaxBodyBytes: int(memory / 8),
+	return Config{MaxConnections: maxConnections, MaxDescriptors: descriptors, MaxRefusals: max(1, min(16, descriptors/32)), MaxBodyReads: (maxConnections + 1) / 2, MaxBodyBytes: int(memory / 8), MaxHeadBytes: int(memory / 16),
 		NewGrace: 50 * time.Millisecond, StallTimeout: 500 * time.Millisecond, MinIdle: 2 * time.Second,
 		AdmitTimeout: 250 * time.Millisecond, PressureTime: time.Second, DrainGrace: 300 * time.Millisecond}
 }
@@ -87,7 +88,7 @@
 		value int
 		min   int
 	}{{"MaxConnections", c.MaxConnections, 0}, {"MaxDescriptors", c.MaxDescriptors, 0}, {"MaxRefusals", c.MaxRefusals, 1},
-		{"MaxBodyReads", c.MaxBodyReads, 0}, {"MaxBodyBytes", c.MaxBodyBytes, 0},
+		{"MaxBodyReads", c.MaxBodyReads, 0}, {"MaxBodyBytes", c.MaxBodyBytes, 0}, {"MaxHeadBytes", c.MaxHeadBytes, 0},
 		{"NewGrace", int(c.NewGrace), 0}, {"StallTimeout", int(c.StallTimeout), 0}, {"MinIdle", int(c.MinIdle), 0},
 		{"AdmitTimeout", int(c.AdmitTimeout), 0}, {"PressureTime", int(c.PressureTime), 0},
 		{"DrainGrace", int(c.DrainGrace), 0}} {
@@ -109,6 +110,7 @@
 	pipelined      bool          // bytes of the next request arrived before the current answer was written
 	served         int           // number of requests answered
 	reservedBytes  int           // bytes reserved for the current request's body
+	headBytes      int           // bytes reserved for the current request's head
 	localAnswers   answerRate    // of the answers on this connection that needed no backend
 }
 
@@ -127,6 +129,7 @@
 	ByState        [stateCount]int // number of open connections by State
 	CloseRequested int             // connections asked to close and not yet in StateClosing
 	ReservedBytes  int             // bytes reserved for the bodies of all connections
+	HeadBytes      int             // bytes reserved for the heads of all connections
 	Refusing       int             // new connections that are being sent a refusal, which don't count in Held
 
 	Accepted, Refused, Evicted, EndedByAnswer uint64 // totals since the start; EndedByAnswer: closed with an answer
@@ -397,10 +400,31 @@
 	return e.closeRequested
 }
 
-// releaseBytes releases all memory reserved for the current request's body of a connection.
+// releaseBytes releases all memory reserved for the current request of a connection.
 func (g *Governor) releaseBytes(e *Entry) {
 	g.counts.ReservedBytes -= e.reservedBytes
 	e.reservedBytes = 0
+	g.ShrinkHead(e, 0)
+}
+
+// ReserveHead reserves memory for a head, of which more has arrived, so that bytes are reserved in all. If it returns false
+// the request is refused, unprocessed.
+func (g *Governor) ReserveHead(e *Entry, bytes int) bool {
+	more := bytes - e.headBytes
+	if e.state >= StateClosing || g.cfg.MaxHeadBytes > 0 && more > g.cfg.MaxHeadBytes-g.counts.HeadBytes {
+		return false
+	}
+	e.headBytes += more
+	g.counts.HeadBytes += more
+	return true
+}
+
+// ShrinkHead releases what was reserved for a head beyond that many bytes.
+func (g *Governor) ShrinkHead(e *Entry, bytes int) {
+	if excess := e.headBytes - bytes; excess > 0 {
+		e.headBytes -= excess
+		g.counts.HeadBytes -= excess
+	}
 }
 
 // ConfirmClose is called by the reader of a connection whose close was requested, once it has checked that no
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -374,6 +374,7 @@
 	deadline    time.Time     // for reads, as set by the server
 	woken       bool          // the socket has a past read deadline, to wake the reader
 	head        []byte        // raw bytes received of the head that is being read; see TakeHead
+	headMeter   headMeter     // counts the head that is being read
 	ignoreHead  bool          // received bytes don't belong to a head but to the body of the request whose head was taken
 	readAhead   *readAhead    // reads while a request is being processed; nil: not running
 	buffered    []byte        // bytes that readAhead has received
@@ -476,6 +477,9 @@
 				}
 			})
 			c.restoreDeadline()
+			if !c.reserveHead() {
+				return 0, errEvicted
+			}
 			if pipelined && err == nil { // net/http's background read, which detects that the client leaves, ends with this byte
 				c.startReadAhead()
 			}
@@ -598,7 +602,6 @@
 // BeginAnswer records that an answer is about to be written and reports whether the connection is kept alive;
 // if not, the answer must carry "Connection: close".
 func (c *Conn) BeginAnswer() (keep bool) {
-	c.resumeHeadCapture()
 	c.bodyWait.setAborted(false)
 	c.withGovernor(func(g *Governor, e *Entry, now time.Duration) { keep = g.BeginAnswer(e, now) })
 	return keep
@@ -610,18 +613,22 @@
 func (c *Conn) captureHead(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ignoreHead && len(c.head) < maxKeptHead {
+	if c.ignoreHead {
+		return
+	}
+	c.headMeter.add(p)
+	if len(c.head) < maxKeptHead {
 		c.head = append(c.head, p[:min(len(p), maxKeptHead-len(c.head))]...)
 	}
 }
 
 // TakeHead returns the raw bytes of the head that has been read, and any received after it. Further bytes are
-// not captured until the request has been read or is being answered.
+// not captured until the request has been read or answered.
 func (c *Conn) TakeHead() []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	head := c.head
-	c.head, c.ignoreHead = nil, true
+	c.head, c.headMeter, c.ignoreHead = nil, headMeter{}, true
 	return head
 }
 
@@ -654,6 +661,7 @@
 		c.withGovernor((*Governor).HeadRead)
 		c.restoreDeadline()
 	case http.StateIdle:
+		c.resumeHeadCapture() // what is left of a body when its request is answered isn't a head
 		c.wroteAnswer.Store(false)
 		wake := false
 		c.withGovernor(func(g *Governor, e *Entry, now time.Duration) {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -303,6 +303,8 @@
 		Deadline: time.Now().Add(timeLeft),
 		Reply:    make(chan core.Answer, 1),
 	}
+	r.Header = nil // many short fields take far more memory than the rendered head
+	conn.HeadRendered(len(rendered.Head) + len(rendered.Rest))
 	if stream != nil {
 		call.Deadline = stream.Deadline()
 		call.MovingDeadline = stream.Deadline
