An agent with little memory takes fewer connections and collects garbage in time

Causes: (1) the limit on connections followed the descriptors alone, 744 of them, while a connection with a request takes some 50 KiB (buffers of 4 and 4 KiB, of 8 KiB towards the backend, goroutines, the request); (2) the collector's soft limit of three quarters left 8 MB for the 11.5 MB of the program's own pages, so that a process at that limit was over the platform's; (3) net/http discards what is left of a rejected body through buffers of 8 KiB, 3 to 4 MB in all; (4) each attempt allocated 16 KiB for a body that it may not have.

Heap profiles of a scratch build gave (3) and (4); RssFile was 11.5 to 11.8 MB.

The figures 96 KiB and 12 MB are chosen from these profiles.

--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -71,11 +71,18 @@
 	DrainGrace   time.Duration // during Finish a new connection isn't closed for this long: its request may be in transit
 }
 
+// connectionMemory is the memory in bytes that has to be there for each connection: its goroutine, buffers, small head and
+// answer, and the connection to a backend that its request may need.
+const connectionMemory = 96 << 10
+
 // DefaultConfig returns the limits for a process that may use that many descriptors for connections of all
 // kinds and that many bytes of memory; 0 means unlimited. Clients get three quarters of the descriptors, as
 // long as each request in progress can still get a descriptor for its backend.
 func DefaultConfig(descriptors int, memory int64) Config {
 	maxConnections := descriptors * 3 / 4
+	if byMemory := int(memory / connectionMemory); memory > 0 && (maxConnections == 0 || byMemory < maxConnections) {
+		maxConnections = byMemory
+	}
 	return Config{MaxConnections: maxConnections, MaxDescriptors: descriptors, MaxRefusals: max(1, min(16, descriptors/32)), MaxBodyReads: (maxConnections + 1) / 2, MaxBodyBytes: int(memory / 8), MaxHeadBytes: int(memory / 16),
 		NewGrace: 50 * time.Millisecond, StallTimeout: 500 * time.Millisecond, MinIdle: 2 * time.Second,
 		AdmitTimeout: 250 * time.Millisecond, PressureTime: time.Second, DrainGrace: 300 * time.Millisecond}
--- a/internal/agent/processgroup.go
+++ b/internal/agent/processgroup.go
@@ -219,9 +219,14 @@
 	return v.ConnectionLimit(max(h.maxConnections-reservedSockets, reservedSockets))
 }
 
-// SoftMemoryLimit returns the garbage collector's soft limit for a process that may use memory bytes: three quarters; the
-// rest is for memory that the collector doesn't count.
-func SoftMemoryLimit(memory int64) int64 { return memory * 3 / 4 }
+// programMemory is about what the program's code and data take of a process's memory, which the collector doesn't count.
+const programMemory = 12 << 20
+
+// SoftMemoryLimit returns the garbage collector's soft limit for a process that may use memory bytes: three quarters, or less
+// where memory is small, so that an eighth of what the program leaves stays free.
+func SoftMemoryLimit(memory int64) int64 {
+	return max(memory/4, min(memory*3/4, (memory-programMemory)*7/8))
+}
 
 // predecessorRuns reports whether an earlier process of this agent is alive.
 func (h *processGroup) predecessorRuns() bool { return h != nil && h.claim.View().EarlierAlive }
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -39,7 +39,7 @@
 // roundTrip writes the request and reads its answer. A failure before the last byte is written proves that the
 // request never ran; after that it may have run. reusable reports whether the connection can carry another request.
 func (c *conn) roundTrip(ctx context.Context, p *core.Permit, out *http1.Request) (r core.Response, reusable bool) {
-	buf := make([]byte, 0, len(out.Head)+len(out.Rest)+len(http1.HeaderTimeLeft)+24+maxJoinedBody)
+	buf := make([]byte, 0, len(out.Head)+len(out.Rest)+len(http1.HeaderTimeLeft)+24+min(len(out.Body), maxJoinedBody))
 	buf = append(buf, out.Head...)
 	if out.Stream != nil {
 		buf = fmt.Appendf(buf, "%s: %du\r\n", http1.HeaderTimeLeft, max(0, time.Until(out.Stream.Deadline()).Microseconds()))
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -173,6 +173,7 @@
 		conn.PaceLocalAnswer()
 	}
 	beginAnswer(conn, w)
+	conn.AbortBody() // what is left of a body is discarded when the connection is closed, not by net/http
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
 }
