Diameter clients that send at full speed are read at the pace of their answers

Change: package pace, the token bucket that admission had, in place of it there too; the front pauses reading from a client beyond 32 local answers and 100 a second, 256 and 1,000 a second in all, or 256 refusals and 1,000 a second, and while 64 KiB of local answers are unread. The answers themselves never wait, and nothing pauses during a planned stop.

--- a/internal/admission/answerrate_test.go
+++ b/internal/admission/answerrate_test.go
@@ -10,13 +10,13 @@
 func TestLocalAnswersArePaced(t *testing.T) {
 	g := newGovernorHarness(t, DefaultConfig(0, 0)).governor
 	busy, other := g.Open(0, nil), g.Open(0, nil)
-	for n := range connAnswerBurst {
+	for n := range connAnswerRate.Burst {
 		if wait := g.ReserveLocalAnswer(busy, 0); wait != 0 {
 			t.Fatalf("answer %d waits %v", n, wait)
 		}
 	}
-	if wait := g.ReserveLocalAnswer(busy, 0); wait != connAnswerInterval {
-		t.Errorf("the first answer beyond the burst waits %v, want %v", wait, connAnswerInterval)
+	if wait := g.ReserveLocalAnswer(busy, 0); wait != connAnswerRate.Interval {
+		t.Errorf("the first answer beyond the burst waits %v, want %v", wait, connAnswerRate.Interval)
 	}
 	if wait := g.ReserveLocalAnswer(other, 0); wait != 0 {
 		t.Errorf("the answer on another connection waits %v", wait)
@@ -25,7 +25,7 @@
 		t.Errorf("an answer after a pause waits %v", wait)
 	}
 	g.Drain(0)
-	for range 2 * connAnswerBurst {
+	for range 2 * connAnswerRate.Burst {
 		if wait := g.ReserveLocalAnswer(busy, time.Minute); wait != 0 {
 			t.Fatalf("an answer waits %v during a planned stop", wait)
 		}
@@ -35,12 +35,12 @@
 // All connections together have a rate as well, so that many of them don't keep the process busy.
 func TestLocalAnswersOfAllConnectionsArePaced(t *testing.T) {
 	g := newGovernorHarness(t, DefaultConfig(0, 0)).governor
-	for n := range totalAnswerBurst {
+	for n := range totalAnswerRate.Burst {
 		if wait := g.ReserveLocalAnswer(g.Open(0, nil), 0); wait != 0 {
 			t.Fatalf("answer %d waits %v", n, wait)
 		}
 	}
-	if wait := g.ReserveLocalAnswer(g.Open(0, nil), 0); wait != totalAnswerInterval {
-		t.Errorf("the first answer beyond the burst waits %v, want %v", wait, totalAnswerInterval)
+	if wait := g.ReserveLocalAnswer(g.Open(0, nil), 0); wait != totalAnswerRate.Interval {
+		t.Errorf("the first answer beyond the burst waits %v, want %v", wait, totalAnswerRate.Interval)
 	}
 }
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -29,6 +29,8 @@
 	"container/list"
 	"fmt"
 	"time"
+
+	"lemonrail/internal/pace"
 )
 
 // State is the phase of a connection's current request.
@@ -118,7 +120,7 @@
 	served         int           // number of requests answered
 	reservedBytes  int           // bytes reserved for the current request's body
 	headBytes      int           // bytes reserved for the current request's head
-	localAnswers   answerRate    // of the answers on this connection that needed no backend
+	localAnswers   pace.Bucket   // of the answers on this connection that needed no backend
 }
 
 // State returns the connection's current state.
@@ -155,7 +157,7 @@
 	everWaited   bool          // lastWaitAt is set
 	draining     bool          // each answer ends its connection
 	keepIdle     bool          // while draining, idle connections are not closed
-	localAnswers answerRate    // of the answers on all connections that needed no backend
+	localAnswers pace.Bucket   // of the answers on all connections that needed no backend
 }
 
 // NewGovernor returns a Governor without connections.
--- a/internal/front/diameter/conn.go
+++ b/internal/front/diameter/conn.go
@@ -20,6 +20,7 @@
 	front  *Front
 	id     uint64  // number of the connection, as in relay.Waiter
 	writes *outbox // encoded messages for the client
+	pace   connPace
 
 	mu          sync.Mutex
 	peer        *diameter.Peer // state machine of the client's connection
@@ -47,7 +48,13 @@
 }
 
 // enqueue passes a message to the writer without blocking.
-func (c *conn) enqueue(raw []byte) { c.writes.push(raw) }
+func (c *conn) enqueue(raw []byte) { c.writes.push(raw, false) }
+
+// enqueueLocal passes an answer to the writer that needed no server, without blocking.
+func (c *conn) enqueueLocal(raw []byte) {
+	c.front.pacer.recordLocalAnswer(&c.pace, c.front.now())
+	c.writes.push(raw, true)
+}
 
 // write writes queued messages until the reader has ended and the queue is empty: what was queued before the end, such as
 // an error answer that explains it, is still written.
@@ -71,6 +78,7 @@
 	c.SetReadDeadline(time.Now().Add(c.front.cfg.CERTimeout))
 	for {
 		c.writes.awaitRoom()
+		c.awaitPace()
 		raw, err := messages.Next()
 		var breach *diameter.Error
 		if err != nil {
@@ -116,7 +124,7 @@
 		a.AVPs = append(a.AVPs, diameter.Group(diameter.CodeFailedAVP, *e.Failed))
 	}
 	if raw, err := a.Append(nil); err == nil {
-		c.enqueue(raw)
+		c.enqueueLocal(raw)
 	}
 }
 
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -49,6 +49,7 @@
 	wait      sync.WaitGroup
 
 	queues clientQueues
+	pacer  pacer
 
 	mu        sync.Mutex
 	reporter  *overload.Reporter // counts answers and refusals of all clients
@@ -128,6 +129,7 @@
 // connections of the others and returns all connections. Requests that still arrive are accepted; the
 // connections are closed once all requests have been answered.
 func (f *Front) disconnectClients() (clients []*conn) {
+	f.pacer.stop()
 	f.mu.Lock()
 	f.stopping = true
 	for _, c := range f.conns {
--- a/internal/front/diameter/outbox.go
+++ b/internal/front/diameter/outbox.go
@@ -6,19 +6,30 @@
 	"lemonrail/internal/diameter/relay"
 )
 
-// maxUnreadMessages is how many messages may wait for a client before no further ones are read from it.
-const maxUnreadMessages = 1024
+// While so many messages wait for a client, or so many bytes of answers that needed no server, no further requests are read
+// from it.
+const (
+	maxUnreadMessages   = 1024
+	maxUnreadLocalBytes = 64 << 10
+)
 
 // outbox holds the messages that wait for a connection's writer. It never blocks and never drops a message: what a client
 // may have waiting is decided when its requests arrive.
 type outbox struct {
 	resized func(bytes int) // called for each change in the total size of the messages, with that change
 
-	mu       sync.Mutex
-	changed  sync.Cond // signalled when messages or closed changes
-	messages [][]byte
-	closed   bool // the writer has ended
-	ended    bool // no message follows those that wait
+	mu         sync.Mutex
+	changed    sync.Cond // signalled when messages or closed changes
+	messages   []outMessage
+	localBytes int  // bytes of those messages that needed no server
+	closed     bool // the writer has ended
+	ended      bool // no message follows those that wait
+}
+
+// outMessage is a message for a client.
+type outMessage struct {
+	raw   []byte
+	local bool // no server was asked for it
 }
 
 func newOutbox(resized func(bytes int)) *outbox {
@@ -27,14 +38,17 @@
 	return o
 }
 
-// push adds a message, unless the writer has ended.
-func (o *outbox) push(raw []byte) {
+// push adds a message, unless the writer has ended. local: no server was asked for it.
+func (o *outbox) push(raw []byte, local bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
 		return
 	}
-	o.messages = append(o.messages, raw)
+	o.messages = append(o.messages, outMessage{raw, local})
+	if local {
+		o.localBytes += len(raw)
+	}
 	o.resized(len(raw))
 	o.changed.Broadcast()
 }
@@ -49,15 +63,18 @@
 	if len(o.messages) == 0 {
 		return nil, false
 	}
-	return o.messages[0], true
+	return o.messages[0].raw, true
 }
 
 // written removes the first message.
 func (o *outbox) written() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.resized(-len(o.messages[0]))
-	o.messages[0] = nil
+	o.resized(-len(o.messages[0].raw))
+	if o.messages[0].local {
+		o.localBytes -= len(o.messages[0].raw)
+	}
+	o.messages[0] = outMessage{}
 	o.messages = o.messages[1:]
 	o.changed.Broadcast()
 }
@@ -74,18 +91,18 @@
 func (o *outbox) close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, raw := range o.messages {
-		o.resized(-len(raw))
+	for _, m := range o.messages {
+		o.resized(-len(m.raw))
 	}
-	o.messages, o.closed = nil, true
+	o.messages, o.localBytes, o.closed = nil, 0, true
 	o.changed.Broadcast()
 }
 
-// awaitRoom waits until less than maxUnreadMessages wait, or the writer has ended.
+// awaitRoom waits until less than maxUnreadMessages and maxUnreadLocalBytes wait, or the writer has ended.
 func (o *outbox) awaitRoom() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for len(o.messages) >= maxUnreadMessages && !o.closed {
+	for (len(o.messages) >= maxUnreadMessages || o.localBytes >= maxUnreadLocalBytes) && !o.closed {
 		o.changed.Wait()
 	}
 }
--- a/internal/front/diameter/requests.go
+++ b/internal/front/diameter/requests.go
@@ -31,7 +31,7 @@
 	verdict, kept := f.table.Arrive(arrival, f.now())
 	switch verdict {
 	case relay.Answered:
-		c.enqueue(withHopByHop(kept, m.HopByHop))
+		c.enqueueLocal(withHopByHop(kept, m.HopByHop))
 	case relay.Joined:
 	case relay.MayHaveRun: // 3002 or 3004 would make the client try again
 		c.answer(m, &diameter.Error{Result: diameter.UnableToComply, Text: "it may have run before, and its answer is not known"})
@@ -56,8 +56,9 @@
 	f := c.front
 	f.busyCount++
 	f.reporter.Record(true, f.now())
+	f.pacer.recordRefusal(&c.pace, f.now())
 	if raw, err := f.cfg.Rules.LocalAnswer(m, diameter.TooBusy, why).Append(nil); err == nil {
-		c.enqueue(f.addReport(m, raw))
+		c.writes.push(f.addReport(m, raw), true)
 	}
 }
 
@@ -150,6 +151,9 @@
 	raw = f.addReport(m, raw)
 	for _, w := range f.table.Complete(origin, raw, answersResends(a, effect), f.now()) {
 		if c := f.conns[w.Conn]; c != nil {
+			if a.Kind == core.Refused {
+				f.pacer.recordRefusal(&c.pace, f.now())
+			}
 			c.enqueue(withHopByHop(raw, w.HopByHop))
 		}
 	}
