A request that may have run is known to the agent's other process, and over a flood

Cause: a loop remembers the ids of its last 4,096 calls, by itself. The other process of an upgrade doesn't know them, and both accept from one listener. And 4,096 calls of any kind, refused ones and safe ones too, push an id out within seconds.

Change: where processes share a folder, a request that must not run twice (HTTP by its id, Diameter by Origin-Host and End-to-End identifier) is recorded before its first attempt in a ring of 4,096 hashes (32 KiB) in a file that the processes map; one that is recorded already gets the answer of a repeated id and is not sent. The record is removed if the request certainly has not run. Recording takes no system call and no lock. All bytes of the file are written first, so that a full disk is an error at the start, logged, and not a fault later. A loop remembers only ids that may have run, as hashes, those that may run again apart; a request that has not run may come again with its id.

Left: after 4,096 further such requests that may have run an id is forgotten, as before.

--- a/internal/agent/processgroup.go
+++ b/internal/agent/processgroup.go
@@ -87,6 +87,12 @@
 	if claim == nil {
 		return nil
 	}
+	requests, err := takeover.OpenRunningRequests(cfg.SharedDir, cfg.Name)
+	if err != nil { // the agent serves even so: only a client that comes back during an upgrade may be affected
+		log.Error("requests of other processes of this agent are not known", "err", err)
+	} else {
+		l.Claims = requests
+	}
 	return &processGroup{claim: claim, shared: shared, loop: l, peers: l.Peers, members: members, activeRequests: func() int { return int(l.Metrics.Active.Load()) },
 		memory: cfg.MemoryMB << 20, log: log, maxConnections: int(sockets.Limit), openConnections: func() int { return int(sockets.Open.Load()) },
 		setLimits: func(connections int, memory int64) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,7 +4,8 @@
 // results. Only the loop decides the outcome of an attempt and the answer to a call, so that each has exactly one.
 //
 // Bounds: the inbox holds inboxSize events, and posting blocks while it is full. The fronts' admission limits
-// the number of calls and timers. The ids of the last maxRecentIDs finished calls are kept.
+// the number of calls and timers. The ids of the last maxRecentIDs finished calls that may have
+// run are kept, of those that may run again and of others apart.
 package core
 
 import (
@@ -106,12 +107,16 @@
 	MovingDeadline  func() time.Time // returns Deadline as it is now, which moves on while the body arrives; must not block; nil: Deadline is final
 	UploadAllowance time.Duration    // how far Deadline may move on
 	Reply           chan Answer      // buffered, with room for the one final answer
+	ClaimKey        string           // identifies the request over the agent's processes; empty: it may run more than once
 	HasClientLeft   func() bool      // reports whether the client has left, called from any goroutine; nil: only Loop.Left reports it
 
 	attempts []*attempt // in the order of their Sends
 	timer    *timer     // of the answer deadline
 	pending  int        // number of attempts that have not ended
 	answered bool       // has its final answer, or the client left and needs none
+
+	claimed    bool // Loop.Claims has recorded it
+	claimToken uint64
 }
 
 // currentDeadline returns when the client stops waiting, as far as is known now.
@@ -167,13 +172,15 @@
 	Backend  Backend
 	Lists    ListSource
 	Peers    Peers             // nil where agents don't exchange messages
+	Claims   RequestClaims     // nil: the agent has only this process
 	Observer Observer          // nil: no observer
 	Metrics  *metrics.Metrics  // receives the numbers of listed and ejected backends; nil: none
 	settings *balance.Settings // those that apply now; replaced by Reconfigure, never modified
 
 	events           []balance.Event   // events for the next step
 	calls            map[string]*Call  // by request id: open calls, and answered ones with pending attempts
-	recent           *recentIDs        // ids of the calls that ended last, so that their repeats are rejected
+	recent           *recentIDs        // ids of the calls that ended last and must not run again, so that their repeats are rejected
+	recentRepeatable *recentIDs        // the same of calls that may run again; their ids have their answers
 	addrs            map[string]string // addresses of the listed backends, by ID
 	pool             *pool.Pool
 	timers           timers
@@ -182,34 +189,13 @@
 	stopDeadline     time.Time // end of a planned stop, when every call must have its answer; zero: none
 }
 
-// recentIDs holds the ids of the calls that ended last, at most maxRecentIDs of them.
-type recentIDs struct {
-	ids  map[string]bool // those in ring
-	ring []string        // the ids in the order of their calls' ends, overwritten in a circle
-	next int             // position in ring of the oldest id
-}
-
-const maxRecentIDs = 4096 // three seconds at 1,300 requests a second, longer than any client waits
-
-func newRecentIDs() *recentIDs {
-	return &recentIDs{ids: map[string]bool{}, ring: make([]string, maxRecentIDs)}
-}
-
-func (r *recentIDs) has(id string) bool { return r.ids[id] }
-
-func (r *recentIDs) add(id string) {
-	delete(r.ids, r.ring[r.next])
-	r.ids[id], r.ring[r.next] = true, id
-	r.next = (r.next + 1) % len(r.ring)
-}
-
 const inboxSize = 4096 // events that may queue while a step runs; posting blocks when it is full
 
 // New returns a loop. The caller sets Backend, Lists and Peers before Run.
 func New(bal Decider, s *balance.Settings, log *slog.Logger) *Loop {
 	return &Loop{bal: bal, settings: s, clock: clock{time.Now()}, log: log,
 		inbox: make(chan func(), inboxSize), Done: make(chan struct{}),
-		calls: map[string]*Call{}, recent: newRecentIDs(), addrs: map[string]string{}, pool: pool.New()}
+		calls: map[string]*Call{}, recent: newRecentIDs(), recentRepeatable: newRecentIDs(), addrs: map[string]string{}, pool: pool.New()}
 }
 
 // Post queues f to run on the loop's goroutine. It may block, so the loop itself must not call it.
@@ -278,7 +264,7 @@
 
 // Arrived accepts a client's request, or answers it as a Duplicate if its id is in use or was recently.
 func (l *Loop) Arrived(c *Call) {
-	if l.calls[c.Event.ID] != nil || l.recent.has(c.Event.ID) {
+	if l.calls[c.Event.ID] != nil || l.isRecent(c.Event.ID) {
 		// Rejects an id that is or was recently in use: the decision module would take the second request for the
 		// first and not answer it, and a backend would receive a request that already has its answer.
 		c.Reply <- Answer{Kind: Duplicate}
@@ -399,7 +385,7 @@
 func (l *Loop) forget(c *Call) {
 	if c.answered && c.pending == 0 && l.calls[c.Event.ID] == c {
 		delete(l.calls, c.Event.ID)
-		l.recent.add(c.Event.ID)
+		l.remember(c)
 	}
 }
 
@@ -646,6 +632,10 @@
 	a := &attempt{backend: s.Backend, addr: addr, sent: now, cancel: cancel, permit: permit}
 	c.attempts = append(c.attempts, a)
 	c.pending++
+	if !c.answered && !l.claim(c) {
+		l.log.Warn("a request that may have run at another process of this agent is not sent", "request", s.Request)
+		l.answer(c, Answer{Kind: Duplicate})
+	}
 	if c.answered || addr == "" || !until.After(now) {
 		l.attemptEnded(c, n, s.Backend, Response{Result: balance.NotSent})
 		return
--- a/internal/front/diameter/requests.go
+++ b/internal/front/diameter/requests.go
@@ -94,6 +94,9 @@
 		// answer is kept for the client's resend.
 		HasClientLeft: func() bool { return f.isAbandoned(key) },
 	}
+	if f.cfg.Rules.Classes[class].Effect != balance.Safe {
+		call.ClaimKey = fmt.Sprintf("diameter %s %d", key.Host, key.EndToEnd)
+	}
 	f.wait.Go(func() {
 		f.loop.Post(func() { f.loop.Arrived(call) })
 		var a core.Answer
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -304,6 +304,9 @@
 		Deadline: time.Now().Add(timeLeft),
 		Reply:    make(chan core.Answer, 1),
 	}
+	if effect != balance.Safe {
+		call.ClaimKey = "http " + id
+	}
 	r.Header = nil // many short fields take far more memory than the rendered head
 	conn.HeadRendered(len(rendered.Head) + len(rendered.Rest))
 	if stream != nil {
