A keyed retry stays in the zone of its first attempt when its backend's process moves

Cause: a retry of a keyed request is bound to the zone or cell of its first attempt, but these were read from the list's present entry. Where a new process has the same name in another zone, the retry went to that zone, whose backends don't know the key.

Change: an attempt records zone and cell when it is sent.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -9,7 +9,7 @@
 		b.refuseOrFail(r, NoTime)
 		return
 	}
-	a := &attempt{backend: t, sentAt: b.now,
+	a := &attempt{backend: t, zone: t.Zone, cell: t.Cell, sentAt: b.now,
 		expectedLatency: max(b.expectedLatency(r)*b.recordKey(t, r), 1), open: true}
 	r.attempts = append(r.attempts, a)
 	r.openAttempts++
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -56,6 +56,6 @@
 	if c.Effect == Unsafe || b.now-r.anchor.sentAt >= c.Window {
 		return false
 	}
-	return c.Group == GroupAll || c.Group == GroupZone && t.Zone == r.anchor.backend.Zone ||
-		c.Group == GroupCell && t.Cell == r.anchor.backend.Cell
+	return c.Group == GroupAll || c.Group == GroupZone && t.Zone == r.anchor.zone ||
+		c.Group == GroupCell && t.Cell == r.anchor.cell
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -69,6 +69,7 @@
 // attempt is one attempt of a request, sent and perhaps ended.
 type attempt struct {
 	backend         *backend
+	zone, cell      int // of the backend when it was sent; a later process of the same name may have others
 	sentAt          time.Duration
 	expectedLatency float64 // expected latency, ns
 	open            bool    // its outcome has not come yet
