Another Diameter server at the address of a configured one gets no requests

Cause: the identity that a server announces in its CEA was recorded and not compared with the one that the file gives for its backend, so that requests for the configured server, also by Destination-Host, went to whatever server was at the address.

Change: such a CEA counts as a failed one: logged, the connection ends, and the address is tried again with growing waits.

--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -504,12 +504,7 @@
 	switch {
 	case m.Application != diameter.AppBase:
 	case m.Command == diameter.CapabilitiesExchange && !m.Request():
-		if a := diameter.Find(m.AVPs, diameter.CodeOriginHost, 0); a != nil {
-			if name, err := a.Identity(); err == nil && m.Result() == diameter.Success {
-				s.identity = name
-			}
-		}
-		s.step(diameter.Event{Input: diameter.GotCEA, Result: m.Result()})
+		s.step(diameter.Event{Input: diameter.GotCEA, Result: s.checkCEA(m)})
 		return true
 	case m.Command == diameter.DeviceWatchdog:
 		event(diameter.GotDWR, diameter.GotDWA)
@@ -545,6 +540,26 @@
 	return true
 }
 
+// checkCEA records the identity of the server that has answered and returns the Result-Code of its CEA. A server other than
+// the configured one has come up at the address: its CEA counts as a failure. The caller holds s.mu.
+func (s *server) checkCEA(m *diameter.Message) (result uint32) {
+	result = m.Result()
+	a := diameter.Find(m.AVPs, diameter.CodeOriginHost, 0)
+	if a == nil || result != diameter.Success {
+		return result
+	}
+	name, err := a.Identity()
+	if err != nil {
+		return result
+	}
+	if want := s.backend.cfg.Rules.IdentityOf(s.target.ID); want != "" && !strings.EqualFold(name, want) {
+		s.backend.cfg.Log.Warn("another diameter server is at the address", "server", s.target.ID, "identity", name, "configured", want)
+		return diameter.UnknownPeer
+	}
+	s.identity = name
+	return result
+}
+
 // setLeaving sets s.leaving and calls Config.OnLeaving in a goroutine, since the caller holds s.mu and the
 // callback may block. Calls are made in the order of the events.
 func (s *server) setLeaving(leaves bool) {
--- a/internal/diameter/relay/relay.go
+++ b/internal/diameter/relay/relay.go
@@ -234,6 +234,16 @@
 	return host, ok
 }
 
+// IdentityOf returns the Diameter identity that the file gives for a backend; empty: any.
+func (r *Rules) IdentityOf(host string) string {
+	for _, s := range r.cfg.Servers {
+		if s.Host == host {
+			return s.Identity
+		}
+	}
+	return ""
+}
+
 // DestinationHost returns the server that a request names, or "" if any server may answer it.
 func (r *Rules) DestinationHost(m *diameter.Message) string {
 	return identityAVP(m, diameter.CodeDestinationHost)
