The log says why requests failed, and metrics say what clients hold and are refused

Change: a failed call is logged with its id, why, and its attempts (backend, age, how each ended), at most ten lines a second beyond fifty, with the number of lines left out; 'no final answer in time' has the same. Ten gauges of clients' connections (held, bytes of heads, bodies and read ahead, refused, evicted, closed unread, paced), and a line every five seconds in which something was refused or slowed.

--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -121,6 +121,7 @@
 	reservedBytes  int           // bytes reserved for the current request's body
 	headBytes      int           // bytes reserved for the current request's head
 	localAnswers   pace.Bucket   // of the answers on this connection that needed no backend
+	refusals       pace.Bucket   // of the refusals on this connection
 }
 
 // State returns the connection's current state.
@@ -142,6 +143,7 @@
 	Refusing       int             // new connections that are being sent a refusal, which don't count in Held
 
 	Accepted, Refused, Evicted, EndedByAnswer uint64 // totals since the start; EndedByAnswer: closed with an answer
+	HeadsRefused, BodiesRefused, AnswersPaced uint64 // totals of requests refused for want of memory for their head or body, and of local answers that waited
 	ClosedUnread                              uint64 // total of those closed without an answer while bytes of their clients were unread, which resets them
 }
 
@@ -158,6 +160,7 @@
 	draining     bool          // each answer ends its connection
 	keepIdle     bool          // while draining, idle connections are not closed
 	localAnswers pace.Bucket   // of the answers on all connections that needed no backend
+	refusals     pace.Bucket   // of the refusals on all connections
 }
 
 // NewGovernor returns a Governor without connections.
@@ -337,6 +340,7 @@
 func (g *Governor) Reserve(e *Entry, bytes int) bool {
 	if e.state != StateBody || g.cfg.MaxBodyReads > 0 && g.counts.ByState[StateBody] > g.cfg.MaxBodyReads ||
 		g.cfg.MaxBodyBytes > 0 && bytes > g.cfg.MaxBodyBytes-g.counts.ReservedBytes {
+		g.counts.BodiesRefused++
 		return false
 	}
 	e.reservedBytes += bytes
@@ -421,6 +425,7 @@
 func (g *Governor) ReserveHead(e *Entry, bytes int) bool {
 	more := bytes - e.headBytes
 	if e.state >= StateClosing || g.cfg.MaxHeadBytes > 0 && more > g.cfg.MaxHeadBytes-g.counts.HeadBytes {
+		g.counts.HeadsRefused++
 		return false
 	}
 	e.headBytes += more
--- a/internal/admission/readahead.go
+++ b/internal/admission/readahead.go
@@ -48,6 +48,9 @@
 	}()
 }
 
+// ReadAheadBytes returns how many bytes all connections have read ahead.
+func (l *Listener) ReadAheadBytes() int64 { return l.readAheadBytes.Load() }
+
 // maxReadAheadTotal returns how many bytes all connections together may read ahead; 0: unlimited.
 func (l *Listener) maxReadAheadTotal() int64 {
 	l.mu.Lock()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -255,11 +255,13 @@
 				}
 				return nil
 			})
+			t.Go(func(ctx context.Context) error { reportPressure(ctx, admitted, log); return nil })
 			l.Post(func() { // runs after the loop has taken over the known list
 				l.AfterStep(func() { s.Ready.Store(true) })
 			})
 		},
-		ready: s.Ready.Load,
+		ready:  s.Ready.Load,
+		gauges: clientGauges(admitted),
 		beginStop: func(time.Time) {
 			if listener.processes.successorServes() {
 				log.Info("a successor serves: it accepts new connections")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,6 +142,7 @@
 	cancel     context.CancelFunc // ends the context of Backend.Exchange
 	permit     *Permit            // says whether the attempt may still be written
 	ended      bool               // the Backend has returned its Response
+	result     balance.Result     // set when ended
 	mayHaveRun bool               // set when ended: the backend may have executed the request
 }
 
@@ -187,6 +188,7 @@
 	metricsUpdatedAt time.Time // when the metrics of the list were last updated
 	afterStep        []func()  // called once the decision module has processed all queued events
 	stopDeadline     time.Time // end of a planned stop, when every call must have its answer; zero: none
+	failureLogs      failureLogs
 }
 
 const inboxSize = 4096 // events that may queue while a step runs; posting blocks when it is full
@@ -341,6 +343,9 @@
 		discard(a.Payload)
 		return
 	}
+	if a.Kind == Failed || a.Kind == Duplicate {
+		l.logFailure(c, a.Kind)
+	}
 	l.settle(c)
 	c.Reply <- a
 	l.forget(c)
@@ -394,7 +399,7 @@
 func (l *Loop) attemptEnded(c *Call, n int, backend string, r Response) {
 	a := c.attempts[n]
 	a.cancel()
-	a.ended, a.mayHaveRun = true, !r.Result.NeverRan()
+	a.ended, a.result, a.mayHaveRun = true, r.Result, !r.Result.NeverRan()
 	c.pending--
 	switch {
 	case r.Result == balance.OK:
@@ -560,7 +565,7 @@
 	}
 	id, kind := c.Event.ID, Failed
 	if l.stopDeadline.IsZero() {
-		l.log.Error("no final answer in time", "request", id, "attempts", len(c.attempts))
+		l.log.Error("no final answer in time", "request", id, "attempts", describeAttempts(c, now))
 	} else if c.dropAttempts() {
 		kind = Refused // nothing was sent, so that a retry is safe
 	}
@@ -633,7 +638,6 @@
 	c.attempts = append(c.attempts, a)
 	c.pending++
 	if !c.answered && !l.claim(c) {
-		l.log.Warn("a request that may have run at another process of this agent is not sent", "request", s.Request)
 		l.answer(c, Answer{Kind: Duplicate})
 	}
 	if c.answered || addr == "" || !until.After(now) {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -17,3 +17,13 @@
 	b.fullAt = max(b.fullAt, now) + r.Interval
 	return max(0, b.fullAt-now-time.Duration(r.Burst)*r.Interval)
 }
+
+// Allow records an event if the caller needs not wait for it, and reports whether that is so.
+func (b *Bucket) Allow(now time.Duration, r Rate) bool {
+	before := *b
+	if b.Take(now, r) > 0 {
+		*b = before
+		return false
+	}
+	return true
+}
