A client that is refused at full speed no longer delays the others

Cause: requests that are refused cost no backend anything, so that nothing slows down the clients that send them; the processor was taken up by refusals.

--- a/cmd/lemonrail/memory_test.go
+++ b/cmd/lemonrail/memory_test.go
@@ -17,15 +17,18 @@
 )
 
 // peakResidentMB returns the peak resident memory of a process.
-func peakResidentMB(t *testing.T, pid int) int {
+func peakResidentMB(t *testing.T, pid int) int { return residentMB(t, pid, "VmHWM") }
+
+// residentMB returns a process's resident memory: now (field VmRSS) or at its peak (VmHWM).
+func residentMB(t *testing.T, pid int, field string) int {
 	t.Helper()
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		t.Skip("reads /proc")
 	}
-	m := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(raw)
+	m := regexp.MustCompile(field + `:\s+(\d+) kB`).FindSubmatch(raw)
 	if m == nil {
-		t.Skip("/proc has no peak resident size")
+		t.Skip("/proc has no resident size")
 	}
 	kb, _ := strconv.Atoi(string(m[1]))
 	return kb / 1024
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -116,12 +116,15 @@
 	if a.Kind == core.Duplicate {
 		conn.PaceLocalAnswer()
 	}
-	beginAnswer(conn, w)
+	keep := beginAnswer(conn, w)
 	outcome := metricResults[a.Kind]
 	if err := writeAnswer(conn, w, a); err != nil && a.Kind == core.Served {
 		outcome = metrics.Errors
 	}
 	s.Figures.CountResponse(c.Event.Class, outcome)
+	if a.Kind == core.Refused && keep && http.NewResponseController(w).Flush() == nil {
+		conn.PaceAfterRefusal() // the client has its answer; its next request waits
+	}
 	if outcome == metrics.Errors && a.Kind == core.Served {
 		panic(http.ErrAbortHandler) // the client sees a truncated answer: short of its length, or without the last chunk
 	}
@@ -158,12 +161,13 @@
 	core.Failed: metrics.Errors, core.Duplicate: metrics.Errors}
 
 // beginAnswer records that an answer is about to be written, and adds "Connection: close" if it is the last on
-// its connection. A client that doesn't read it holds the connection for answerWriteTimeout at the most.
-func beginAnswer(conn *admission.Conn, w http.ResponseWriter) {
-	if !conn.BeginAnswer() {
+// its connection, which it reports. A client that doesn't read it holds the connection for answerWriteTimeout at the most.
+func beginAnswer(conn *admission.Conn, w http.ResponseWriter) (keep bool) {
+	if keep = conn.BeginAnswer(); !keep {
 		w.Header().Set("Connection", "close")
 	}
 	conn.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+	return keep
 }
 
 // reject answers an invalid request and ends the connection: bytes that follow an invalid request may not be a
@@ -395,7 +399,12 @@
 		h.Set("Retry-After", formatSeconds(a.RetryAfter))
 	}
 	if a.Kind != core.Served {
-		http.Error(w, http.StatusText(failureStatuses[a.Kind]), failureStatuses[a.Kind])
+		status := failureStatuses[a.Kind]
+		text := http.StatusText(status) + "\n"
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		h.Set("Content-Length", strconv.Itoa(len(text))) // http.Error would delete it, and the answer may be flushed early
+		w.WriteHeader(status)
+		io.WriteString(w, text)
 		return nil
 	}
 	served := a.Payload.(*http1.Answer)
