A new connection in a crowd doesn't wait for a place anew while nobody leaves

Cause: while the limit is reached, each new connection waited up to 250 ms for a place, and the wait began anew whenever one had been admitted, while all others wait in the listener's queue. With a place every 200 ms a queue of 100 connections took 20 s.

Evidence: TestQueueMovesOnWhilePlacesTrickle fails before: 'the last of 100 connections was decided after 20s, 0 were refused'.

Change: while each new connection has had to wait for longer than 250 ms on end, and neither a connection is closing nor one may be closed soon, the next one is refused at once.

--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -153,8 +153,11 @@
 	cfg          Config
 	lists        [stateCount]list.List // connections by state, the one that entered first in front
 	counts       Counts
-	waitingSince time.Duration // when the new connection that waits now began to wait
 	waiting      bool          // a new connection waits for room
+	undecided    bool          // Decide has neither admitted nor refused the new connection that it was asked about last
+	askedAt      time.Duration // when Decide was first asked about that connection
+	crowded      bool          // each new connection has had to wait since crowdedSince
+	crowdedSince time.Duration
 	lastWaitAt   time.Duration // when a new connection last had to wait
 	everWaited   bool          // lastWaitAt is set
 	draining     bool          // each answer ends its connection
@@ -195,7 +198,10 @@
 func (g *Governor) Decide(now time.Duration) Decision {
 	excess := g.excess()
 	if excess < 0 {
-		g.waiting = false
+		if !g.undecided { // it didn't have to wait
+			g.crowded = false
+		}
+		g.waiting, g.undecided = false, false
 		return Decision{Admit: true}
 	}
 	var decision Decision
@@ -204,11 +210,21 @@
 	if need := excess + 1 - g.counts.ByState[StateClosing] - g.counts.CloseRequested; need > 0 {
 		decision.RequestClose, decision.Wait = g.selectEvictable(now, need)
 	}
-	if !g.waiting {
-		g.waiting, g.waitingSince = true, now
+	if !g.undecided {
+		g.undecided, g.askedAt = true, now
+	}
+	if !g.crowded {
+		g.crowded, g.crowdedSince = true, now
+	}
+	g.waiting = true
+	// In a crowd the whole wait isn't granted to each connection anew: those behind it wait in the backlog meanwhile.
+	remaining := g.crowdedSince + g.cfg.AdmitTimeout - now
+	makesRoom := g.counts.ByState[StateClosing]+g.counts.CloseRequested > excess
+	if makesRoom || decision.Wait > 0 && decision.Wait <= g.cfg.AdmitTimeout { // or one may be closed soon
+		remaining = g.askedAt + g.cfg.AdmitTimeout - now
 	}
-	remaining := g.waitingSince + g.cfg.AdmitTimeout - now
 	if remaining <= 0 && g.counts.Refusing < g.cfg.MaxRefusals {
+		g.undecided = false
 		decision.Refuse = true
 		return decision
 	}
