Diameter connections and messages that arrive slowly follow a small memory

Change: a message takes memory as it arrives (4 KiB, then doubled), a connection's reader has 4 KiB, and clients' connections are at most one for each 192 KiB of the memory (170 at 32 MB; no change from 48 MB on with the shipped 256).

--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -20,6 +20,18 @@
 // capabilitiesTimeout is how long a Diameter client may take to send its capabilities exchange.
 const capabilitiesTimeout = 5 * time.Second
 
+// diameterConnectionMemory is the memory in bytes that has to be there for each client's connection: a whole message, its
+// copies towards a server and back, buffers and goroutines.
+const diameterConnectionMemory = 192 << 10
+
+// diameterConnections returns how many clients may be connected; memory 0 is unknown.
+func diameterConnections(configured int, memory int64) int {
+	if memory == 0 {
+		return configured
+	}
+	return min(configured, int(memory/diameterConnectionMemory))
+}
+
 // WithDiameter has the agent serve Diameter clients besides those of HTTP/1.1, by the rules of a file. The classes of the
 // file are appended to those of the settings: one balancer, with one retry budget and one view of the backends, serves both
 // protocols.
@@ -66,7 +78,7 @@
 		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
 		OnLeaving: func(id string, leaves bool) { l.Post(func() { l.SetLeaving(id, leaves) }) }})
 	front, err := diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, ClassOffset: cfg.diameterClassOffset,
-		Limits: cfg.diameter.Limits(cfg.MemoryMB << 20), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: c.Connections,
+		Limits: cfg.diameter.Limits(cfg.MemoryMB << 20), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: diameterConnections(c.Connections, cfg.MemoryMB<<20),
 		BackendByIdentity: back.BackendByIdentity, CERTimeout: capabilitiesTimeout, Log: log}, l)
 	if err != nil {
 		back.Close()
--- a/internal/diameter/message.go
+++ b/internal/diameter/message.go
@@ -103,6 +103,11 @@
 	return &Error{Result: result, Failed: failed, Text: fmt.Sprintf(format, args...)}
 }
 
+const (
+	readerBytes    = 4 << 10 // buffer of a Reader, which each connection has
+	firstPartBytes = 4 << 10 // of a message, for which memory is taken before they have arrived
+)
+
 // Reader reads messages from a stream.
 type Reader struct {
 	r      *bufio.Reader
@@ -111,7 +116,7 @@
 
 // NewReader returns a Reader that rejects messages beyond the limits.
 func NewReader(r io.Reader, limits Limits) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, 16<<10), limits: limits}
+	return &Reader{r: bufio.NewReaderSize(r, readerBytes), limits: limits}
 }
 
 // Next returns the bytes of the next message. The error is io.EOF if the stream ends between two messages and
@@ -133,12 +138,23 @@
 	case length > r.limits.MaxMessageBytes:
 		return nil, &Error{Result: InvalidMessageLength, Fatal: true, Text: fmt.Sprintf("message of %d bytes, %d are taken", length, r.limits.MaxMessageBytes)}
 	}
-	raw := make([]byte, length)
-	if _, err := io.ReadFull(r.r, raw); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
+	return r.readWhole(length)
+}
+
+// readWhole reads a message of that many bytes. Memory grows with what has arrived: the sender may stop half way.
+func (r *Reader) readWhole(length int) ([]byte, error) {
+	var raw []byte
+	for len(raw) < length {
+		part := min(length-len(raw), max(len(raw), firstPartBytes))
+		grown := make([]byte, len(raw)+part)
+		copy(grown, raw)
+		if _, err := io.ReadFull(r.r, grown[len(raw):]); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
 		}
-		return nil, err
+		raw = grown
 	}
 	return raw, nil
 }
