Each failed call has one line in the log, also at its deadline, at a bounded rate

Change: one line a call, by one limiter (ten a second beyond fifty; the next line says how many were left out); the text at the deadline stays.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,6 +114,7 @@
 	timer    *timer     // of the answer deadline
 	pending  int        // number of attempts that have not ended
 	answered bool       // has its final answer, or the client left and needs none
+	logged   bool       // its failure has been logged, or left out
 
 	claimed    bool // Loop.Claims has recorded it
 	claimToken uint64
@@ -343,8 +344,11 @@
 		discard(a.Payload)
 		return
 	}
-	if a.Kind == Failed || a.Kind == Duplicate {
-		l.logFailure(c, a.Kind)
+	switch a.Kind {
+	case Failed:
+		l.logFailure(c, slog.LevelInfo, "request failed")
+	case Duplicate:
+		l.logFailure(c, slog.LevelInfo, "request may have run at another process of this agent")
 	}
 	l.settle(c)
 	c.Reply <- a
@@ -565,7 +569,7 @@
 	}
 	id, kind := c.Event.ID, Failed
 	if l.stopDeadline.IsZero() {
-		l.log.Error("no final answer in time", "request", id, "attempts", describeAttempts(c, now))
+		l.logFailure(c, slog.LevelError, "no final answer in time")
 	} else if c.dropAttempts() {
 		kind = Refused // nothing was sent, so that a retry is safe
 	}
--- a/internal/core/failurelog.go
+++ b/internal/core/failurelog.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -20,18 +22,18 @@
 	omitted int // since the last line
 }
 
-// logFailure logs a call that has failed, unless there are too many of them.
-func (l *Loop) logFailure(c *Call, kind AnswerKind) {
+// logFailure logs once why a call has failed, unless there are too many such lines.
+func (l *Loop) logFailure(c *Call, level slog.Level, why string) {
+	if c.logged {
+		return
+	}
+	c.logged = true
 	now := time.Now()
 	if !l.failureLogs.written.Allow(l.clock.at(now), failureLogRate) {
 		l.failureLogs.omitted++
 		return
 	}
-	why := "no attempt was answered"
-	if kind == Duplicate {
-		why = "it may have run at another process of this agent"
-	}
-	l.log.Info("request failed", "request", c.Event.ID, "why", why, "attempts", describeAttempts(c, now), "omitted", l.failureLogs.omitted)
+	l.log.Log(context.Background(), level, why, "request", c.Event.ID, "attempts", describeAttempts(c, now), "omitted", l.failureLogs.omitted)
 	l.failureLogs.omitted = 0
 }
 
--- a/internal/core/recent_test.go
+++ b/internal/core/recent_test.go
@@ -26,7 +26,7 @@
 	c := &Call{Event: balance.Request{ID: id}, ClaimKey: claimKey, Reply: make(chan Answer, 1), Deadline: time.Now().Add(time.Hour)}
 	l.Arrived(c)
 	if len(c.Reply) == 0 {
-		c.attempts = []*attempt{{sent: time.Now(), cancel: func() {}, permit: NewPermit(time.Time{})}}
+		c.attempts = []*attempt{{backend: "h0", sent: time.Now(), cancel: func() {}, permit: NewPermit(time.Time{})}}
 		c.pending = 1
 		if !l.claim(c) {
 			l.answer(c, Answer{Kind: Duplicate})
