While a connection is closing only the first new one waits for its place

What callers would have seen: a queue that moves on by one connection in 250 ms while any connection is closing. Found by reading again, which had brought it: the wait was counted from when each connection was first looked at.

Change: where there is about to be room the wait is counted as before, from when connections began to wait without one being admitted. The rule for a crowd in which nobody leaves stays.

Evidence: TestQueueDoesNotWaitAnewForAClosingConnection fails before (connection 1 waits 250 ms); TestQueueMovesOnWhilePlacesTrickle and the package hold.

--- a/internal/admission/backlog_test.go
+++ b/internal/admission/backlog_test.go
@@ -43,3 +43,20 @@
 		t.Errorf("the last of %d connections was decided after %v, %d were refused", queued, now, refused)
 	}
 }
+
+// Guards against a queue that moves on by one connection in 250 ms: while a connection takes long to close, only the first new
+// one waits for its place, and the others are refused at once.
+func TestQueueDoesNotWaitAnewForAClosingConnection(t *testing.T) {
+	h := newGovernorHarness(t, Config{MaxConnections: 1, MaxRefusals: 8, AdmitTimeout: 250 * ms, NewGrace: time.Hour, StallTimeout: time.Hour, MinIdle: time.Hour})
+	h.governor.Close(h.governor.Open(0, nil), 0) // its descriptor stays open
+	if d := h.governor.Decide(0); d.Admit || d.Refuse || d.Wait != 250*ms {
+		t.Fatalf("the first connection: %+v", d)
+	}
+	for n := range 5 {
+		d := h.governor.Decide(250 * ms)
+		if !d.Refuse {
+			t.Fatalf("connection %d: %+v", n, d)
+		}
+		h.governor.BeginRefusal()
+	}
+}
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -154,8 +154,8 @@
 	lists        [stateCount]list.List // connections by state, the one that entered first in front
 	counts       Counts
 	waiting      bool          // a new connection waits for room
+	waitingSince time.Duration // since when connections have waited without one being admitted
 	undecided    bool          // Decide has neither admitted nor refused the new connection that it was asked about last
-	askedAt      time.Duration // when Decide was first asked about that connection
 	crowded      bool          // each new connection has had to wait since crowdedSince
 	crowdedSince time.Duration
 	lastWaitAt   time.Duration // when a new connection last had to wait
@@ -210,19 +210,21 @@
 	if need := excess + 1 - g.counts.ByState[StateClosing] - g.counts.CloseRequested; need > 0 {
 		decision.RequestClose, decision.Wait = g.selectEvictable(now, need)
 	}
-	if !g.undecided {
-		g.undecided, g.askedAt = true, now
+	if !g.waiting {
+		g.waiting, g.waitingSince = true, now
 	}
 	if !g.crowded {
 		g.crowded, g.crowdedSince = true, now
 	}
-	g.waiting = true
-	// In a crowd the whole wait isn't granted to each connection anew: those behind it wait in the backlog meanwhile.
-	remaining := g.crowdedSince + g.cfg.AdmitTimeout - now
+	g.undecided = true
+	// In a crowd the wait isn't granted anew after each one that is admitted, since those behind it wait in the backlog
+	// meanwhile, unless there is about to be room.
+	since := g.crowdedSince
 	makesRoom := g.counts.ByState[StateClosing]+g.counts.CloseRequested > excess
 	if makesRoom || decision.Wait > 0 && decision.Wait <= g.cfg.AdmitTimeout { // or one may be closed soon
-		remaining = g.askedAt + g.cfg.AdmitTimeout - now
+		since = g.waitingSince
 	}
+	remaining := since + g.cfg.AdmitTimeout - now
 	if remaining <= 0 && g.counts.Refusing < g.cfg.MaxRefusals {
 		g.undecided = false
 		decision.Refuse = true
