The body of a readiness check is not counted as the next request's head

What callers saw: POST /up with a body of many lines got 431 in place of its 200, and its connection ended without an answer to the next request. Found by reading the change again.

Cause: since answers without a backend are paced, /up is marked as read whole before its answer, so that its body, which net/http discards later, was metered as a head.

Change: a check with a body isn't marked as read.

--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if r.URL.Path == "/up" {
-		s.answerReadiness(conn, w)
+		s.answerReadiness(conn, w, r)
 		return
 	}
 	c, status, err := s.readCall(conn, w, r)
@@ -130,8 +130,10 @@
 }
 
 // answerReadiness answers a readiness check.
-func (s *Server) answerReadiness(conn *admission.Conn, w http.ResponseWriter) {
-	conn.RequestRead()
+func (s *Server) answerReadiness(conn *admission.Conn, w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 { // a body that it may bring along is not read here
+		conn.RequestRead()
+	}
 	conn.PaceLocalAnswer()
 	beginAnswer(conn, w)
 	if !s.Ready.Load() {
