--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -107,10 +107,15 @@
 
 // Start runs a command line with /bin/sh -c from the root of the repository. Its log goes to the record's folder.
 func (c *Case) Start(name, line string, env ...string) *Process {
+	return c.StartWith(name, nil, line, env...)
+}
+
+// StartWith is Start with further descriptors that the program inherits, from 3 on.
+func (c *Case) StartWith(name string, files []*os.File, line string, env ...string) *Process {
 	log, err := os.Create(filepath.Join(c.Dir, name+".log"))
 	c.Need(err, "log")
 	cmd := exec.Command("/bin/sh", "-c", line)
-	cmd.Dir, cmd.Stdout, cmd.Stderr = c.Root, log, log
+	cmd.Dir, cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = c.Root, log, log, files
 	cmd.Env = append(os.Environ(), env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	c.Need(cmd.Start(), name)
@@ -138,6 +143,14 @@
 
 // Wait waits for the end of the program, at most for d, and reports whether it has ended.
 func (p *Process) Wait(d time.Duration) bool {
+	if d <= 0 {
+		select {
+		case <-p.Done:
+			return true
+		default:
+			return false
+		}
+	}
 	select {
 	case <-p.Done:
 		return true
