Review case 9: backends are told more time than clients have left in a crowd

Cause: a request's time is counted from when the agent has read it, however long it waited in the listener. Change: a case; nothing outside review/.

--- /dev/null
+++ b/review/9/main.go
@@ -0,0 +1,130 @@
+// Command 9 is a case of the second review: claim.txt has the claim.
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lemonrail/review/lab2"
+)
+
+const (
+	sockets  = 512  // half of 1,024
+	memory   = 96   // half of 192 MB
+	crowd    = 1500 // connections that never finish a request
+	slack    = 150 * time.Millisecond
+	deadline = 1500 * time.Millisecond
+)
+
+func main() {
+	c := lab2.Begin()
+	var mu sync.Mutex
+	sent := map[string]time.Time{}
+	type excess struct {
+		id         string
+		told, left time.Duration
+	}
+	var broken []excess
+	attempts := 0
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		now := time.Now()
+		told, _ := strconv.ParseFloat(strings.TrimSuffix(r.Header.Get("X-Time-Left"), "u"), 64)
+		id := r.Header.Get("X-Correlation-Id")
+		mu.Lock()
+		attempts++
+		left := sent[id].Add(deadline).Sub(now)
+		if t := time.Duration(told) * time.Microsecond; t > left+slack {
+			broken = append(broken, excess{id, t, left})
+		}
+		mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(w, "served "+id)
+	})
+	var hosts []lab2.Host
+	for i := range 4 {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		c.Need(err, "backend")
+		go http.Serve(ln, serve)
+		hosts = append(hosts, lab2.Host{Host: fmt.Sprint("s", i), Dial: ln.Addr().String(), Site: "gandhinagar", Class: "fast-4", Health: "ready", Share: 1})
+	}
+	d := c.StartDiscovery(hosts)
+	listen := c.FreeAddr()
+	config := c.Write("n0.json", c.AgentConfig("n0", listen, d.Addr, hosts, lab2.Settings(), memory, sockets))
+	agent := c.Start("agent", fmt.Sprintf("ulimit -n %d; ", sockets)+c.RunLine(""), "LB_CONFIG="+config)
+	c.WaitUp(listen)
+	stop := make(chan struct{})
+	if c.Trouble {
+		for range crowd {
+			go func() {
+				for {
+					nc, err := net.DialTimeout("tcp4", listen, 3*time.Second)
+					if err == nil {
+						io.WriteString(nc, "POST /alert-sub HTTP/1.1\r\nHost: api.internal\r\n")
+						nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+						io.Copy(io.Discard, nc)
+						nc.Close()
+					}
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Second):
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+	}
+	results := map[string]int{}
+	var wg sync.WaitGroup
+	for i := range 1500 {
+		wg.Go(func() {
+			id := fmt.Sprintf("%016x", i+1)
+			nc, err := net.DialTimeout("tcp4", listen, time.Second)
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			mu.Lock()
+			sent[id] = time.Now()
+			mu.Unlock()
+			fmt.Fprintf(nc, "POST /alert-sub HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Time-Left: 1500m\r\nIdempotency-Key: k%s\r\nContent-Length: 1\r\n\r\nx", id, id)
+			nc.SetReadDeadline(time.Now().Add(deadline)) // then the client leaves
+			buf := make([]byte, 64)
+			n, err := nc.Read(buf)
+			line, _, _ := strings.Cut(string(buf[:n]), "\r\n")
+			if err != nil {
+				line = "none"
+				if !strings.Contains(err.Error(), "timeout") {
+					line = "closed"
+				}
+			}
+			mu.Lock()
+			results[line]++
+			mu.Unlock()
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	wg.Wait()
+	close(stop)
+	if agent.Wait(0) {
+		c.End(lab2.Broken, "the agent ended by itself")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	worst := time.Duration(0)
+	for _, b := range broken {
+		worst = max(worst, b.told-b.left)
+		c.Logf("request %s: told %v, left %v", b.id, b.told, b.left)
+	}
+	c.Logf("answers %v, %d attempts", results, attempts)
+	if len(broken) > 0 {
+		c.End(lab2.Broken, "%d of %d attempts were told up to %v more than the client had left", len(broken), attempts, worst)
+	}
+	c.End(lab2.Held, "%d attempts", attempts)
+}
