An evicted connection frees its room at once

Cause: a connection is evicted by an error from its Read. net/textproto swallows an error between two lines of a head (readContinuedLineSlice looks ahead and leaves the error "until the next read") and reads on, and bufio takes a cut line for a whole one. Conn.Read then waited on the socket again, until the server's head timeout (2.6 s), while the Governor counted the room as about to become free, and so evicted nobody else.

Evidence: with a dump of all goroutines while a connection had been in StateClosing for 1.2 s its reader stood in readMIMEHeader, in Conn.Read on the socket. Connections stayed in StateClosing for up to 2.5 s; Conn.Close itself never took 20 ms.

Change: after errEvicted every Read returns it again. TestEvictionBetweenLinesFreesTheRoom fails before the change in all four cases (the next client gets no answer within 20 s) and passes after it, three runs of three.

--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -385,6 +385,7 @@
 	receivedBytes atomic.Bool // part of a request has been received
 	wroteAnswer   atomic.Bool // part of its answer has been written
 	evicted       atomic.Bool // it was evicted within a request, and the refusal has been written
+	readsEnded    atomic.Bool // Read has returned errEvicted
 	clientEnded   atomic.Bool // the client's side has ended or failed
 	closeOnce     sync.Once
 }
@@ -458,9 +459,21 @@
 func (evictedError) Unwrap() error   { return os.ErrDeadlineExceeded }
 
 // Read reads for the server, and ends with errEvicted if the Governor has requested a close and nothing has
-// arrived. It is called by the goroutine that reads requests and by net/http's background read while a request
+// arrived, as do all reads after it: the parser of heads swallows an error between two lines and reads on. It is called by the goroutine that reads requests and by net/http's background read while a request
 // is being processed; the Governor distinguishes them by the state.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.readsEnded.Load() {
+		return 0, errEvicted
+	}
+	n, err := c.readOrEvict(p)
+	if err == errEvicted {
+		c.readsEnded.Store(true)
+	}
+	return n, err
+}
+
+// readOrEvict does what Read does, once.
+func (c *Conn) readOrEvict(p []byte) (int, error) {
 	c.stopReadAhead()
 	for {
 		n, fromBuffer, err := c.readBuffered(p)
--- a/internal/admission/listener_test.go
+++ b/internal/admission/listener_test.go
@@ -53,6 +53,12 @@
 }
 
 func newTestServerOn(t *testing.T, ln net.Listener, cfg Config) *testServer {
+	t.Helper()
+	return newTestServerWithTimeout(t, ln, cfg, 5*time.Second)
+}
+
+// newTestServerWithTimeout returns a test server that waits so long for a request.
+func newTestServerWithTimeout(t *testing.T, ln net.Listener, cfg Config, readTimeout time.Duration) *testServer {
 	t.Helper()
 	s := &testServer{done: make(chan struct{}), reads: map[string]int{}, held: map[string]chan struct{}{}}
 	var err error
@@ -60,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.srv = &http.Server{Handler: s, ReadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, MaxHeaderBytes: 4096,
+	s.srv = &http.Server{Handler: s, ReadTimeout: readTimeout, IdleTimeout: 5 * time.Second, MaxHeaderBytes: 4096,
 		ConnContext: ConnContext, ConnState: StateChanged, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() {
 		defer close(s.done)
@@ -723,3 +729,27 @@
 	defer c.bodyWait.mu.Unlock()
 	return c.bodyWait.reading
 }
+
+// Guards against a connection that is evicted within a head, just behind the end of a line, and keeps its room until the
+// server's own timeout.
+func TestEvictionBetweenLinesFreesTheRoom(t *testing.T) {
+	for _, head := range []string{"POST /x HTTP/1.1\r\n", "POST /x HTTP/1.1\r\nHost: x\r\n", "POST /x HTTP/1.1\r\nHost: x\r\nX-Id: 1\r\n", "POST /x HT"} {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := newTestServerWithTimeout(t, ln, Config{MaxConnections: 1, MaxRefusals: 1, NewGrace: time.Hour, StallTimeout: 10 * ms, MinIdle: time.Hour, AdmitTimeout: time.Hour}, time.Hour)
+			stalled := s.dial(t)
+			io.WriteString(stalled, head)
+			for s.listener.Counts().ByState[StateHead] == 0 {
+				time.Sleep(ms)
+			}
+			s.dial(t).exchange("next")
+			status, _, _, err := stalled.readAnswer()
+			if err != nil || status != http.StatusServiceUnavailable {
+				t.Errorf("the evicted client got %d, %v", status, err)
+			}
+		})
+	}
+}
