A request's time runs from its arrival, in the queue and the read-ahead too

Cause: the HTTP front counted a request's time from the moment at which it had read it. What it had waited before (listener's queue, socket, read-ahead behind another request) was given anew.

The core refuses at once what comes after its deadline. The decision module gets the wait apart from the time left, since it takes an unusual time left for a client's repeat.

--- a/balance/api.go
+++ b/balance/api.go
@@ -185,6 +185,7 @@
 		Tenant      int           // index in Settings.Tenants; 0 if there are none
 		Key         string        // what it is about; with WarmKeys, each key prefers one backend; may be empty
 		TimeLeft    time.Duration // until this client stops waiting
+		Waited      time.Duration // how long it has waited to be read, before this event
 		Work        time.Duration // expected work; 0: unknown
 		Repeat      bool          // the client says that this is a repeat
 		Write       bool          // unused
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -148,18 +148,19 @@
 		return
 	}
 	c := &b.classes[e.Class]
+	given := e.TimeLeft + e.Waited // what the client said
 	r := &request{id: e.ID, class: e.Class, terms: c.terms, arrivedAt: b.now,
-		aimAt:    b.now + min(c.Aim, e.TimeLeft),
+		aimAt:    b.now - e.Waited + min(c.Aim, given),
 		deadline: b.now + e.TimeLeft, repeat: e.Repeat, onlyBackend: e.OnlyBackend}
 	// A client gives each try the same time, but its last try only what is left of its deadline. A try with
 	// an unusual time left is therefore a repeat, and the time left tells when the client began.
-	c.usualTimeLeft = cmp.Or(c.usualTimeLeft, e.TimeLeft)
-	off := e.TimeLeft - c.usualTimeLeft
+	c.usualTimeLeft = cmp.Or(c.usualTimeLeft, given)
+	off := given - c.usualTimeLeft
 	// Without a minimum gap between steps (Tick) the network's and the machine's delays still vary the time
 	// left.
 	if odd := max(2*b.settings.Tick, c.Aim/64); off > odd || off < -odd {
 		r.repeat = true
-		r.aimAt -= max(0, c.Deadline-e.TimeLeft)
+		r.aimAt -= max(0, c.Deadline-given)
 	}
 	if !e.Repeat {
 		c.usualTimeLeft += min(max(off, -b.settings.Tick/4), b.settings.Tick/4) // moves towards the median
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"lemonrail/internal/arrival"
 	"lemonrail/internal/connstate"
 )
 
@@ -381,6 +382,9 @@
 	bufferedErr error         // the error with which the client's side ended during readAhead
 	clientGone  chan struct{} // closed when readAhead sees the client's side end
 	bodyWait    bodyWait      // how long reads of a body have waited for the client
+	arrivals    arrival.Log   // when the bytes arrived that were read from the socket
+	delivered   int64         // bytes that the server has read
+	requestEnd  int64         // those of them that came before or with the current request
 
 	receivedBytes atomic.Bool // part of a request has been received
 	wroteAnswer   atomic.Bool // part of its answer has been written
@@ -481,6 +485,7 @@
 			n, err = c.readSocket(p)
 		}
 		if n > 0 {
+			c.recordRead(n, fromBuffer)
 			c.captureHead(p[:n])
 			c.receivedBytes.Store(true)
 			pipelined := false
@@ -489,6 +494,9 @@
 					g.BytesArrived(e, now)
 				}
 			})
+			if !pipelined {
+				c.requestContinues()
+			}
 			c.restoreDeadline()
 			if !c.reserveHead() {
 				return 0, errEvicted
--- a/internal/admission/listener_test.go
+++ b/internal/admission/listener_test.go
@@ -742,9 +742,7 @@
 			s := newTestServerWithTimeout(t, ln, Config{MaxConnections: 1, MaxRefusals: 1, NewGrace: time.Hour, StallTimeout: 10 * ms, MinIdle: time.Hour, AdmitTimeout: time.Hour}, time.Hour)
 			stalled := s.dial(t)
 			io.WriteString(stalled, head)
-			for s.listener.Counts().ByState[StateHead] == 0 {
-				time.Sleep(ms)
-			}
+			s.waitForCounts(t, "the head has begun", func(c Counts) bool { return c.ByState[StateHead] == 1 })
 			s.dial(t).exchange("next")
 			status, _, _, err := stalled.readAnswer()
 			if err != nil || status != http.StatusServiceUnavailable {
--- a/internal/admission/readahead.go
+++ b/internal/admission/readahead.go
@@ -27,13 +27,14 @@
 	held  int           // bytes of the connection that were read ahead before, during earlier requests
 	err   error         // set when the client's side has ended or failed
 	total *atomic.Int64 // Listener.readAheadBytes
+	took  func(n int)   // called for bytes that were read; may be nil
 	stop  chan struct{} // closed to end reading
 	done  chan struct{} // closed once reading has ended
 }
 
 // startReadAhead starts reading while a request is being processed; the next Read of the connection stops it.
 func (c *Conn) startReadAhead() {
-	a := &readAhead{total: &c.listener.readAheadBytes, stop: make(chan struct{}), done: make(chan struct{})}
+	a := &readAhead{total: &c.listener.readAheadBytes, took: c.recordReadAhead, stop: make(chan struct{}), done: make(chan struct{})}
 	c.mu.Lock()
 	a.held = len(c.buffered)
 	c.readAhead = a
@@ -69,6 +70,9 @@
 		m, err := nc.Read(a.data[n : n+readAheadChunk])
 		a.data = a.data[:n+m]
 		a.total.Add(int64(m))
+		if m > 0 && a.took != nil {
+			a.took(m)
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) { // stopReadAhead interrupted the read
 			return
 		}
@@ -138,7 +142,9 @@
 	if len(c.buffered) == 0 {
 		return 0, false, nil
 	}
-	n = copy(p, c.buffered)
+	// Requests that arrived one after the other are not read together, so that each keeps its own time.
+	together := min(int64(len(p)), c.arrivals.Next(c.delivered))
+	n = copy(p[:together], c.buffered)
 	c.takeBuffered(n)
 	return n, true, nil
 }
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -75,6 +75,12 @@
 
 // startAgent starts an agent with the balancer bal; nil: a real one.
 func startAgent(t testing.TB, cfg *Config, bal core.Decider) (url string, stop context.CancelFunc, done <-chan error) {
+	t.Helper()
+	return startAgentOn(t, listen(t), cfg, bal)
+}
+
+// startAgentOn is startAgent with clients on ln.
+func startAgentOn(t testing.TB, ln net.Listener, cfg *Config, bal core.Decider) (url string, stop context.CancelFunc, done <-chan error) {
 	t.Helper()
 	if bal == nil {
 		var err error
@@ -82,7 +88,6 @@
 			t.Fatal(err)
 		}
 	}
-	ln := listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	finished := make(chan struct{})
--- a/internal/connstate/connstate_test.go
+++ b/internal/connstate/connstate_test.go
@@ -54,3 +54,31 @@
 		t.Error("known of a closed connection")
 	}
 }
+
+// Bytes that are read late have not arrived late.
+func TestLastArrival(t *testing.T) {
+	const resolution = 20 * time.Millisecond // of the system's clock for arrivals, at the most
+	near, far := connect(t)
+	io.WriteString(near, "hello")
+	for n, _ := UnreadBytes(far); n == 0; n, _ = UnreadBytes(far) {
+		time.Sleep(time.Millisecond)
+	}
+	arrived := time.Now()
+	time.Sleep(10 * resolution)
+	if at := LastArrival(far); at.After(arrived.Add(resolution)) {
+		t.Errorf("%v after the bytes had arrived", at.Sub(arrived))
+	}
+	got := make([]byte, 8)
+	if n := Peek(far, got); string(got[:n]) != "hello" {
+		t.Errorf("peeked %q", got[:n])
+	}
+	io.ReadFull(far, got[:5])
+	if at := LastArrival(far); at.After(arrived.Add(resolution)) {
+		t.Errorf("%v after the bytes had arrived, once they are read", at.Sub(arrived))
+	}
+	before := time.Now()
+	pipe, _ := net.Pipe()
+	if LastArrival(pipe).Before(before) {
+		t.Error("known without a socket")
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,8 +101,9 @@
 
 // Call is a client's open request. The loop owns the fields below Reply.
 type Call struct {
-	Event           balance.Request  // TimeLeft is filled in by the loop
+	Event           balance.Request  // TimeLeft and Waited are filled in by the loop
 	Request         any              // the request as the Backend takes it
+	Arrived         time.Time        // when its last byte arrived, which may have waited to be read; zero: just now
 	Deadline        time.Time        // when the client stops waiting; of a body that still arrives, the earliest such time
 	MovingDeadline  func() time.Time // returns Deadline as it is now, which moves on while the body arrives; must not block; nil: Deadline is final
 	UploadAllowance time.Duration    // how far Deadline may move on
@@ -277,8 +278,16 @@
 	if l.Observer != nil {
 		l.Observer.Arrived(c.Event.Class, c.Event.Repeat)
 	}
+	now := time.Now()
+	if !c.currentDeadline().After(now) { // it has waited for longer than its client does
+		l.answer(c, Answer{Kind: Refused})
+		return
+	}
 	e := c.Event
-	e.TimeLeft = time.Until(c.Deadline)
+	e.TimeLeft = c.Deadline.Sub(now)
+	if !c.Arrived.IsZero() {
+		e.Waited = now.Sub(c.Arrived)
+	}
 	l.Event(e)
 	// Guarantees an answer: if the decision module still owes one when half of the grace (AnswerGrace) is over,
 	// the call fails here and the module gets Abandoned.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -296,3 +296,25 @@
 		t.Errorf("got %v, settings %+v", got, l.settings)
 	}
 }
+
+// A call that arrives when its client has stopped waiting is refused at once: nobody has run it, and nothing else would end it
+// but its failure.
+func TestCallThatArrivesTooLateIsRefused(t *testing.T) {
+	l, c := newTestLoop(nil)
+	c.Deadline = time.Now()
+	l.Arrived(c)
+	if len(c.Reply) != 1 || (<-c.Reply).Kind != Refused || len(l.events) != 0 || len(l.timers) != 0 || len(l.calls) != 0 {
+		t.Errorf("%d events, %d timers, %d calls", len(l.events), len(l.timers), len(l.calls))
+	}
+}
+
+// The decision module is told apart what a client has left and how long its request has waited.
+func TestWaitOfARequestIsPassedOn(t *testing.T) {
+	l, c := newTestLoop(nil)
+	c.Arrived = time.Now().Add(-time.Minute)
+	c.Deadline = c.Arrived.Add(time.Hour)
+	l.Arrived(c)
+	if e := l.events[0].(balance.Request); e.Waited < time.Minute || e.TimeLeft+e.Waited != time.Hour {
+		t.Errorf("left %v, waited %v", e.TimeLeft, e.Waited)
+	}
+}
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -108,8 +108,7 @@
 }
 
 func newBodyReader(conn *admission.Conn, r *http.Request) *bodyReader {
-	now := time.Now()
-	return &bodyReader{conn: conn, body: r.Body, length: r.ContentLength, started: now, lastIncomplete: now}
+	return &bodyReader{conn: conn, body: r.Body, length: r.ContentLength, started: time.Now(), lastIncomplete: conn.LastArrival()}
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -276,11 +276,13 @@
 		return nil, http.StatusBadRequest, err
 	}
 	rendered.Repeatable = effect != balance.Unsafe && stream == nil
+	arrived := conn.RequestArrived()
 	call := &core.Call{
 		Event: balance.Request{ID: id, Class: class, Tenant: tenant, Key: query.Get("key"),
 			Work: work, Repeat: r.Header.Get(http1.HeaderRepeat) == "1"},
 		Request:  rendered,
-		Deadline: time.Now().Add(timeLeft),
+		Arrived:  arrived,
+		Deadline: arrived.Add(timeLeft),
 		Reply:    make(chan core.Answer, 1),
 	}
 	if effect != balance.Safe {
@@ -290,6 +292,7 @@
 	conn.HeadRendered(len(rendered.Head) + len(rendered.Rest))
 	if stream != nil {
 		call.Deadline = stream.Deadline()
+		call.Arrived = call.Deadline.Add(-timeLeft)
 		call.MovingDeadline = stream.Deadline
 		call.UploadAllowance = uploadTime(stream.Length, len(body))
 	}
