Sound requests pass a crowd that never finishes its own

Cause: a half head kept its place for 500 ms from its reading, whatever it had waited; at the front of the queue it waited for room with all others behind it; one connection closed at a time; whole bodies were refused while many were left unfinished.

Change: silence counts from the arrival of the last bytes, in the backlog too. One piece of a head may be closed after 100 ms of silence, one that goes on after 500 ms as before. A silent connection at the front of the backlog makes up to MaxRefusals others close, or is refused. A body that has arrived whole doesn't count among those being read. A connection that was to close and stays wakes Accept.

--- a/internal/admission/arrivals.go
+++ b/internal/admission/arrivals.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"bytes"
+	"net"
 	"time"
 
 	"lemonrail/internal/connstate"
@@ -51,5 +53,46 @@
 	return last
 }
 
+// maxPeekedHead is how much of a request is looked at before its connection is admitted.
+const maxPeekedHead = 4 << 10
+
+// isOverdue reports whether there is no room for a connection that isn't admitted yet, and its client has been silent for long
+// without having sent a whole head.
+func (l *Listener) isOverdue(nc net.Conn) bool {
+	if !l.full() {
+		return false
+	}
+	var head [maxPeekedHead]byte
+	n := connstate.Peek(nc, head[:])
+	if n == len(head) || wholeHead(head[:n]) {
+		return false
+	}
+	since := l.at(connstate.LastArrival(nc))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.governor.Overdue(l.now(), since)
+}
+
+// newSince returns since when a connection that is admitted now is in StateNew: its client's silence began before, in the
+// backlog, unless there are bytes to read.
+func (l *Listener) newSince(nc net.Conn) time.Duration {
+	if connstate.Inspect(nc) == connstate.Idle {
+		return l.at(connstate.LastArrival(nc))
+	}
+	return l.now()
+}
+
+func (l *Listener) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.governor.Full()
+}
+
+// wholeHead reports whether received bytes hold the whole head of a request.
+func wholeHead(received []byte) bool {
+	received = bytes.TrimLeft(received, "\r\n")
+	return bytes.Contains(received, []byte("\n\r\n")) || bytes.Contains(received, []byte("\n\n"))
+}
+
 // LastArrival returns when the last bytes of the connection arrived, whether or not they have been read.
 func (c *Conn) LastArrival() time.Time { return connstate.LastArrival(c.Conn) }
--- a/internal/admission/body.go
+++ b/internal/admission/body.go
@@ -29,6 +29,21 @@
 	return ok
 }
 
+// ReserveArrived is Reserve for a body that BodyArrived.
+func (c *Conn) ReserveArrived(bytes int) (ok bool) {
+	c.withGovernor(func(g *Governor, e *Entry, _ time.Duration) { ok = g.ReserveArrived(e, bytes) })
+	return ok
+}
+
+// BodyArrived reports whether the client certainly has sent the whole body of the request whose head was taken. It has that
+// many bytes, none of which the caller has read.
+func (c *Conn) BodyArrived(bytes int64) bool {
+	unread, known := c.UnreadBytes()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return known && int64(c.readWithHead)+int64(unread) >= bytes
+}
+
 // ReserveExtra reserves memory beyond Reserve, to hold a body whole; if it returns false the rest of the body has to be
 // streamed instead.
 func (c *Conn) ReserveExtra(bytes int) (ok bool) {
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -26,6 +26,7 @@
 package admission
 
 import (
+	"cmp"
 	"container/list"
 	"fmt"
 	"time"
@@ -67,6 +68,7 @@
 
 	NewGrace     time.Duration // a new connection isn't evicted for this long: its request may be in transit
 	StallTimeout time.Duration // a connection in StateHead may be evicted after this long without bytes
+	MinStall     time.Duration // instead of StallTimeout, for a client that has sent only one piece of a head, and for connections that wait for room; 0: none
 	MinIdle      time.Duration // an idle connection may be evicted after this long (PROTOCOL: 2 s)
 	AdmitTimeout time.Duration // how long a new connection waits for room before it is refused
 	PressureTime time.Duration // no connection is kept alive for this long after a new one had to wait
@@ -86,7 +88,7 @@
 		maxConnections = byMemory
 	}
 	return Config{MaxConnections: maxConnections, MaxDescriptors: descriptors, MaxRefusals: max(1, min(16, descriptors/32)), MaxBodyReads: (maxConnections + 1) / 2, MaxBodyBytes: int(memory / 8), MaxHeadBytes: int(memory / 16),
-		NewGrace: 50 * time.Millisecond, StallTimeout: 500 * time.Millisecond, MinIdle: 2 * time.Second,
+		NewGrace: 50 * time.Millisecond, StallTimeout: 500 * time.Millisecond, MinStall: 100 * time.Millisecond, MinIdle: 2 * time.Second,
 		AdmitTimeout: 250 * time.Millisecond, PressureTime: time.Second, DrainGrace: 300 * time.Millisecond}
 }
 
@@ -98,7 +100,7 @@
 		min   int
 	}{{"MaxConnections", c.MaxConnections, 0}, {"MaxDescriptors", c.MaxDescriptors, 0}, {"MaxRefusals", c.MaxRefusals, 1},
 		{"MaxBodyReads", c.MaxBodyReads, 0}, {"MaxBodyBytes", c.MaxBodyBytes, 0}, {"MaxHeadBytes", c.MaxHeadBytes, 0},
-		{"NewGrace", int(c.NewGrace), 0}, {"StallTimeout", int(c.StallTimeout), 0}, {"MinIdle", int(c.MinIdle), 0},
+		{"NewGrace", int(c.NewGrace), 0}, {"StallTimeout", int(c.StallTimeout), 0}, {"MinStall", int(c.MinStall), 0}, {"MinIdle", int(c.MinIdle), 0},
 		{"AdmitTimeout", int(c.AdmitTimeout), 0}, {"PressureTime", int(c.PressureTime), 0},
 		{"DrainGrace", int(c.DrainGrace), 0}} {
 		if f.value < f.min {
@@ -114,6 +116,7 @@
 
 	state          State
 	since          time.Duration // when it entered this state; in StateHead: when bytes last arrived
+	headSince      time.Duration // in StateHead: when the first bytes of the head arrived
 	element        *list.Element // its position in the list of its state
 	closeRequested bool          // the reader has been asked to close it
 	pipelined      bool          // bytes of the next request arrived before the current answer was written
@@ -190,8 +193,9 @@
 type Decision struct {
 	Admit        bool          // accept it: call Open
 	Refuse       bool          // send a short refusal: call BeginRefusal
+	Drop         bool          // close it without an answer
 	RequestClose []*Entry      // connections to wake: each either closes or has received bytes and stays
-	Wait         time.Duration // with neither Admit nor Refuse: decide again after this long, or when a connection has closed
+	Wait         time.Duration // with none of Admit, Refuse and Drop: decide again after this long, or when a connection has closed
 }
 
 // Decide decides about one new connection. While it waits, all later ones wait in the listener's backlog.
@@ -207,7 +211,7 @@
 	var decision Decision
 	g.everWaited, g.lastWaitAt = true, now
 	// Connections that are closing or have been asked to close count as room that becomes free.
-	if need := excess + 1 - g.counts.ByState[StateClosing] - g.counts.CloseRequested; need > 0 {
+	if need := excess + 1 - g.makingRoom(); need > 0 {
 		decision.RequestClose, decision.Wait = g.selectEvictable(now, need)
 	}
 	if !g.waiting {
@@ -220,8 +224,7 @@
 	// In a crowd the wait isn't granted anew after each one that is admitted, since those behind it wait in the backlog
 	// meanwhile, unless there is about to be room.
 	since := g.crowdedSince
-	makesRoom := g.counts.ByState[StateClosing]+g.counts.CloseRequested > excess
-	if makesRoom || decision.Wait > 0 && decision.Wait <= g.cfg.AdmitTimeout { // or one may be closed soon
+	if g.makingRoom() > excess || decision.Wait > 0 && decision.Wait <= g.cfg.AdmitTimeout { // or one may be closed soon
 		since = g.waitingSince
 	}
 	remaining := since + g.cfg.AdmitTimeout - now
@@ -239,6 +242,65 @@
 	return decision
 }
 
+// Full reports whether there is no room for another connection.
+func (g *Governor) Full() bool { return g.excess() >= 0 }
+
+// Overdue reports whether a connection that waits for room, without a whole head, has been silent for so long that it need
+// not wait any longer. since is when its last bytes arrived, or when it was established if it has received none.
+func (g *Governor) Overdue(now, since time.Duration) bool {
+	return g.cfg.MinStall > 0 && now-since >= g.cfg.MinStall
+}
+
+// DecideOverdue is Decide for a connection that is Overdue. Those behind it in the backlog may have whole requests, so that
+// it gets no time to wait for room that nobody is about to make; and up to MaxRefusals others are closed at a time.
+func (g *Governor) DecideOverdue(now time.Duration) Decision {
+	decision := g.Decide(now)
+	if decision.Admit || decision.Refuse {
+		return decision
+	}
+	more, _ := g.selectEvictable(now, g.cfg.MaxRefusals-g.makingRoom())
+	decision.RequestClose = append(decision.RequestClose, more...)
+	if g.makingRoom() == 0 {
+		g.undecided = false
+		decision.Refuse = g.counts.Refusing < g.cfg.MaxRefusals
+		decision.Drop = !decision.Refuse
+	}
+	return decision
+}
+
+// makingRoom returns how many connections are closing or have been asked to close.
+func (g *Governor) makingRoom() int { return g.counts.ByState[StateClosing] + g.counts.CloseRequested }
+
+// minStall returns how long a connection may be silent that has sent one piece of a head. While many connections have sent
+// nothing, those make room soon enough.
+func (g *Governor) minStall() time.Duration {
+	if silentShare*g.counts.ByState[StateNew] >= g.counts.Held {
+		return g.cfg.StallTimeout
+	}
+	return cmp.Or(g.cfg.MinStall, g.cfg.StallTimeout)
+}
+
+// silentShare is the divisor of the open connections that makes those without any bytes many.
+const silentShare = 8
+
+// evictableAfter returns for how long a connection has to be in its state to be evicted. A client that goes on
+// writing a head gets more time than one that has sent one piece: crowds of clients that never finish a request would
+// otherwise hold all room for StallTimeout.
+func (g *Governor) evictableAfter(e *Entry) time.Duration {
+	switch {
+	case e.state == StateNew:
+		return g.cfg.NewGrace
+	case e.state == StateIdle:
+		return g.cfg.MinIdle
+	case e.since-e.headSince >= minPieceGap:
+		return g.cfg.StallTimeout
+	}
+	return g.minStall()
+}
+
+// minPieceGap is the least time between the first and the last bytes of a head that its client writes in pieces.
+const minPieceGap = 10 * time.Millisecond
+
 // excess returns by how many places (connections, or descriptors if that is more) the limits are exceeded; 0: they are
 // reached; below 0: there is room for another connection.
 func (g *Governor) excess() int {
@@ -257,23 +319,24 @@
 // those with a stalled head, then those idle for longer than MinIdle, in each case the longest first. It also
 // returns the time until the next one may be closed; 0: unknown.
 func (g *Governor) selectEvictable(now time.Duration, need int) (requested []*Entry, wait time.Duration) {
-	for _, candidates := range []struct {
-		state  State
-		minAge time.Duration
-	}{{StateNew, g.cfg.NewGrace}, {StateHead, g.cfg.StallTimeout}, {StateIdle, g.cfg.MinIdle}} {
-		for at := g.lists[candidates.state].Front(); at != nil && len(requested) < need; at = at.Next() {
+	for _, state := range []State{StateNew, StateHead, StateIdle} {
+		for at := g.lists[state].Front(); at != nil && len(requested) < need; at = at.Next() {
 			e := at.Value.(*Entry)
 			if e.closeRequested {
 				continue
 			}
-			if remaining := e.since + candidates.minAge - now; remaining > 0 {
-				if wait == 0 || remaining < wait {
-					wait = remaining
-				}
+			remaining := e.since + g.evictableAfter(e) - now
+			if remaining <= 0 {
+				g.requestClose(e)
+				requested = append(requested, e)
+				continue
+			}
+			if wait == 0 || remaining < wait {
+				wait = remaining
+			}
+			if state != StateHead || now-e.since < g.minStall() {
 				break // all further ones entered this state later
 			}
-			g.requestClose(e)
-			requested = append(requested, e)
 		}
 	}
 	return requested, wait
@@ -304,35 +367,49 @@
 	return nil
 }
 
-// Open registers a connection that was admitted.
-func (g *Governor) Open(now time.Duration, tag any) *Entry {
+// Open registers a connection that was admitted. since is when it was established, if nothing has arrived on it, or else now.
+func (g *Governor) Open(since time.Duration, tag any) *Entry {
 	e := &Entry{Tag: tag, state: stateCount}
 	g.counts.Held++
 	g.counts.Accepted++
-	g.move(e, StateNew, now)
+	g.move(e, StateNew, since)
 	return e
 }
 
-// move puts a connection into state s, at the end of that state's list.
-func (g *Governor) move(e *Entry, s State, now time.Duration) {
+// move puts a connection into state s, which it entered at since, and keeps that state's list in the order of these times.
+func (g *Governor) move(e *Entry, s State, since time.Duration) {
 	if e.state < stateCount {
 		g.lists[e.state].Remove(e.element)
 		g.counts.ByState[e.state]--
 	}
-	e.state, e.since = s, now
-	e.element = g.lists[s].PushBack(e)
+	e.state, e.since = s, since
+	before := g.lists[s].Back()
+	for before != nil && before.Value.(*Entry).since > since {
+		before = before.Prev()
+	}
+	if before == nil {
+		e.element = g.lists[s].PushFront(e)
+	} else {
+		e.element = g.lists[s].InsertAfter(e, before)
+	}
 	g.counts.ByState[s]++
 }
 
-// BytesArrived records that bytes have been received. It cancels a close request.
-func (g *Governor) BytesArrived(e *Entry, now time.Duration) {
+// BytesArrived records that bytes have been received, which arrived at the given time. It cancels a close request, and
+// reports whether there was one.
+func (g *Governor) BytesArrived(e *Entry, at time.Duration) (cancelled bool) {
 	switch e.state {
 	case StateNew, StateIdle, StateHead:
+		cancelled = e.closeRequested
 		g.cancelCloseRequest(e)
-		g.move(e, StateHead, now)
+		if e.state != StateHead {
+			e.headSince = at
+		}
+		g.move(e, StateHead, at)
 	case StateProcessing, StateAnswering:
 		e.pipelined = true
 	}
+	return cancelled
 }
 
 // PipelinedByte records a byte that came while a request of its connection was in progress, and so belongs to the next
@@ -356,8 +433,17 @@
 
 // Reserve reserves memory for a body. If it returns false the request is refused before it is processed.
 func (g *Governor) Reserve(e *Entry, bytes int) bool {
-	if e.state != StateBody || g.cfg.MaxBodyReads > 0 && g.counts.ByState[StateBody] > g.cfg.MaxBodyReads ||
-		g.cfg.MaxBodyBytes > 0 && bytes > g.cfg.MaxBodyBytes-g.counts.ReservedBytes {
+	if g.cfg.MaxBodyReads > 0 && g.counts.ByState[StateBody] > g.cfg.MaxBodyReads {
+		g.counts.BodiesRefused++
+		return false
+	}
+	return g.ReserveArrived(e, bytes)
+}
+
+// ReserveArrived is Reserve for a body that has arrived whole: to read it takes no waiting, so that MaxBodyReads doesn't
+// apply. Otherwise clients that never finish their bodies would have those of all others refused.
+func (g *Governor) ReserveArrived(e *Entry, bytes int) bool {
+	if e.state != StateBody || g.cfg.MaxBodyBytes > 0 && bytes > g.cfg.MaxBodyBytes-g.counts.ReservedBytes {
 		g.counts.BodiesRefused++
 		return false
 	}
@@ -420,7 +506,7 @@
 	g.releaseBytes(e)
 	e.served++
 	if e.pipelined {
-		e.pipelined = false
+		e.pipelined, e.headSince = false, now
 		g.move(e, StateHead, now)
 		return false
 	}
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -37,7 +37,7 @@
 	freeDescriptors func()        // called when the process is out of descriptors, to free some elsewhere
 	refusal         []byte        // the answer for a refused connection
 	start           time.Time     // zero of the Governor's clock
-	freed           chan struct{} // signals Accept and Finish that a connection has closed or the limits have changed
+	freed           chan struct{} // signals Accept and Finish that a connection has closed, one that was to close stays, or the limits have changed
 	stopped         chan struct{} // closed when the listener begins to close
 	stopOnce        sync.Once
 	accepting       atomic.Bool    // Accept has been called
@@ -94,6 +94,9 @@
 // now returns the time on the Governor's clock, which begins with the Listener.
 func (l *Listener) now() time.Duration { return time.Since(l.start) }
 
+// at converts a time to the Governor's clock.
+func (l *Listener) at(t time.Time) time.Duration { return t.Sub(l.start) }
+
 // Counts returns the Governor's counts of connections.
 func (l *Listener) Counts() Counts {
 	l.mu.Lock()
@@ -160,9 +163,7 @@
 // boundBacklogAccept bounds the next accept of a listener that is closing: until is when it ends without a
 // connection. The kernel has already accepted the connections in the backlog, so each of them must be answered.
 func (l *Listener) boundBacklogAccept() (until time.Time, draining bool) {
-	select {
-	case <-l.stopped:
-	default:
+	if !l.isStopped() {
 		return time.Time{}, false
 	}
 	until = time.Now().Add(backlogIdleTime)
@@ -173,6 +174,16 @@
 	return until, true
 }
 
+// isStopped reports whether the listener has begun to close.
+func (l *Listener) isStopped() bool {
+	select {
+	case <-l.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // wakeAccept makes a blocked Accept return by the given time, if the listener supports deadlines.
 func (l *Listener) wakeAccept(by time.Time) bool {
 	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
@@ -192,14 +203,19 @@
 // admit waits until there is room for nc. It returns nil if nc was refused or the listener has closed.
 func (l *Listener) admit(nc net.Conn) *Conn {
 	for {
+		decide := (*Governor).Decide
+		if !l.isStopped() && l.isOverdue(nc) {
+			decide = (*Governor).DecideOverdue
+		}
+		since := l.newSince(nc)
 		l.mu.Lock()
-		decision := l.governor.Decide(l.now())
+		decision := decide(l.governor, l.now())
 		var c *Conn
 		switch {
 		case decision.Admit:
 			c = &Conn{Conn: nc, listener: l, clientGone: make(chan struct{})}
-			c.entry = l.governor.Open(l.now(), c)
-		case decision.Refuse:
+			c.entry = l.governor.Open(since, c)
+		case decision.Refuse || decision.Drop:
 			l.governor.BeginRefusal()
 		}
 		l.mu.Unlock()
@@ -212,6 +228,9 @@
 		case decision.Refuse:
 			l.refusals.Go(func() { l.refuse(nc) })
 			return nil
+		case decision.Drop:
+			l.closeRefused(nc)
+			return nil
 		}
 		if !l.wait(decision.Wait) { // the listener is closing: an accepted connection is still answered
 			l.mu.Lock()
@@ -248,6 +267,11 @@
 	if _, err := nc.Write(l.refusal); err == nil {
 		linger(nc, refusalLingerTime, refusalLingerBytes)
 	}
+	l.closeRefused(nc)
+}
+
+// closeRefused closes a connection that was not admitted.
+func (l *Listener) closeRefused(nc net.Conn) {
 	nc.Close()
 	l.mu.Lock()
 	l.governor.EndRefusal()
@@ -371,20 +395,21 @@
 	listener *Listener
 	entry    *Entry // guarded by listener.mu
 
-	mu          sync.Mutex
-	deadline    time.Time     // for reads, as set by the server
-	woken       bool          // the socket has a past read deadline, to wake the reader
-	head        []byte        // raw bytes received of the head that is being read; see TakeHead
-	headMeter   headMeter     // counts the head that is being read
-	ignoreHead  bool          // received bytes don't belong to a head but to the body of the request whose head was taken
-	readAhead   *readAhead    // reads while a request is being processed; nil: not running
-	buffered    []byte        // bytes that readAhead has received
-	bufferedErr error         // the error with which the client's side ended during readAhead
-	clientGone  chan struct{} // closed when readAhead sees the client's side end
-	bodyWait    bodyWait      // how long reads of a body have waited for the client
-	arrivals    arrival.Log   // when the bytes arrived that were read from the socket
-	delivered   int64         // bytes that the server has read
-	requestEnd  int64         // those of them that came before or with the current request
+	mu           sync.Mutex
+	deadline     time.Time     // for reads, as set by the server
+	woken        bool          // the socket has a past read deadline, to wake the reader
+	head         []byte        // raw bytes received of the head that is being read; see TakeHead
+	headMeter    headMeter     // counts the head that is being read
+	ignoreHead   bool          // received bytes don't belong to a head but to the body of the request whose head was taken
+	readWithHead int           // bytes that had been read behind the head when it was taken
+	readAhead    *readAhead    // reads while a request is being processed; nil: not running
+	buffered     []byte        // bytes that readAhead has received
+	bufferedErr  error         // the error with which the client's side ended during readAhead
+	clientGone   chan struct{} // closed when readAhead sees the client's side end
+	bodyWait     bodyWait      // how long reads of a body have waited for the client
+	arrivals     arrival.Log   // when the bytes arrived that were read from the socket
+	delivered    int64         // bytes that the server has read
+	requestEnd   int64         // those of them that came before or with the current request
 
 	receivedBytes atomic.Bool // part of a request has been received
 	wroteAnswer   atomic.Bool // part of its answer has been written
@@ -485,18 +510,21 @@
 			n, err = c.readSocket(p)
 		}
 		if n > 0 {
-			c.recordRead(n, fromBuffer)
+			arrived := c.listener.at(c.recordRead(n, fromBuffer))
 			c.captureHead(p[:n])
 			c.receivedBytes.Store(true)
-			pipelined := false
-			c.withGovernor(func(g *Governor, e *Entry, now time.Duration) {
+			pipelined, stays := false, false
+			c.withGovernor(func(g *Governor, e *Entry, _ time.Duration) {
 				if pipelined = len(p) == 1 && g.PipelinedByte(e); !pipelined {
-					g.BytesArrived(e, now)
+					stays = g.BytesArrived(e, arrived)
 				}
 			})
 			if !pipelined {
 				c.requestContinues()
 			}
+			if stays { // Accept may wait for its room
+				c.listener.signalFreed()
+			}
 			c.restoreDeadline()
 			if !c.reserveHead() {
 				return 0, errEvicted
@@ -649,6 +677,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	head := c.head
+	c.readWithHead = 0
+	if c.headMeter.ended && len(head) < maxKeptHead {
+		c.readWithHead = len(head) - c.headMeter.bytes
+	}
 	c.head, c.headMeter, c.ignoreHead = nil, headMeter{}, true
 	return head
 }
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -57,7 +57,11 @@
 	if length > 0 {
 		firstSize = min(length, firstPartBytes)
 	}
-	if !conn.Reserve(int(firstSize)) {
+	reserve := conn.Reserve
+	if length == firstSize && conn.BodyArrived(length) {
+		reserve = conn.ReserveArrived
+	}
+	if !reserve(int(firstSize)) {
 		return nil, nil, http.StatusServiceUnavailable, errors.New("too many bodies in hand")
 	}
 	reader := newBodyReader(conn, r)
