A Diameter request's time runs from its arrival

What callers saw: a request that had waited to be read (listener's queue, its client's pace, unread answers) was served after its client's time.

Change: a connection records when its bytes arrived, by TCP_INFO with each read and by what waits in the socket every 25 ms while it isn't read; a message has the time of its last byte.

--- a/internal/front/diameter/conn.go
+++ b/internal/front/diameter/conn.go
@@ -74,11 +74,11 @@
 func (c *conn) read() {
 	defer c.handleClosed()
 	limits := diameter.DefaultLimits()
-	messages := diameter.NewReader(c, limits)
+	received := &arrivalReader{conn: c.Conn}
+	messages := diameter.NewReader(received, limits)
 	c.SetReadDeadline(time.Now().Add(c.front.cfg.CERTimeout))
 	for {
-		c.writes.awaitRoom()
-		c.awaitPace()
+		c.awaitTurn(received.observe)
 		raw, err := messages.Next()
 		var breach *diameter.Error
 		if err != nil {
@@ -87,6 +87,7 @@
 			}
 			return
 		}
+		arrived := received.next(len(raw))
 		m, err := diameter.Decode(raw, limits)
 		if errors.As(err, &breach) {
 			if m == nil || !m.Request() || breach.Fatal {
@@ -95,7 +96,7 @@
 			c.answer(m, breach)
 			continue
 		}
-		if err != nil || !c.handle(m, len(raw)) {
+		if err != nil || !c.handle(m, len(raw), arrived) {
 			return
 		}
 	}
@@ -128,8 +129,9 @@
 	}
 }
 
-// handle processes a message of that many bytes and reports whether the connection stays open.
-func (c *conn) handle(m *diameter.Message, bytes int) bool {
+// handle processes a message of that many bytes, which arrived at the given time, and reports whether the connection stays
+// open.
+func (c *conn) handle(m *diameter.Message, bytes int, arrived time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.name == "" {
@@ -162,7 +164,7 @@
 		c.answer(m, err)
 		return true
 	}
-	c.relayRequest(m, bytes)
+	c.relayRequest(m, bytes, arrived)
 	return true
 }
 
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -1,6 +1,7 @@
 package diameter
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -48,6 +49,20 @@
 
 // newSiteWithMemory is newSite for a process that may use that much memory; 0: unknown.
 func newSiteWithMemory(t testing.TB, memory int64, window int, scripts ...func(c *standin.DiameterConn, m *diameter.Message)) *relaySite {
+	t.Helper()
+	return newSiteWith(t, siteOptions{memory: memory, window: window}, scripts...)
+}
+
+// siteOptions are the options of a relaySite.
+type siteOptions struct {
+	memory   int64                           // bytes that the process may use; 0: unknown
+	window   int                             // bound of pending requests per server
+	deadline time.Duration                   // of all classes; 0: those of deploy/diameter.toml
+	wrap     func(net.Listener) net.Listener // replaces the front's listener; may be nil
+}
+
+// newSiteWith is newSite with options.
+func newSiteWith(t testing.TB, options siteOptions, scripts ...func(c *standin.DiameterConn, m *diameter.Message)) *relaySite {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	raw, err := os.ReadFile("../../../deploy/diameter.toml")
@@ -58,6 +73,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for i := range rules.Classes {
+		rules.Classes[i].Deadline = cmp.Or(options.deadline, rules.Classes[i].Deadline)
+	}
 	s := balance.Settings{Balancers: 1, MaxAttempts: 4, ConnectTimeout: 5 * time.Second, AnswerGrace: 100 * time.Millisecond,
 		RampTime: time.Second, FallMultiple: 3, FallWindow: time.Second, DrainGrace: 500 * time.Millisecond, Classes: rules.Classes}
 	bal, err := balance.New(s, 1)
@@ -66,7 +84,7 @@
 	}
 	loop := core.New(bal, &s, log)
 	b := backend.New(backend.Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", ConnectTimeout: 5 * time.Second,
-		Window: window, Peer: diameter.DefaultPeerConfig(), Log: log,
+		Window: options.window, Peer: diameter.DefaultPeerConfig(), Log: log,
 		OnLeaving: func(id string, leaves bool) { loop.Post(func() { loop.SetLeaving(id, leaves) }) }})
 	loop.Backend = b
 	site := &relaySite{t: t, loop: loop, stopped: make(chan struct{}), stopLimit: 5 * time.Second}
@@ -97,9 +115,12 @@
 		t.Fatal(err)
 	}
 	site.addr = ln.Addr().String()
+	if options.wrap != nil {
+		ln = options.wrap(ln)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	inner, stop := context.WithCancel(context.Background())
-	front, err := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: rules.Limits(memory),
+	front, err := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: rules.Limits(options.memory),
 		Overload: overload.Config{Interval: 100 * time.Millisecond, Validity: time.Second, MinAnswers: 8, GrowthFactor: 2, MinReduction: 0.05, MaxReduction: 0.9},
 		Peer:     diameter.DefaultPeerConfig(), BackendByIdentity: b.BackendByIdentity, Connections: 8, CERTimeout: 10 * time.Second, Log: log}, loop)
 	if err != nil {
--- a/internal/front/diameter/outbox.go
+++ b/internal/front/diameter/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"lemonrail/internal/diameter/relay"
 )
@@ -98,13 +99,30 @@
 	o.changed.Broadcast()
 }
 
-// awaitRoom waits until less than maxUnreadMessages and maxUnreadLocalBytes wait, or the writer has ended.
-func (o *outbox) awaitRoom() {
+// awaitRoom waits until less than maxUnreadMessages and maxUnreadLocalBytes wait, or the writer has ended, but not for longer
+// than limit. It returns false if the time was over.
+func (o *outbox) awaitRoom(limit time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for (len(o.messages) >= maxUnreadMessages || o.localBytes >= maxUnreadLocalBytes) && !o.closed {
+	if !o.full() {
+		return true
+	}
+	end := time.Now().Add(limit)
+	alarm := time.AfterFunc(limit, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.changed.Broadcast()
+	})
+	defer alarm.Stop()
+	for o.full() && time.Now().Before(end) {
 		o.changed.Wait()
 	}
+	return !o.full()
+}
+
+// full reports whether no further request is to be read. The caller holds o.mu.
+func (o *outbox) full() bool {
+	return (len(o.messages) >= maxUnreadMessages || o.localBytes >= maxUnreadLocalBytes) && !o.closed
 }
 
 // clientQueues is the account of what waits for all clients. It is safe for concurrent use.
--- a/internal/front/diameter/pace.go
+++ b/internal/front/diameter/pace.go
@@ -65,12 +65,5 @@
 	p.stopping = true
 }
 
-// awaitPace waits until the connection may be read from again.
-func (c *conn) awaitPace() {
-	if wait := c.front.pacer.wait(&c.pace, c.front.now()); wait > 0 {
-		time.Sleep(min(wait, maxPause))
-	}
-}
-
 // maxPause bounds the time for which a connection isn't read from, since the client's end isn't noticed meanwhile.
 const maxPause = 250 * time.Millisecond
--- a/internal/front/diameter/requests.go
+++ b/internal/front/diameter/requests.go
@@ -15,9 +15,9 @@
 
 // This file passes requests to the core and their answers to clients.
 
-// relayRequest passes a request of that many bytes to the core, unless it is a resend or is refused here. Whether it is a resend is checked
+// relayRequest passes a request of that many bytes, which arrived at the given time, to the core, unless it is a resend or is refused here. Whether it is a resend is checked
 // first: a request that may have run must not be refused for the server that it names.
-func (c *conn) relayRequest(m *diameter.Message, bytes int) {
+func (c *conn) relayRequest(m *diameter.Message, bytes int, arrived time.Time) {
 	f := c.front
 	backendID, known := f.destination(m)
 	f.mu.Lock()
@@ -46,7 +46,7 @@
 			f.table.Complete(key, nil, false, f.now())
 			c.refuseBusy(m, "too many answers are unread")
 		default:
-			f.startCall(m, key, class, backendID, c.name)
+			f.startCall(m, key, class, backendID, c.name, arrived)
 		}
 	}
 }
@@ -81,14 +81,15 @@
 	return f.cfg.BackendByIdentity(name)
 }
 
-// startCall passes a new request from a client to the core. The caller holds f.mu.
-func (f *Front) startCall(m *diameter.Message, key relay.RequestKey, class int, backendID, client string) {
+// startCall passes a new request from a client to the core, which arrived at the given time. The caller holds f.mu.
+func (f *Front) startCall(m *diameter.Message, key relay.RequestKey, class int, backendID, client string, arrived time.Time) {
 	f.callCount++
 	call := &core.Call{
 		// A new ID for each call: a client may resend a refused request with the same identifiers.
 		Event:    balance.Request{ID: fmt.Sprintf("diameter-%d", f.callCount), Class: f.cfg.ClassOffset + class, OnlyBackend: backendID},
 		Request:  &backend.Request{Message: m, From: client},
-		Deadline: time.Now().Add(f.cfg.Rules.Classes[class].Deadline),
+		Arrived:  arrived,
+		Deadline: arrived.Add(f.cfg.Rules.Classes[class].Deadline),
 		Reply:    make(chan core.Answer, 1),
 		// Nobody waits for further attempts once the client's connection has closed. One that is out goes on: its
 		// answer is kept for the client's resend.
