A failed accept doesn't end the agent, on any listener

Cause: the Diameter front's accept loop ended with any error, and with it the process. The control listener and the control machines left it to net/http, the HTTP listener to a list without the errors of the network that accept(2) reports with the next connection.

Change: internal/accept has the one list of errors that pass and a listener that tries again; all these loops use it. A Diameter listener that can't be opened for want of descriptors is tried again too. Seats and the fleet's replicas went on after any error already.

--- a/internal/admission/crowd_test.go
+++ b/internal/admission/crowd_test.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+
+	"lemonrail/internal/scripted"
 )
 
 // crowdConfig is smallConfig with a MinStall.
@@ -112,3 +116,15 @@
 		t.Errorf("the first of the crowd got %d, %v", status, err)
 	}
 }
+
+// Guards against a server that ends because accepting failed with an error of the network, which Linux reports with the next
+// connection.
+func TestNetworkErrorsOfAccept(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := scripted.FailAccepts(ln, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN, syscall.EPROTO, syscall.ETIMEDOUT)
+	s := newTestServerOn(t, failing, Config{MaxConnections: 4, MaxRefusals: 1, NewGrace: time.Hour, MinIdle: time.Hour})
+	s.dial(t).exchange("after")
+}
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -10,9 +10,9 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"lemonrail/internal/accept"
 	"lemonrail/internal/arrival"
 	"lemonrail/internal/connstate"
 )
@@ -23,7 +23,6 @@
 	lingerPoll         = 10 * time.Millisecond  // silence of the client after which a fully delivered answer needs no more lingering
 	refusalLingerTime  = 100 * time.Millisecond // instead of lingerTime, for a refused connection
 	refusalLingerBytes = 64 << 10               // instead of lingerBytes, for a refused connection
-	descriptorPause    = 50 * time.Millisecond  // pause after an accept that found no free descriptor
 
 	backlogIdleTime = 10 * time.Millisecond  // a listener closes after this long without a connection in its backlog
 	maxBacklogDrain = 100 * time.Millisecond // limit on accepting the whole backlog before closing
@@ -134,21 +133,15 @@
 			if errors.Is(err, os.ErrDeadlineExceeded) && (!draining || !beforeDeadline && time.Now().Before(l.drainDeadline)) {
 				continue // the listener is closing: accept what is left in the backlog
 			}
-			if !outOfDescriptors(err) || draining && !time.Now().Before(l.drainDeadline) {
+			if !accept.IsPassing(err) || draining && !time.Now().Before(l.drainDeadline) {
 				l.endOnce.Do(func() { close(l.acceptEnded) })
 				if draining {
 					err = net.ErrClosed
 				}
 				return nil, err
 			}
-			l.freeDescriptors()
-			l.mu.Lock()
-			e := l.governor.RequestCloseOne(l.now())
-			l.mu.Unlock()
-			if e != nil {
-				e.Tag.(*Conn).wake()
-			}
-			if !l.wait(descriptorPause) {
+			l.FreeDescriptor()
+			if !l.wait(accept.RetryPause) {
 				time.Sleep(backlogIdleTime)
 			}
 			continue
@@ -160,6 +153,18 @@
 	}
 }
 
+// FreeDescriptor closes a connection that is kept for reuse and one of a client that may be closed, because the process is out
+// of descriptors.
+func (l *Listener) FreeDescriptor() {
+	l.freeDescriptors()
+	l.mu.Lock()
+	e := l.governor.RequestCloseOne(l.now())
+	l.mu.Unlock()
+	if e != nil {
+		e.Tag.(*Conn).wake()
+	}
+}
+
 // boundBacklogAccept bounds the next accept of a listener that is closing: until is when it ends without a
 // connection. The kernel has already accepted the connections in the backlog, so each of them must be answered.
 func (l *Listener) boundBacklogAccept() (until time.Time, draining bool) {
@@ -190,16 +195,6 @@
 	return ok && d.SetDeadline(by) == nil
 }
 
-// outOfDescriptors reports whether accepting failed for lack of a resource that becomes available again.
-func outOfDescriptors(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
-
 // admit waits until there is room for nc. It returns nil if nc was refused or the listener has closed.
 func (l *Listener) admit(nc net.Conn) *Conn {
 	for {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -141,7 +141,7 @@
 	}
 	processes := newProcessGroup(cfg, l, up, sockets, listener, members, log)
 	listener.processes = processes
-	diameter, err := diameterPart(cfg, l, up, processes, log)
+	diameter, err := diameterPart(cfg, l, up, listener.Listener, processes, log)
 	if err != nil {
 		return parts{processes.part()}, err
 	}
--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"syscall"
 	"time"
 
+	"lemonrail/internal/admission"
 	diameterback "lemonrail/internal/backend/diameter"
 	http1back "lemonrail/internal/backend/http1"
 	"lemonrail/internal/core"
@@ -65,13 +65,14 @@
 }
 
 // diameterPart adds Diameter to a loop that serves HTTP/1.1. It does nothing where the agent does not speak Diameter.
-func diameterPart(cfg *Config, l *core.Loop, up *http1back.Upstream, processes *processGroup, log *slog.Logger) (*part, error) {
+func diameterPart(cfg *Config, l *core.Loop, up *http1back.Upstream, clients *admission.Listener, processes *processGroup,
+	log *slog.Logger) (*part, error) {
 	if cfg.diameter == nil {
 		return &part{name: "diameter"}, nil
 	}
 	c := cfg.diameter.Config()
 	listener := &diameterListener{address: c.Listen}
-	if err := listener.open(); err != nil && !(errors.Is(err, syscall.EADDRINUSE) && processes.predecessorRuns()) {
+	if err := listener.open(); err != nil && !isPassingListenError(err, processes.predecessorRuns()) {
 		return nil, fmt.Errorf("diameter clients: %w", err)
 	}
 	back := diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
@@ -79,6 +80,7 @@
 		OnLeaving: func(id string, leaves bool) { l.Post(func() { l.SetLeaving(id, leaves) }) }})
 	front, err := diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, ClassOffset: cfg.diameterClassOffset,
 		Limits: cfg.diameter.Limits(cfg.MemoryMB << 20), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: diameterConnections(c.Connections, cfg.MemoryMB<<20),
+		FreeDescriptor:    clients.FreeDescriptor,
 		BackendByIdentity: back.BackendByIdentity, CERTimeout: capabilitiesTimeout, Log: log}, l)
 	if err != nil {
 		back.Close()
--- a/internal/agent/diameterlistener.go
+++ b/internal/agent/diameterlistener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lemonrail/internal/accept"
 )
 
 // listenRetryInterval is how often a process tries to listen for Diameter clients while an earlier process of its agent
@@ -26,6 +28,12 @@
 // errListenerClosed is returned by open after close.
 var errListenerClosed = errors.New("the listener of diameter clients is closed")
 
+// isPassingListenError reports whether listening may succeed later: a process before this one still listens, or the process is
+// out of descriptors or memory for a moment.
+func isPassingListenError(err error, predecessorRuns bool) bool {
+	return predecessorRuns && errors.Is(err, syscall.EADDRINUSE) || accept.IsPassing(err)
+}
+
 // open begins to listen.
 func (l *diameterListener) open() error {
 	l.mu.Lock()
@@ -50,7 +58,7 @@
 		if listener := l.current(); listener != nil {
 			return listener, nil
 		}
-		if err := l.open(); err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+		if err := l.open(); err != nil && !isPassingListenError(err, true) {
 			return nil, err
 		} else if err == nil {
 			continue
--- a/internal/configuration/server/server.go
+++ b/internal/configuration/server/server.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"lemonrail/internal/accept"
 	"lemonrail/internal/configuration"
 	"lemonrail/internal/duty/store"
 	"lemonrail/internal/replica"
@@ -147,7 +148,7 @@
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(newLimitedListener(listener, maxConnections)) }()
+	go func() { ended <- server.Serve(newLimitedListener(accept.Retry(listener, nil, s.log), maxConnections)) }()
 	select {
 	case err := <-ended:
 		return err
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"lemonrail/internal/accept"
 	"lemonrail/internal/pool"
 )
 
@@ -101,7 +102,7 @@
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	srv.SetKeepAlivesEnabled(false)
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
-	if err := srv.Serve(&limitedListener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	if err := srv.Serve(&limitedListener{Listener: accept.Retry(ln, nil, log)}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("control listener: %w", err)
 	}
 	return nil
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"lemonrail/internal/accept"
 	"lemonrail/internal/core"
 	"lemonrail/internal/diameter"
 	"lemonrail/internal/diameter/overload"
@@ -38,6 +39,7 @@
 	BackendByIdentity func(identity string) (backend string, ok bool) // returns the backend whose server has this Diameter identity
 	Connections       int                                             // maximum number of client connections; further ones are closed at once
 	CERTimeout        time.Duration                                   // time limit for a client's CER
+	FreeDescriptor    func()                                          // called when the process is out of descriptors; may be nil
 	Log               *slog.Logger
 }
 
@@ -79,11 +81,12 @@
 // or the time that stopDeadline returns has passed, and waits for its goroutines. If ln is closed earlier, no further
 // connections are accepted, and those that are open are served until ctx ends.
 func (f *Front) Serve(ctx context.Context, ln net.Listener, stopDeadline func() time.Time) error {
-	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	clientListener := accept.Retry(ln, f.cfg.FreeDescriptor, f.cfg.Log)
+	stop := context.AfterFunc(ctx, func() { clientListener.Close() })
 	defer stop()
 	var fault error
 	for {
-		nc, err := ln.Accept()
+		nc, err := clientListener.Accept()
 		if err != nil {
 			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 				fault = fmt.Errorf("diameter clients: %w", err)
--- a/internal/scripted/scripted.go
+++ b/internal/scripted/scripted.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -45,6 +46,37 @@
 	return ln
 }
 
+// FailAccepts returns a listener whose first accepts fail with these errors, as the system reports them.
+func FailAccepts(ln net.Listener, errs ...syscall.Errno) net.Listener {
+	return &failingListener{Listener: ln, errs: errs}
+}
+
+type failingListener struct {
+	net.Listener
+	mu   sync.Mutex
+	errs []syscall.Errno
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	err := l.nextFailure()
+	if err == nil {
+		return l.Listener.Accept()
+	}
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", err)}
+}
+
+// nextFailure returns the error of the next accept; nil: it doesn't fail.
+func (l *failingListener) nextFailure() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.errs) == 0 {
+		return nil
+	}
+	err := l.errs[0]
+	l.errs = l.errs[1:]
+	return err
+}
+
 // Backend starts a server that passes each connection to handle and closes it when handle returns. It returns
 // the server's address.
 func Backend(t testing.TB, handle func(c net.Conn, r *bufio.Reader)) string {
--- a/internal/standin/diameter.go
+++ b/internal/standin/diameter.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"log/slog"
 	"net"
 	"sync"
 	"time"
 
+	"lemonrail/internal/accept"
 	"lemonrail/internal/diameter"
 )
 
@@ -42,8 +44,9 @@
 func NewDiameterNodeOn(ln net.Listener, identity string, handle func(c *DiameterConn, m *diameter.Message)) *DiameterNode {
 	n := &DiameterNode{Identity: identity, ln: ln, handle: handle, conns: map[*DiameterConn]bool{}}
 	n.wait.Go(func() {
+		connections := accept.Retry(ln, nil, slog.New(slog.DiscardHandler))
 		for {
-			nc, err := ln.Accept()
+			nc, err := connections.Accept()
 			if err != nil {
 				return
 			}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"lemonrail/internal/accept"
 )
 
 // host is one node as discovery lists it, in the JSON of PROTOCOL.
@@ -67,7 +70,7 @@
 	r.ln, r.srv, r.addr = ln, srv, ln.Addr().String()
 	r.mu.Unlock()
 	r.serving.Go(func() {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(accept.Retry(ln, nil, slog.New(slog.DiscardHandler))); !errors.Is(err, http.ErrServerClosed) {
 			r.site.recordError(fmt.Errorf("discovery: %w", err))
 		}
 	})
