One account of descriptors for HTTP, Diameter and seats; silent crowds make room

What callers saw: idle HTTP connections held 360 of 512 descriptors whatever Diameter held, so that accepting Diameter clients failed; a silent crowd on the Diameter port shut out others.

Cause: only HTTP's connections were counted; Diameter's bound went by memory alone, and beyond it newcomers were closed.

Change: the Governor counts the descriptors of Diameter clients and servers and of seats, and closes idle clients for them. Diameter clients get half of the descriptors at most; beyond their bound a newcomer takes the place of the oldest stranger. Silent HTTP connections leave in the order in which they came, whatever the resolution of the system's times, and a connection that waits for room is looked at again when it may be overdue.

--- a/internal/admission/crowd_test.go
+++ b/internal/admission/crowd_test.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// Connections leave in the order in which they came, although the system's times of their arrival differ by its resolution.
+func TestSilentOnesLeaveInOrder(t *testing.T) {
+	b := newGovernorHarness(t, crowdConfig())
+	for i, since := range []time.Duration{8 * ms, 4 * ms, 12 * ms, 8 * ms} {
+		b.governor.Open(since, fmt.Sprint("new-", i))
+	}
+	if v := b.governor.Decide(time.Second); b.closeRequests(v) != "new-0" {
+		t.Errorf("asked %q", b.closeRequests(v))
+	}
+}
+
 // A connection that has been silent for long without a whole head doesn't hold up those behind it: others make room, some at
 // a time, or it is refused at once, and beyond MaxRefusals closed.
 func TestOverdueConnectionHoldsUpNobody(t *testing.T) {
@@ -117,6 +128,29 @@
 	}
 }
 
+// Descriptors that others take are not there for clients: those that may be are closed for them, and come back when others need fewer.
+func TestOthersTakeRoom(t *testing.T) {
+	b := newGovernorHarness(t, Config{MaxConnections: 8, MaxDescriptors: 10, MaxRefusals: 1, NewGrace: 50 * ms, MinIdle: 2000 * ms})
+	b.open("new-1", "new-2", "hand-1", "idle-1")
+	b.now += time.Second
+	if got := b.governor.AddOthers(3, b.now); len(got) != 0 {
+		t.Errorf("%d are to close although there is room", len(got))
+	}
+	if !b.governor.Full() {
+		t.Error("room for one more: 4 connections, a backend, 2 to refuse and 3 others take 10 descriptors")
+	}
+	var names []string
+	for _, e := range b.governor.AddOthers(2, b.now) {
+		names = append(names, e.Tag.(string))
+	}
+	if got := strings.Join(names, " "); got != "new-1 new-2" {
+		t.Errorf("asked %q", got)
+	}
+	if b.governor.AddOthers(-5, b.now); b.governor.Full() {
+		t.Error("no room although the others have gone")
+	}
+}
+
 // Guards against a server that ends because accepting failed with an error of the network, which Linux reports with the next
 // connection.
 func TestNetworkErrorsOfAccept(t *testing.T) {
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -156,6 +156,7 @@
 	cfg          Config
 	lists        [stateCount]list.List // connections by state, the one that entered first in front
 	counts       Counts
+	others       int           // descriptors in use besides those of the connections here and of the backends that they need
 	waiting      bool          // a new connection waits for room
 	waitingSince time.Duration // since when connections have waited without one being admitted
 	undecided    bool          // Decide has neither admitted nor refused the new connection that it was asked about last
@@ -239,6 +240,9 @@
 	if decision.Wait <= 0 || decision.Wait > remaining {
 		decision.Wait = remaining
 	}
+	if g.cfg.MinStall > 0 { // by then it may be Overdue
+		decision.Wait = min(decision.Wait, g.cfg.MinStall)
+	}
 	return decision
 }
 
@@ -310,7 +314,7 @@
 	}
 	if g.cfg.MaxDescriptors > 0 {
 		by := &g.counts.ByState
-		excess = max(excess, g.counts.Held+by[StateBody]+by[StateProcessing]+by[StateAnswering]+2*g.cfg.MaxRefusals-g.cfg.MaxDescriptors)
+		excess = max(excess, g.counts.Held+by[StateBody]+by[StateProcessing]+by[StateAnswering]+2*g.cfg.MaxRefusals+g.others-g.cfg.MaxDescriptors)
 	}
 	return excess
 }
@@ -342,6 +346,14 @@
 	return requested, wait
 }
 
+// AddOthers changes the number of descriptors that are in use besides those of the connections here and of the backends that
+// they need. It requests the close of connections that exceed what is left for them.
+func (g *Governor) AddOthers(delta int, now time.Duration) []*Entry {
+	g.others += delta
+	requested, _ := g.selectEvictable(now, g.excess()-g.makingRoom())
+	return requested
+}
+
 // requestClose marks a connection as asked to close; its reader has to be woken to confirm it (ConfirmClose).
 func (g *Governor) requestClose(e *Entry) {
 	if !e.closeRequested {
@@ -369,6 +381,9 @@
 
 // Open registers a connection that was admitted. since is when it was established, if nothing has arrived on it, or else now.
 func (g *Governor) Open(since time.Duration, tag any) *Entry {
+	if last := g.lists[StateNew].Back(); last != nil { // the backlog is in order, which the system's times are not within some milliseconds
+		since = max(since, last.Value.(*Entry).since)
+	}
 	e := &Entry{Tag: tag, state: stateCount}
 	g.counts.Held++
 	g.counts.Accepted++
@@ -602,7 +617,7 @@
 func (g *Governor) MaxFinalRefusals() int {
 	limit := max(g.cfg.MaxRefusals, finalRefusals)
 	if by := &g.counts.ByState; g.cfg.MaxDescriptors > 0 {
-		limit = min(limit, g.cfg.MaxDescriptors-g.counts.Held-by[StateBody]-by[StateProcessing]-by[StateAnswering])
+		limit = min(limit, g.cfg.MaxDescriptors-g.others-g.counts.Held-by[StateBody]-by[StateProcessing]-by[StateAnswering])
 	}
 	return max(g.cfg.MaxRefusals, limit)
 }
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// AddOthers changes the number of descriptors that are held besides those of this listener's connections and of the
+// connections to backends that their requests need. Clients are closed where these need the room.
+func (l *Listener) AddOthers(delta int) {
+	l.wakeAll(func(g *Governor, now time.Duration) []*Entry { return g.AddOthers(delta, now) })
+	if delta < 0 {
+		l.signalFreed()
+	}
+}
+
+// HasRoom reports whether the limits are kept.
+func (l *Listener) HasRoom() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.governor.excess() <= 0
+}
+
 // boundBacklogAccept bounds the next accept of a listener that is closing: until is when it ends without a
 // connection. The kernel has already accepted the connections in the backlog, so each of them must be answered.
 func (l *Listener) boundBacklogAccept() (until time.Time, draining bool) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -141,7 +141,11 @@
 	}
 	processes := newProcessGroup(cfg, l, up, sockets, listener, members, log)
 	listener.processes = processes
-	diameter, err := diameterPart(cfg, l, up, listener.Listener, processes, log)
+	countDescriptors := func(delta int) { // of connections that are neither clients over HTTP/1.1 nor for them
+		sockets.Open.Add(int64(delta))
+		listener.AddOthers(delta)
+	}
+	diameter, err := diameterPart(cfg, l, up, sockets, listener.Listener, countDescriptors, processes, log)
 	if err != nil {
 		return parts{processes.part()}, err
 	}
@@ -150,7 +154,7 @@
 	if err != nil {
 		return parts{diameter}, err
 	}
-	duties, err := dutiesPart(cfg, siteDriver, members, processes, log)
+	duties, err := dutiesPart(cfg, siteDriver, members, processes, countDescriptors, log)
 	if err != nil {
 		return parts{diameter}, err
 	}
--- a/internal/agent/diameter.go
+++ b/internal/agent/diameter.go
@@ -24,12 +24,21 @@
 // copies towards a server and back, buffers and goroutines.
 const diameterConnectionMemory = 192 << 10
 
-// diameterConnections returns how many clients may be connected; memory 0 is unknown.
-func diameterConnections(configured int, memory int64) int {
-	if memory == 0 {
-		return configured
+// diameterDescriptorShare is the divisor of the descriptors for connections that gives those that Diameter clients may take. The
+// others are left to clients over HTTP/1.1 and to backends.
+const diameterDescriptorShare = 2
+
+// diameterConnections returns how many clients may be connected, of that many configured ones, with the memory in bytes and the
+// descriptors that the process may use; of both, 0 is unknown.
+func diameterConnections(configured int, memory, descriptors int64) int {
+	limit := configured
+	if memory > 0 {
+		limit = min(limit, int(memory/diameterConnectionMemory))
+	}
+	if descriptors > 0 {
+		limit = min(limit, int(descriptors/diameterDescriptorShare))
 	}
-	return min(configured, int(memory/diameterConnectionMemory))
+	return limit
 }
 
 // WithDiameter has the agent serve Diameter clients besides those of HTTP/1.1, by the rules of a file. The classes of the
@@ -65,8 +74,8 @@
 }
 
 // diameterPart adds Diameter to a loop that serves HTTP/1.1. It does nothing where the agent does not speak Diameter.
-func diameterPart(cfg *Config, l *core.Loop, up *http1back.Upstream, clients *admission.Listener, processes *processGroup,
-	log *slog.Logger) (*part, error) {
+func diameterPart(cfg *Config, l *core.Loop, up *http1back.Upstream, sockets *http1back.Sockets, clients *admission.Listener,
+	countDescriptors func(delta int), processes *processGroup, log *slog.Logger) (*part, error) {
 	if cfg.diameter == nil {
 		return &part{name: "diameter"}, nil
 	}
@@ -77,10 +86,11 @@
 	}
 	back := diameterback.New(diameterback.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm,
 		ConnectTimeout: cfg.Settings.ConnectTimeout, Window: c.Window, Peer: diameter.DefaultPeerConfig(), Log: log,
+		Descriptors: countDescriptors, FreeDescriptor: clients.FreeDescriptor,
 		OnLeaving: func(id string, leaves bool) { l.Post(func() { l.SetLeaving(id, leaves) }) }})
 	front, err := diameterfront.New(diameterfront.Config{Rules: cfg.diameter, Identity: c.Identity, Realm: c.Realm, ClassOffset: cfg.diameterClassOffset,
-		Limits: cfg.diameter.Limits(cfg.MemoryMB << 20), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: diameterConnections(c.Connections, cfg.MemoryMB<<20),
-		FreeDescriptor:    clients.FreeDescriptor,
+		Limits: cfg.diameter.Limits(cfg.MemoryMB << 20), Overload: overload.DefaultConfig(), Peer: diameter.DefaultPeerConfig(), Connections: diameterConnections(c.Connections, cfg.MemoryMB<<20, sockets.Limit),
+		Descriptors: countDescriptors, FreeDescriptor: clients.FreeDescriptor, HasRoom: clients.HasRoom,
 		BackendByIdentity: back.BackendByIdentity, CERTimeout: capabilitiesTimeout, Log: log}, l)
 	if err != nil {
 		back.Close()
--- a/internal/agent/duties.go
+++ b/internal/agent/duties.go
@@ -35,7 +35,7 @@
 
 // dutiesPart creates the part that runs the agent's client of the duties, by which it can hold them, and, where it is a
 // voter, its voter.
-func dutiesPart(cfg *Config, sites *driver.Driver, members *link.Link, processes *processGroup, log *slog.Logger) (*part, error) {
+func dutiesPart(cfg *Config, sites *driver.Driver, members *link.Link, processes *processGroup, countDescriptors func(delta int), log *slog.Logger) (*part, error) {
 	s := cfg.duties
 	if s == nil {
 		return &part{name: "duties"}, nil
@@ -45,7 +45,7 @@
 		if p.Name != cfg.Name {
 			continue
 		}
-		o := quorum.Options{Settings: s, Name: cfg.Name, FS: store.Dir(filepath.Join(s.Folder, cfg.Name)), Log: log}
+		o := quorum.Options{Settings: s, Name: cfg.Name, FS: store.Dir(filepath.Join(s.Folder, cfg.Name)), Log: log, Descriptors: countDescriptors}
 		if members != nil {
 			d.fleet = &fleetView{link: members}
 			o.Members = d.fleet.liveness
--- a/internal/agent/process_test.go
+++ b/internal/agent/process_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"lemonrail/internal/diameter/relay"
 	"lemonrail/internal/member/link"
 	"lemonrail/internal/standin"
 )
@@ -27,6 +28,7 @@
 	envConfig  = "LEMONRAIL_TEST_CONFIG"  // path of its configuration; set: the process is an agent
 	envControl = "LEMONRAIL_TEST_CONTROL" // address of its control listener
 	envMembers = "LEMONRAIL_TEST_MEMBERS" // path of the file on members; empty: no membership
+	envRelay   = "LEMONRAIL_TEST_RELAY"   // path of the file with the rules of the Diameter relay; empty: none
 )
 
 // TestAgentProcess is the entry point of the processes that agentProcess.start starts: it runs an agent until SIGTERM.
@@ -62,6 +64,19 @@
 			return err
 		}
 	}
+	if file := os.Getenv(envRelay); file != "" {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		rules, err := relay.ParseRules(file, raw)
+		if err != nil {
+			return err
+		}
+		if err := cfg.WithDiameter(rules); err != nil {
+			return err
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	return Run(ctx, cfg, hup, slog.New(slog.NewTextHandler(os.Stderr, nil)))
--- a/internal/backend/diameter/backend.go
+++ b/internal/backend/diameter/backend.go
@@ -15,9 +15,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lemonrail/balance"
+	"lemonrail/internal/accept"
 	"lemonrail/internal/core"
 	"lemonrail/internal/diameter"
 	"lemonrail/internal/diameter/relay"
@@ -39,6 +41,8 @@
 	Window         int                          // maximum number of pending attempts on a connection
 	Peer           diameter.PeerConfig          // timing of the servers' connections
 	OnLeaving      func(id string, leaves bool) // called with true after a server's DPR, with false once it is open again; may be nil
+	Descriptors    func(delta int)              // called when the number of descriptors that servers hold changes; may be nil
+	FreeDescriptor func()                       // called when the process is out of descriptors; may be nil
 	Log            *slog.Logger
 }
 
@@ -63,6 +67,12 @@
 
 // New returns a backend without connections. Close releases it.
 func New(cfg Config) *Backend {
+	if cfg.Descriptors == nil {
+		cfg.Descriptors = func(int) {}
+	}
+	if cfg.FreeDescriptor == nil {
+		cfg.FreeDescriptor = func() {}
+	}
 	return &Backend{cfg: cfg, startedAt: time.Now(), servers: map[core.Target]*server{}, closing: map[*server]bool{}}
 }
 
@@ -402,15 +412,18 @@
 		return
 	}
 	s.backend.wait.Go(func() {
-		conn, err := (&net.Dialer{Timeout: s.backend.cfg.ConnectTimeout, KeepAlive: -1}).Dial("tcp4", s.backend.cfg.Rules.Address(s.target.ID, s.target.Addr))
+		s.backend.cfg.Descriptors(1)
+		conn, err := s.backend.dial(s.backend.cfg.Rules.Address(s.target.ID, s.target.Addr))
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		switch {
 		case err != nil:
+			s.backend.cfg.Descriptors(-1)
 			s.step(diameter.Event{Input: diameter.ConnFailed})
 			return
 		case s.stopped:
 			conn.Close()
+			s.backend.cfg.Descriptors(-1)
 			return
 		}
 		s.conn = conn
@@ -427,6 +440,20 @@
 	})
 }
 
+// dial connects to an address. While the process is out of descriptors, it has some freed and tries again: the state machine
+// would wait for much longer.
+func (b *Backend) dial(address string) (net.Conn, error) {
+	dialer := net.Dialer{Deadline: time.Now().Add(b.cfg.ConnectTimeout), KeepAlive: -1}
+	for {
+		conn, err := dialer.Dial("tcp4", address)
+		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) || time.Now().After(dialer.Deadline) {
+			return conn, err
+		}
+		b.cfg.FreeDescriptor()
+		time.Sleep(accept.RetryPause)
+	}
+}
+
 // write writes queued messages until the connection ends, except those that were dropped or whose permit is
 // withdrawn.
 func (s *server) write(conn net.Conn, writes <-chan *queuedMessage, ended <-chan struct{}) {
@@ -618,6 +645,7 @@
 // Reset, the others with ConnectFailed.
 func (s *server) handleClosed(conn net.Conn) {
 	conn.Close()
+	s.backend.cfg.Descriptors(-1)
 	defer func() {
 		s.backend.mu.Lock()
 		delete(s.backend.closing, s)
--- a/internal/duty/quorum/member.go
+++ b/internal/duty/quorum/member.go
@@ -38,6 +38,8 @@
 	FS       store.FS
 	Listener net.Listener // nil: a listener on the voter's address in the settings
 	Log      *slog.Logger
+	// Descriptors is called when the number of descriptors that connections to the voter hold changes; nil: nobody counts them.
+	Descriptors func(delta int)
 	// Members returns the fleet membership's view of agents by name: for how long they have been dead, and
 	// which are alive. nil: there is no view, and a member of the quorum is replaced only if it returns under
 	// a new identity.
@@ -90,7 +92,7 @@
 		}
 	}
 	proto := protocol(o.Settings, o.Name)
-	s.server = &transport.Server{Listener: ln, Protocol: proto, Handle: s.receive, OnInvalid: s.countInvalid}
+	s.server = &transport.Server{Listener: ln, Protocol: proto, Handle: s.receive, OnInvalid: s.countInvalid, Descriptors: o.Descriptors}
 	for _, p := range o.Settings.seats {
 		if p.name != o.Name {
 			s.dialers[p.name] = &transport.Dialer{Address: p.addr.String(), Protocol: proto, Handle: s.receive, OnInvalid: s.countInvalid}
--- a/internal/front/diameter/conn.go
+++ b/internal/front/diameter/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lemonrail/internal/diameter"
@@ -25,6 +26,7 @@
 	mu          sync.Mutex
 	peer        *diameter.Peer // state machine of the client's connection
 	name        string         // the client's identity; empty until its CER was accepted
+	known       atomic.Bool    // name is set
 	timer       *time.Timer    // for the state machine's next Tick
 	lastID      uint32         // identifier of the last request of the base protocol
 	closed      bool
@@ -59,6 +61,7 @@
 // write writes queued messages until the reader has ended and the queue is empty: what was queued before the end, such as
 // an error answer that explains it, is still written.
 func (c *conn) write() {
+	defer c.front.cfg.Descriptors(-1)
 	defer c.writes.close()
 	defer c.Close()
 	for raw, ok := c.writes.first(); ok; raw, ok = c.writes.first() {
@@ -190,6 +193,7 @@
 		return false
 	}
 	c.name = name
+	c.known.Store(true)
 	a := c.front.cfg.Rules.LocalAnswer(m, diameter.Success, "")
 	if t, ok := c.LocalAddr().(*net.TCPAddr); ok {
 		a.AVPs = append(a.AVPs, diameter.IP(diameter.CodeHostIPAddress, t.AddrPort().Addr().Unmap()))
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -39,7 +39,9 @@
 	BackendByIdentity func(identity string) (backend string, ok bool) // returns the backend whose server has this Diameter identity
 	Connections       int                                             // maximum number of client connections; further ones are closed at once
 	CERTimeout        time.Duration                                   // time limit for a client's CER
+	Descriptors       func(delta int)                                 // called when the number of descriptors that clients hold changes; may be nil
 	FreeDescriptor    func()                                          // called when the process is out of descriptors; may be nil
+	HasRoom           func() bool                                     // reports whether the process's limit on descriptors is kept; may be nil
 	Log               *slog.Logger
 }
 
@@ -66,6 +68,12 @@
 
 // New returns a front that passes requests to loop.
 func New(cfg Config, loop *core.Loop) (*Front, error) {
+	if cfg.Descriptors == nil {
+		cfg.Descriptors = func(int) {}
+	}
+	if cfg.HasRoom == nil {
+		cfg.HasRoom = func() bool { return true }
+	}
 	load, err := overload.New(cfg.Overload, uint64(time.Now().Unix())<<20) // sequence numbers above those of an earlier process
 	if err != nil {
 		return nil, err
@@ -93,7 +101,12 @@
 			}
 			break
 		}
-		f.accept(nc)
+		f.cfg.Descriptors(1)
+		f.awaitDescriptor(ctx)
+		if !f.accept(nc) {
+			nc.Close()
+			f.cfg.Descriptors(-1)
+		}
 	}
 	if fault == nil {
 		<-ctx.Done()
@@ -160,13 +173,27 @@
 	return f.stopping, f.table.Pending()
 }
 
-// accept starts the goroutines of a new connection, or closes it beyond the bound.
-func (f *Front) accept(nc net.Conn) {
+// Limits on the wait of a new connection for the descriptors of clients that are closed for it.
+const (
+	maxDescriptorWait      = 250 * time.Millisecond
+	descriptorPollInterval = 2 * time.Millisecond
+)
+
+// awaitDescriptor waits until the process's limit on descriptors is kept, with that of the connection that was just accepted.
+func (f *Front) awaitDescriptor(ctx context.Context) {
+	end := time.Now().Add(maxDescriptorWait)
+	for !f.cfg.HasRoom() && time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(descriptorPollInterval)
+	}
+}
+
+// accept starts the goroutines of a new connection. Beyond the bound it takes the place of the oldest one that has not
+// exchanged capabilities; without one, accept returns false.
+func (f *Front) accept(nc net.Conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed || len(f.conns) >= f.cfg.Connections {
-		nc.Close()
-		return
+	if f.closed || len(f.conns) >= f.cfg.Connections && !f.closeStranger() {
+		return false
 	}
 	f.lastConn++
 	cfg := f.cfg.Peer
@@ -177,4 +204,22 @@
 	f.conns[c.id] = c
 	f.wait.Go(c.write)
 	f.wait.Go(c.read)
+	return true
+}
+
+// closeStranger closes the oldest connection whose client has not exchanged capabilities, and reports whether there was one.
+// The caller holds f.mu.
+func (f *Front) closeStranger() bool {
+	var oldest *conn
+	for _, c := range f.conns {
+		if !c.known.Load() && (oldest == nil || c.id < oldest.id) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(f.conns, oldest.id)
+	oldest.Close()
+	return true
 }
--- a/internal/front/diameter/front_test.go
+++ b/internal/front/diameter/front_test.go
@@ -59,6 +59,8 @@
 	window   int                             // bound of pending requests per server
 	deadline time.Duration                   // of all classes; 0: those of deploy/diameter.toml
 	wrap     func(net.Listener) net.Listener // replaces the front's listener; may be nil
+
+	descriptors func(delta int) // as Config.Descriptors
 }
 
 // newSiteWith is newSite with options.
@@ -122,7 +124,7 @@
 	inner, stop := context.WithCancel(context.Background())
 	front, err := New(Config{Rules: rules, Identity: "relay.example.net", Realm: "example.net", Limits: rules.Limits(options.memory),
 		Overload: overload.Config{Interval: 100 * time.Millisecond, Validity: time.Second, MinAnswers: 8, GrowthFactor: 2, MinReduction: 0.05, MaxReduction: 0.9},
-		Peer:     diameter.DefaultPeerConfig(), BackendByIdentity: b.BackendByIdentity, Connections: 8, CERTimeout: 10 * time.Second, Log: log}, loop)
+		Peer:     diameter.DefaultPeerConfig(), BackendByIdentity: b.BackendByIdentity, Connections: 8, CERTimeout: 10 * time.Second, Descriptors: options.descriptors, Log: log}, loop)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/replica/transport/server.go
+++ b/internal/replica/transport/server.go
@@ -19,6 +19,8 @@
 	Protocol  Protocol
 	Handle    Handler     // called with each received frame but pings
 	OnInvalid func(error) // called with the error of each invalid frame
+	// Descriptors is called when the number of descriptors that connections hold changes; nil: nobody counts them.
+	Descriptors func(delta int)
 
 	mu              sync.Mutex // guards openConnections
 	openConnections int
@@ -61,6 +63,9 @@
 		return false
 	}
 	s.openConnections++
+	if s.Descriptors != nil {
+		s.Descriptors(1)
+	}
 	return true
 }
 
@@ -69,4 +74,7 @@
 	s.mu.Lock()
 	s.openConnections--
 	s.mu.Unlock()
+	if s.Descriptors != nil {
+		s.Descriptors(-1)
+	}
 }
