A connection in the backlog that writes in pieces keeps its 500 ms

Cause: a connection that waits for room was refused after 100 ms of silence although its client goes on writing its head; once admitted it would have had 500 ms. The kernel counts the segments.

Tests of the crowd pass.

--- a/internal/admission/arrivals.go
+++ b/internal/admission/arrivals.go
@@ -67,10 +67,10 @@
 	if n == len(head) || wholeHead(head[:n]) {
 		return false
 	}
-	since := l.at(connstate.LastArrival(nc))
+	last, segments := connstate.Arrivals(nc)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.governor.Overdue(l.now(), since)
+	return l.governor.Overdue(l.now(), l.at(last), segments > 1)
 }
 
 // newSince returns since when a connection that is admitted now is in StateNew: its client's silence began before, in the
--- a/internal/admission/crowd_test.go
+++ b/internal/admission/crowd_test.go
@@ -87,9 +87,12 @@
 // a time, or it is refused at once, and beyond MaxRefusals closed.
 func TestOverdueConnectionHoldsUpNobody(t *testing.T) {
 	b := newGovernorHarness(t, crowdConfig())
-	if b.governor.Overdue(99*ms, 0) || !b.governor.Overdue(100*ms, 0) {
+	if b.governor.Overdue(99*ms, 0, false) || !b.governor.Overdue(100*ms, 0, false) {
 		t.Error("overdue at another time than MinStall")
 	}
+	if b.governor.Overdue(499*ms, 0, true) || !b.governor.Overdue(500*ms, 0, true) {
+		t.Error("one that writes in pieces is overdue at another time than StallTimeout")
+	}
 	b.open("hand-1", "hand-2", "hand-3", "hand-4")
 	for i := range 3 {
 		v := b.governor.DecideOverdue(b.now)
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -250,9 +250,14 @@
 func (g *Governor) Full() bool { return g.excess() >= 0 }
 
 // Overdue reports whether a connection that waits for room, without a whole head, has been silent for so long that it need
-// not wait any longer. since is when its last bytes arrived, or when it was established if it has received none.
-func (g *Governor) Overdue(now, since time.Duration) bool {
-	return g.cfg.MinStall > 0 && now-since >= g.cfg.MinStall
+// not wait any longer. since is when its last bytes arrived, or when it was established if it has received none; inPieces:
+// its client goes on writing.
+func (g *Governor) Overdue(now, since time.Duration, inPieces bool) bool {
+	limit := g.cfg.MinStall
+	if inPieces {
+		limit = g.cfg.StallTimeout
+	}
+	return g.cfg.MinStall > 0 && now-since >= limit
 }
 
 // DecideOverdue is Decide for a connection that is Overdue. Those behind it in the backlog may have whole requests, so that
--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -115,11 +115,19 @@
 // when it was established. The system tells it to some milliseconds. Where it doesn't, the result is the present, which is
 // later in any case.
 func LastArrival(nc net.Conn) time.Time {
-	now := time.Now()
+	last, _ := Arrivals(nc)
+	return last
+}
+
+// Arrivals returns when the last bytes arrived, as LastArrival does, and in how many segments all bytes have come; 0: none, or the
+// system doesn't tell.
+func Arrivals(nc net.Conn) (last time.Time, segments int) {
+	last = time.Now()
 	withDescriptor(nc, func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			now = now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+			last = last.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+			segments = int(info.Data_segs_in)
 		}
 	})
-	return now
+	return last, segments
 }
