A head that isn't whole doesn't wait for room while the backlog is long

Cause: clients that go on writing heads are never silent for long, so that each that waited for room held up all behind it. The kernel tells the length of the listener's queue (TCP_INFO).

TestBacklog and TestOverdueConnectionHoldsUpNobody have it.

--- a/internal/admission/arrivals.go
+++ b/internal/admission/arrivals.go
@@ -68,8 +68,12 @@
 		return false
 	}
 	last, segments := connstate.Arrivals(nc)
+	backlog := connstate.Backlog(l.Listener)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if n > 0 && l.governor.HoldsUpMany(backlog) {
+		return true
+	}
 	return l.governor.Overdue(l.now(), l.at(last), segments > 1)
 }
 
--- a/internal/admission/crowd_test.go
+++ b/internal/admission/crowd_test.go
@@ -93,6 +93,9 @@
 	if b.governor.Overdue(499*ms, 0, true) || !b.governor.Overdue(500*ms, 0, true) {
 		t.Error("one that writes in pieces is overdue at another time than StallTimeout")
 	}
+	if b.governor.HoldsUpMany(2) || !b.governor.HoldsUpMany(3) {
+		t.Error("the backlog is long at another length than beyond MaxRefusals")
+	}
 	b.open("hand-1", "hand-2", "hand-3", "hand-4")
 	for i := range 3 {
 		v := b.governor.DecideOverdue(b.now)
--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -260,6 +260,11 @@
 	return g.cfg.MinStall > 0 && now-since >= limit
 }
 
+// HoldsUpMany reports whether the backlog is so long that a connection whose head isn't whole must not wait for room.
+func (g *Governor) HoldsUpMany(backlog int) bool {
+	return g.cfg.MinStall > 0 && backlog > g.cfg.MaxRefusals
+}
+
 // DecideOverdue is Decide for a connection that is Overdue. Those behind it in the backlog may have whole requests, so that
 // it gets no time to wait for room that nobody is about to make; and up to MaxRefusals others are closed at a time.
 func (g *Governor) DecideOverdue(now time.Duration) Decision {
--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -28,9 +28,9 @@
 	notUsable               // closed on this side
 )
 
-// withDescriptor calls f with the descriptor of an operating system connection.
-func withDescriptor(nc net.Conn, f func(fd int)) access {
-	sys, ok := nc.(syscall.Conn)
+// withDescriptor calls f with the descriptor of a connection or listener of the operating system.
+func withDescriptor(socket any, f func(fd int)) access {
+	sys, ok := socket.(syscall.Conn)
 	if !ok {
 		return noSocket
 	}
@@ -57,6 +57,16 @@
 	return state
 }
 
+// Backlog returns how many connections wait to be accepted; 0 if the system doesn't tell.
+func Backlog(ln net.Listener) (n int) {
+	withDescriptor(ln, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = int(info.Unacked) // of a listener: the length of its queue
+		}
+	})
+	return n
+}
+
 // Peek copies received bytes that have not been read yet into p, without waiting and without taking them.
 func Peek(nc net.Conn, p []byte) (n int) {
 	withDescriptor(nc, func(fd int) {
--- a/internal/connstate/connstate_test.go
+++ b/internal/connstate/connstate_test.go
@@ -82,3 +82,29 @@
 		t.Error("known without a socket")
 	}
 }
+
+func TestBacklog(t *testing.T) {
+	ln := scripted.Listen(t)
+	for range 3 {
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+	}
+	await := func(want int) {
+		t.Helper()
+		for begun := time.Now(); Backlog(ln) != want; time.Sleep(time.Millisecond) {
+			if time.Since(begun) > scripted.WaitTimeout {
+				t.Fatalf("%d connections wait, want %d", Backlog(ln), want)
+			}
+		}
+	}
+	await(3)
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.Close()
+	await(2)
+}
