A call of the control listener has the time that its caller has left

Cause: the 0.9 s for an answer began with the handler, so that a call which had waited in the listener's queue was worked on after its caller had given up. Now they begin with the arrival of the call's last byte.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"lemonrail/internal/accept"
+	"lemonrail/internal/connstate"
 	"lemonrail/internal/pool"
 )
 
@@ -85,7 +86,7 @@
 		mux.HandleFunc(r.Pattern, r.Handle)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
+		ctx, cancel := context.WithDeadline(r.Context(), arrivalOf(r).Add(answerTimeout))
 		defer cancel()
 		w.Header().Set("Connection", "close")
 		if r.ContentLength != 0 { // no call takes a body, so one with a body is a mistake of the caller
@@ -96,9 +97,29 @@
 	})
 }
 
+// connectionKey is the key of the connection in a call's context.
+type connectionKey struct{}
+
+// withConnection stores a connection that limitedListener has accepted in the context of its calls.
+func withConnection(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*trackedConn); ok {
+		nc = c.Conn
+	}
+	return context.WithValue(ctx, connectionKey{}, nc)
+}
+
+// arrivalOf returns when the last byte of a call arrived. The call may have waited to be accepted and read.
+func arrivalOf(r *http.Request) time.Time {
+	if nc, ok := r.Context().Value(connectionKey{}).(net.Conn); ok {
+		return connstate.LastArrival(nc)
+	}
+	return time.Now()
+}
+
 // Serve serves the routes on ln until ctx ends, and then returns nil.
 func Serve(ctx context.Context, ln net.Listener, routes []Route, log *slog.Logger) error {
 	srv := &http.Server{Handler: Handler(routes), ReadTimeout: readTimeout, WriteTimeout: readTimeout + answerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withConnection,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	srv.SetKeepAlivesEnabled(false)
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"syscall"
 	"testing"
+	"time"
 
 	"lemonrail/internal/scripted"
 )
@@ -34,3 +36,45 @@
 		t.Error(err)
 	}
 }
+
+// heldListener accepts nothing until release is closed.
+type heldListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.Listener.Accept()
+}
+
+// A caller's time runs while its call waits to be accepted: its handler gets only what is left of it.
+func TestTimeRunsInTheListenersQueue(t *testing.T) {
+	const (
+		queueTime = 400 * time.Millisecond
+		slack     = 100 * time.Millisecond
+	)
+	held := &heldListener{Listener: scripted.Listen(t), release: make(chan struct{})}
+	deadlines := make(chan time.Time, 1)
+	route := Route{"GET /api/ready", func(_ http.ResponseWriter, r *http.Request) {
+		deadline, _ := r.Context().Deadline()
+		deadlines <- deadline
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(ctx, held, []Route{route}, slog.New(slog.DiscardHandler)) }()
+	caller, err := net.Dial("tcp", held.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	io.WriteString(caller, "GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	sent := time.Now()
+	time.Sleep(queueTime)
+	close(held.release)
+	if late := scripted.Await(t, deadlines).Sub(sent.Add(answerTimeout)); late > slack {
+		t.Errorf("the handler may take %v longer than its caller waits", late)
+	}
+	cancel()
+	scripted.Await(t, ended)
+}
