--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -120,7 +120,7 @@
 func Serve(ctx context.Context, ln net.Listener, routes []Route, log *slog.Logger) error {
 	srv := &http.Server{Handler: Handler(routes), ReadTimeout: readTimeout, WriteTimeout: readTimeout + answerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: withConnection,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	srv.SetKeepAlivesEnabled(false)
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
 	if err := srv.Serve(&limitedListener{Listener: accept.Retry(ln, nil, log)}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
