--- a/internal/admission/governor.go
+++ b/internal/admission/governor.go
@@ -260,19 +260,23 @@
 	return g.cfg.MinStall > 0 && now-since >= limit
 }
 
+// crowdCloseShare is the divisor of MaxConnections that gives how many are closed at a time for those in a long backlog. They
+// take no descriptors besides their own.
+const crowdCloseShare = 8
+
 // HoldsUpMany reports whether the backlog is so long that a connection whose head isn't whole must not wait for room.
 func (g *Governor) HoldsUpMany(backlog int) bool {
 	return g.cfg.MinStall > 0 && backlog > g.cfg.MaxRefusals
 }
 
 // DecideOverdue is Decide for a connection that is Overdue. Those behind it in the backlog may have whole requests, so that
-// it gets no time to wait for room that nobody is about to make; and up to MaxRefusals others are closed at a time.
+// it gets no time to wait for room that nobody is about to make; and many others are closed at a time.
 func (g *Governor) DecideOverdue(now time.Duration) Decision {
 	decision := g.Decide(now)
 	if decision.Admit || decision.Refuse {
 		return decision
 	}
-	more, _ := g.selectEvictable(now, g.cfg.MaxRefusals-g.makingRoom())
+	more, _ := g.selectEvictable(now, max(g.cfg.MaxRefusals, g.cfg.MaxConnections/crowdCloseShare)-g.makingRoom())
 	decision.RequestClose = append(decision.RequestClose, more...)
 	if g.makingRoom() == 0 {
 		g.undecided = false
