--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -19,7 +19,7 @@
 	Readable              // open, with bytes to read
 )
 
-// Result of withDescriptor.
+// access is the result of withDescriptor.
 type access uint8
 
 const (
