Tests: one held listener in internal/scripted in place of three

Cause: three test packages had the same listener that accepts nothing until it is told to. Change: scripted.HoldAccepts serves all of them; assertions and bounds are as they were. A comment of the Diameter front's configuration no longer says that further connections are closed at once.

--- a/internal/agent/arrival_test.go
+++ b/internal/agent/arrival_test.go
@@ -12,23 +12,9 @@
 	"time"
 
 	"lemonrail/internal/http1"
+	"lemonrail/internal/scripted"
 )
 
-// heldListener accepts nothing until release is closed: connections wait in the kernel's queue.
-type heldListener struct {
-	*net.TCPListener
-	release chan struct{}
-}
-
-func newHeldListener(t *testing.T) *heldListener {
-	return &heldListener{TCPListener: listen(t).(*net.TCPListener), release: make(chan struct{})}
-}
-
-func (l *heldListener) Accept() (net.Conn, error) {
-	<-l.release
-	return l.TCPListener.Accept()
-}
-
 const (
 	queueTime     = 400 * time.Millisecond // for which requests wait to be read
 	deadlineSlack = 150 * time.Millisecond // by which a backend may be told more than its client has left
@@ -80,7 +66,7 @@
 func TestTimeRunsInTheListenersQueue(t *testing.T) {
 	for name, length := range map[string]int{"held body": 5, "streamed body": 100_000} {
 		t.Run(name, func(t *testing.T) {
-			seen, ln := newToldBackend(), newHeldListener(t)
+			seen, ln := newToldBackend(), scripted.HoldAccepts(listen(t))
 			cfg := testConfig(t, backend(t, seen.serve))
 			cfg.MemoryMB = 2 // a body of over 64 KiB is streamed
 			base, _, _ := startAgentOn(t, ln, cfg, newDecider(sendAll))
@@ -89,7 +75,7 @@
 				length, strings.Repeat("x", length))
 			until := time.Now().Add(5 * time.Second)
 			time.Sleep(queueTime)
-			close(ln.release)
+			close(ln.Release)
 			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
 				t.Fatal(resp, err)
 			}
@@ -100,12 +86,12 @@
 
 // A request whose client has stopped waiting before it is read is refused and not sent on.
 func TestRequestThatIsReadTooLateIsRefused(t *testing.T) {
-	seen, ln := newToldBackend(), newHeldListener(t)
+	seen, ln := newToldBackend(), scripted.HoldAccepts(listen(t))
 	base, _, _ := startAgentOn(t, ln, testConfig(t, backend(t, seen.serve)), nil)
 	c := dial(t, base)
 	io.WriteString(c, timedRequest("d1", 100*time.Millisecond))
 	time.Sleep(queueTime)
-	close(ln.release)
+	close(ln.Release)
 	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("got %v, %v", resp, err)
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -37,24 +37,13 @@
 	}
 }
 
-// heldListener accepts nothing until release is closed.
-type heldListener struct {
-	net.Listener
-	release chan struct{}
-}
-
-func (l *heldListener) Accept() (net.Conn, error) {
-	<-l.release
-	return l.Listener.Accept()
-}
-
 // A caller's time runs while its call waits to be accepted: its handler gets only what is left of it.
 func TestTimeRunsInTheListenersQueue(t *testing.T) {
 	const (
 		queueTime = 400 * time.Millisecond
 		slack     = 100 * time.Millisecond
 	)
-	held := &heldListener{Listener: scripted.Listen(t), release: make(chan struct{})}
+	held := scripted.HoldAccepts(scripted.Listen(t))
 	deadlines := make(chan time.Time, 1)
 	route := Route{"GET /api/ready", func(_ http.ResponseWriter, r *http.Request) {
 		deadline, _ := r.Context().Deadline()
@@ -71,7 +60,7 @@
 	io.WriteString(caller, "GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
 	sent := time.Now()
 	time.Sleep(queueTime)
-	close(held.release)
+	close(held.Release)
 	if late := scripted.Await(t, deadlines).Sub(sent.Add(answerTimeout)); late > slack {
 		t.Errorf("the handler may take %v longer than its caller waits", late)
 	}
--- a/internal/front/diameter/arrival_test.go
+++ b/internal/front/diameter/arrival_test.go
@@ -13,17 +13,6 @@
 // shortDeadline is the time of clients in these tests; requests wait to be read for longer.
 const shortDeadline = 100 * time.Millisecond
 
-// heldListener accepts nothing until release is closed.
-type heldListener struct {
-	net.Listener
-	release chan struct{}
-}
-
-func (l *heldListener) Accept() (net.Conn, error) {
-	<-l.release
-	return l.Listener.Accept()
-}
-
 // newUnaskedSite returns a site whose server must get no request, with shortDeadline.
 func newUnaskedSite(t *testing.T, wrap func(net.Listener) net.Listener) *relaySite {
 	return newSiteWith(t, siteOptions{window: 16, deadline: shortDeadline, wrap: wrap}, func(c *standin.DiameterConn, m *diameter.Message) {
@@ -34,9 +23,9 @@
 
 // A client's time runs while its connection waits to be accepted: a request that is read after it is refused.
 func TestTimeRunsInTheListenersQueue(t *testing.T) {
-	held := &heldListener{release: make(chan struct{})}
+	var held *scripted.HeldListener
 	s := newUnaskedSite(t, func(ln net.Listener) net.Listener {
-		held.Listener = ln
+		held = scripted.HoldAccepts(ln)
 		return held
 	})
 	c, err := standin.DialDiameter(s.addr, "client1.example.net", diameter.AppCreditControl)
@@ -46,7 +35,7 @@
 	t.Cleanup(func() { c.Close() })
 	c.Send(s.newRequest(4, 2))
 	time.Sleep(4 * shortDeadline)
-	close(held.release)
+	close(held.Release)
 	if m := scripted.Await(t, c.Received); m.Command != diameter.CapabilitiesExchange {
 		t.Fatalf("got %+v", m)
 	}
--- a/internal/front/diameter/front.go
+++ b/internal/front/diameter/front.go
@@ -37,7 +37,7 @@
 	Overload          overload.Config                                 // for clients that accept overload reports
 	Peer              diameter.PeerConfig                             // timing of the clients' connections
 	BackendByIdentity func(identity string) (backend string, ok bool) // returns the backend whose server has this Diameter identity
-	Connections       int                                             // maximum number of client connections; further ones are closed at once
+	Connections       int                                             // maximum number of client connections; for further ones see accept
 	CERTimeout        time.Duration                                   // time limit for a client's CER
 	Descriptors       func(delta int)                                 // called when the number of descriptors that clients hold changes; may be nil
 	FreeDescriptor    func()                                          // called when the process is out of descriptors; may be nil
--- a/internal/scripted/scripted.go
+++ b/internal/scripted/scripted.go
@@ -46,6 +46,23 @@
 	return ln
 }
 
+// HeldListener accepts nothing until Release is closed: connections wait in the kernel's queue.
+type HeldListener struct {
+	net.Listener
+	Release chan struct{}
+}
+
+// HoldAccepts returns a HeldListener on ln.
+func HoldAccepts(ln net.Listener) *HeldListener {
+	return &HeldListener{Listener: ln, Release: make(chan struct{})}
+}
+
+// Accept waits for Release, and then for the next connection.
+func (l *HeldListener) Accept() (net.Conn, error) {
+	<-l.Release
+	return l.Listener.Accept()
+}
+
 // FailAccepts returns a listener whose first accepts fail with these errors, as the system reports them.
 func FailAccepts(ln net.Listener, errs ...syscall.Errno) net.Listener {
 	return &failingListener{Listener: ln, errs: errs}
